--- /dev/null
+++ b/caroblug/bundle/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' tool: keys, checks, signatures, publishing."""
+
+from caroblug.bundle._commands import run
+
+__all__ = ["run"]
--- /dev/null
+++ b/caroblug/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line programs; each patches the standard library first."""
--- /dev/null
+++ b/caroblug/cli/bundle.py
@@ -0,0 +1,18 @@
+"""`caroblug-bundle`: the operators' tool."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys
+
+from caroblug.bundle import run
+
+
+def main() -> int:
+    """Runs the program and returns its exit code."""
+    return run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/caroblug/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: routing, limits, state, recovery."""
--- /dev/null
+++ b/caroblug/core/recovery/__init__.py
@@ -0,0 +1,31 @@
+"""Attempts, positions, resuming and reassembly of streams."""
+
+from caroblug.core.recovery._effects import (
+    Effect,
+    FailStream,
+    ForwardOpen,
+    RunUnit,
+    SendNeed,
+    SendStates,
+    SendToken,
+)
+from caroblug.core.recovery._release import EntryStream
+from caroblug.core.recovery._stage import (
+    DEFAULT_JOURNAL_POSITIONS,
+    StageFailure,
+    StageStream,
+)
+
+__all__ = [
+    "DEFAULT_JOURNAL_POSITIONS",
+    "Effect",
+    "EntryStream",
+    "FailStream",
+    "ForwardOpen",
+    "RunUnit",
+    "SendNeed",
+    "SendStates",
+    "SendToken",
+    "StageFailure",
+    "StageStream",
+]
--- /dev/null
+++ b/caroblug/core/state/_bundle.py
@@ -0,0 +1,152 @@
+"""The bundle: everything that operators decide, as attrs classes."""
+
+import tomllib
+from typing import Any
+
+import attrs
+
+from caroblug.utils import (
+    SettingProblem,
+    SettingsRejected,
+    choice,
+    count,
+    duration_ms,
+    name,
+    number,
+    structure_table,
+)
+
+_MAX_LAYERS = 1024
+_MAX_VOCABULARY = 1_000_000
+_MAX_TOKENS = 1_000_000
+_MAX_BODY_BYTES = 64 * 1024 * 1024
+_IDEMPOTENT_METHODS = ["GET", "HEAD", "OPTIONS"]
+
+
+@attrs.frozen
+class ModelRule:
+    """A model that callers may ask for.
+
+    Attributes:
+        layers: Number of layers, over all stages.
+        vocabulary: Number of tokens.
+    """
+
+    layers: int = count(1, _MAX_LAYERS, "Layers over all stages.")
+    vocabulary: int = count(2, _MAX_VOCABULARY, "Number of tokens.")
+
+
+@attrs.frozen
+class ServiceRule:
+    """A plain service.
+
+    Attributes:
+        idempotent_methods: HTTP methods that may be repeated; a call with
+            another method runs at most once.
+        timeout_ms: How long one call may take.
+    """
+
+    idempotent_methods: list[str] = attrs.field(
+        factory=lambda: list(_IDEMPOTENT_METHODS)
+    )
+    timeout_ms: int = duration_ms("How long one call may take.", 5000)
+
+
+@attrs.frozen
+class ClientAccount:
+    """A subscriber.
+
+    Attributes:
+        group: Group under which it is counted in metrics.
+        key_hashes: Salted hashes of its keys, as `hash_key` makes them.
+        streams: Streams it may have open at once.
+        weight: Its share relative to other accounts.
+    """
+
+    key_hashes: list[str] = attrs.field()
+    group: str = name("Group under which it is counted.", "default")
+    streams: int = count(1, 100_000, "Streams open at once.", 64)
+    weight: float = number(0.01, 100.0, "Share relative to others.", 1.0)
+
+
+@attrs.frozen
+class Limits:
+    """Bounds for every caller.
+
+    Attributes:
+        body_bytes: Largest request body.
+        max_tokens: Most tokens generated for one request.
+        prompt_tokens: Longest prompt.
+        deadline_ms: How long one request may take.
+    """
+
+    body_bytes: int = count(
+        1, _MAX_BODY_BYTES, "Largest request body.", 1_048_576
+    )
+    max_tokens: int = count(1, _MAX_TOKENS, "Most tokens generated.", 4096)
+    prompt_tokens: int = count(1, _MAX_TOKENS, "Longest prompt.", 16384)
+    deadline_ms: int = duration_ms("How long a request may take.", 120_000)
+
+
+@attrs.frozen
+class Sharing:
+    """How service is measured for fair shares.
+
+    Attributes:
+        prompt_weight: Cost of a prompt token.
+        generated_weight: Cost of a generated token.
+    """
+
+    prompt_weight: float = number(0.0, 100.0, "Cost of a prompt token.", 0.1)
+    generated_weight: float = number(
+        0.001, 100.0, "Cost of a generated token.", 1.0
+    )
+
+
+@attrs.frozen
+class Objective:
+    """A service-level objective.
+
+    Attributes:
+        measure: Latency that it bounds.
+        service: Model or plain service it is about.
+        within_ms: A request counts as good at or under this.
+        share: Share of requests that must be good.
+    """
+
+    measure: str = choice(
+        ("first_token", "between_tokens", "request", "call"), "Latency."
+    )
+    service: str = name("Model or plain service.")
+    within_ms: int = duration_ms("Good at or under this.")
+    share: float = number(0.5, 0.99999, "Share that must be good.")
+
+
+@attrs.frozen
+class Bundle:
+    """One whole configuration, as operators write it in TOML."""
+
+    models: dict[str, ModelRule] = attrs.field(factory=dict)
+    services: dict[str, ServiceRule] = attrs.field(factory=dict)
+    client_accounts: dict[str, ClientAccount] = attrs.field(factory=dict)
+    limits: Limits = attrs.field(factory=Limits)
+    sharing: Sharing = attrs.field(factory=Sharing)
+    objectives: list[Objective] = attrs.field(factory=list)
+
+
+def parse_bundle(toml: str, file: str = "bundle") -> Bundle | SettingsRejected:
+    """Parses a bundle.
+
+    Args:
+        toml: The bundle's text.
+        file: Name to give in messages.
+
+    Returns:
+        The bundle, or every mistake found.
+    """
+    try:
+        table: dict[str, Any] = tomllib.loads(toml)
+    except tomllib.TOMLDecodeError as error:
+        problem = SettingProblem(file, "(file)", f"is not TOML: {error}")
+        return SettingsRejected((problem,))
+    return structure_table(table, Bundle, file)
--- /dev/null
+++ b/caroblug/core/state/_sections.py
@@ -0,0 +1,59 @@
+"""A bundle cut into sections, so that only changed ones are sent.
+
+At 18,000 client accounts a bundle holds a few megabytes and changes 470 times
+a day; one change touches one or two sections of some tens of kilobytes.
+"""
+
+import hashlib
+from typing import Any
+
+import orjson
+import xxhash
+
+ACCOUNT_SHARDS = 256
+_ACCOUNTS = "client_accounts"
+_DIGEST_BYTES = 20
+
+
+def _canonical(value: Any) -> bytes:
+    return orjson.dumps(value, option=orjson.OPT_SORT_KEYS)
+
+
+def section_hash(section: bytes) -> str:
+    """Returns the content hash of one section, in hexadecimal."""
+    return hashlib.blake2b(section, digest_size=_DIGEST_BYTES).hexdigest()
+
+
+def split_sections(table: dict[str, Any]) -> dict[str, bytes]:
+    """Cuts a parsed bundle into named sections with deterministic bytes.
+
+    Args:
+        table: The parsed TOML of a whole bundle.
+
+    Returns:
+        Canonical JSON by section name: one section for each top-level table,
+        and the client accounts spread over `ACCOUNT_SHARDS` sections.
+    """
+    sections = {}
+    for key, value in table.items():
+        if key != _ACCOUNTS:
+            sections[key] = _canonical(value)
+    shards: dict[str, dict[str, Any]] = {}
+    for account, rule in table.get(_ACCOUNTS, {}).items():
+        shard = xxhash.xxh32_intdigest(account.encode()) % ACCOUNT_SHARDS
+        shards.setdefault(f"{_ACCOUNTS}/{shard:03d}", {})[account] = rule
+    for key, value in shards.items():
+        sections[key] = _canonical(value)
+    return sections
+
+
+def join_sections(sections: dict[str, bytes]) -> dict[str, Any]:
+    """Returns the parsed bundle whose sections these are."""
+    table: dict[str, Any] = {}
+    for key in sorted(sections):
+        value = orjson.loads(sections[key])
+        if key.startswith(f"{_ACCOUNTS}/"):
+            table.setdefault(_ACCOUNTS, {}).update(value)
+        else:
+            table[key] = value
+    return table
--- /dev/null
+++ b/caroblug/entry/_directory.py
@@ -0,0 +1,102 @@
+"""What one entry knows of the side processes, from their own reports."""
+
+import attrs
+
+from caroblug.core.routing import EngineView
+from caroblug.gen.wire import ttypes as wire
+from caroblug.transport import PeerAddress
+from caroblug.utils import Clock
+
+
+@attrs.define
+class PlainView:
+    """What the entry knows of one plain service's side process."""
+
+    address: PeerAddress
+    service: str
+    running: int
+    leaving: bool
+
+
+class Directory:
+    """Engines and plain services that are connected and have reported.
+
+    Args:
+        clock: Source of time.
+        report_age_ms: Age at which a report no longer counts.
+    """
+
+    def __init__(self, clock: Clock, report_age_ms: int) -> None:
+        self._clock = clock
+        self._report_age_ms = report_age_ms
+        self._engines: dict[str, EngineView] = {}
+        self._plain: dict[str, PlainView] = {}
+        self._heard_ms: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._engines) + len(self._plain)
+
+    def on_report(self, report: wire.LoadReport) -> None:
+        """Takes a load report."""
+        self._heard_ms[report.instance] = self._clock.now_ms()
+        if report.end_layer:
+            self._on_engine(report)
+        elif report.target:
+            address = PeerAddress(report.instance, report.host, report.port)
+            self._plain[report.instance] = PlainView(
+                address, report.target, report.running or 0, report.leaving
+            )
+        elif report.instance in self._engines:
+            self._engines[report.instance].leaving = True
+
+    def forget(self, instance: str) -> None:
+        """Drops an instance whose connection is lost."""
+        self._engines.pop(instance, None)
+        self._plain.pop(instance, None)
+        self._heard_ms.pop(instance, None)
+
+    def engines(self, model: str) -> list[EngineView]:
+        """Returns the engines of a model with a report young enough."""
+        return [
+            engine
+            for engine in self._engines.values()
+            if engine.model == model and self._is_fresh(engine.instance)
+        ]
+
+    def plain(self, service: str) -> list[PlainView]:
+        """Returns the side processes of a plain service that take calls."""
+        return [
+            view
+            for view in self._plain.values()
+            if view.service == service
+            and not view.leaving
+            and self._is_fresh(view.address.instance)
+        ]
+
+    def add_streams(self, instances: tuple[str, ...], change: int) -> None:
+        """Adds to the count of this entry's own streams at engines."""
+        for instance in instances:
+            engine = self._engines.get(instance)
+            if engine is not None:
+                engine.own_streams = max(0, engine.own_streams + change)
+
+    def _is_fresh(self, instance: str) -> bool:
+        age_ms = self._clock.now_ms() - self._heard_ms[instance]
+        return age_ms <= self._report_age_ms
+
+    def _on_engine(self, report: wire.LoadReport) -> None:
+        known = self._engines.get(report.instance)
+        self._engines[report.instance] = EngineView(
+            report.instance,
+            report.host,
+            report.port,
+            report.data_centre,
+            report.target,
+            report.first_layer,
+            report.end_layer,
+            report.tokens_per_s,
+            report.waiting,
+            report.running,
+            report.leaving,
+            known.own_streams if known else 0,
+        )
--- /dev/null
+++ b/caroblug/entry/_requests.py
@@ -0,0 +1,105 @@
+"""Callers' requests: parsed and checked, every mistake named."""
+
+import secrets
+from typing import Any
+
+import attrs
+import orjson
+
+from caroblug.core.state import Bundle
+from caroblug.entry._streams import StreamRequest
+from caroblug.entry._tokenizer import make_tokenizer
+from caroblug.utils import (
+    RefusalType,
+    Refused,
+    SettingsRejected,
+    count,
+    number,
+    structure_table,
+    text,
+)
+
+_DEFAULT_MAX_TOKENS = 64
+_MAX_SEED = 2**31 - 1
+_MAX_INT = 1_000_000
+
+
+@attrs.frozen(kw_only=True)
+class Message:
+    """One message of a chat."""
+
+    role: str = text("Who speaks.", high=32)
+    content: str = text("What is said.", low=0, high=10_000_000)
+    name: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class Completion:
+    """A request to `/v1/chat/completions` or `/v1/completions`."""
+
+    model: str = text("Name of the model.")
+    messages: list[Message] = attrs.field(factory=list)
+    prompt: str = ""
+    stream: bool = False
+    max_tokens: int = count(1, _MAX_INT, "Tokens.", _DEFAULT_MAX_TOKENS)
+    max_completion_tokens: int = count(0, _MAX_INT, "Tokens.", 0)
+    seed: int = count(0, _MAX_SEED, "Seed of the sampling.", 0)
+    temperature: float = number(0.0, 2.0, "Accepted, not used.", 1.0)
+    top_p: float = number(0.0, 1.0, "Accepted, not used.", 1.0)
+    n: int = count(1, 1, "Answers.", 1)
+    user: str = ""
+
+    @property
+    def text(self) -> str:
+        """The whole prompt as text."""
+        if not self.messages:
+            return self.prompt
+        return "\n".join(f"{m.role}: {m.content}" for m in self.messages)
+
+
+def parse_completion(body: bytes) -> Completion | Refused:
+    """Parses a request body, or says everything that is wrong with it."""
+    try:
+        table: Any = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        return _bad(f"the body is not JSON: {error}")
+    if not isinstance(table, dict):
+        return _bad("the body must be a JSON object")
+    parsed = structure_table(table, Completion, "body")
+    if isinstance(parsed, SettingsRejected):
+        return _bad("; ".join(f"{p.key} {p.message}" for p in parsed.problems))
+    if not parsed.text.strip():
+        return _bad("messages or prompt must hold text")
+    return parsed
+
+
+def make_stream_request(
+    completion: Completion, bundle: Bundle, client_account: str
+) -> StreamRequest | Refused:
+    """Checks a completion against the bundle in force."""
+    model = bundle.models.get(completion.model)
+    if model is None:
+        return Refused(
+            RefusalType.UNKNOWN_MODEL, f"no model {completion.model!r}"
+        )
+    limits = bundle.limits
+    max_tokens = completion.max_completion_tokens or completion.max_tokens
+    if max_tokens > limits.max_tokens:
+        return _bad(f"max_tokens must be at most {limits.max_tokens}")
+    prompt = make_tokenizer(model.vocabulary).encode(completion.text)
+    if len(prompt) > limits.prompt_tokens:
+        return _bad(f"the prompt is over {limits.prompt_tokens} tokens")
+    return StreamRequest(
+        client_account=client_account,
+        weight=bundle.client_accounts[client_account].weight,
+        model=completion.model,
+        layers=model.layers,
+        prompt=prompt,
+        max_tokens=max_tokens,
+        deadline_ms=limits.deadline_ms,
+        seed=completion.seed or secrets.randbelow(_MAX_SEED) + 1,
+    )
+
+
+def _bad(message: str) -> Refused:
+    return Refused(RefusalType.BAD_REQUEST, message)
--- /dev/null
+++ b/caroblug/entry/_server.py
@@ -0,0 +1,187 @@
+"""The entry program: wires its parts together."""
+
+import falcon
+import gevent
+
+from caroblug.core.limits import Admission
+from caroblug.core.routing import ShortestWaitChooser
+from caroblug.core.state import BundleFold, Head
+from caroblug.entry._api import Completions, Door, Models, Services
+from caroblug.entry._directory import Directory
+from caroblug.entry._plain import PlainClient
+from caroblug.entry._refusals import write_refusal
+from caroblug.entry._settings import EntrySettings
+from caroblug.entry._streams import EntryStreams
+from caroblug.gen.wire import ttypes as wire
+from caroblug.node import (
+    BundleFollower,
+    Lifetime,
+    NodeHttp,
+    add_node_routes,
+)
+from caroblug.transport import (
+    InstancesUnavailable,
+    PeerAddress,
+    PeerHandler,
+    make_instance_list,
+    make_log_service,
+    make_peer_network,
+)
+from caroblug.utils import (
+    Metrics,
+    MonotonicClock,
+    RefusalType,
+    Refused,
+    log_state,
+    make_metrics,
+)
+
+_SIDE_ROLE = "side"
+
+
+class EntryServer(PeerHandler):
+    """One entry instance.
+
+    Args:
+        settings: Its settings.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.metrics: Metrics = make_metrics()
+        self._clock = MonotonicClock()
+        self.lifetime = Lifetime(self._clock, settings.drain_ms)
+        self.network = make_peer_network(
+            wire.Hello(settings.instance, "entry", settings.data_centre),
+            settings.shared_key.encode(),
+            self,
+            self._clock,
+            self.metrics,
+            settings.heartbeat_ms,
+            settings.silence_ms,
+        )
+        self.bundles = BundleFollower(
+            make_log_service(settings.log.host, settings.log.port),
+            BundleFold(settings.operators, settings.signatures),
+            self.metrics,
+            self._on_head,
+        )
+        self.directory = Directory(self._clock, settings.report_age_ms)
+        self.streams = EntryStreams(
+            wire.StageRef(
+                settings.instance, settings.host, settings.peer_port, 0, 0
+            ),
+            self.network,
+            self.directory,
+            ShortestWaitChooser(),
+            self._clock,
+            self.metrics,
+            settings.data_centre,
+            settings.attempts,
+        )
+        self.plain = PlainClient(self.network, self.directory, self.metrics)
+        self._instances = make_instance_list(
+            settings.instance_list.host, settings.instance_list.port
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.bundles.ready and not self.lifetime.leaving
+
+    def run(self) -> None:
+        """Serves until the process has drained."""
+        settings = self.settings
+        self.lifetime.install()
+        self.network.start(settings.host, settings.peer_port)
+        http = NodeHttp(settings.host, settings.http_port, self._make_app())
+        http.start()
+        gevent.spawn(self.bundles.run)
+        gevent.spawn(self._follow_instances)
+        log_state("program.started", port=settings.http_port)
+        self.lifetime.wait(lambda: None, self._busy)
+        http.stop()
+        self.network.stop()
+
+    def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
+        """Takes a frame from a side process."""
+        del peer
+        for report in frame.reports or ():
+            self.directory.on_report(report)
+            self.metrics.gauge("known_sides", len(self.directory))
+        for token in frame.tokens or ():
+            self.streams.on_token(token)
+        for refusal in frame.refusals or ():
+            self.streams.on_refusal(refusal)
+        for reply in frame.replies or ():
+            self.plain.on_reply(reply)
+
+    def on_peer_up(self, peer: PeerAddress) -> None:
+        """Waits for the peer's first report."""
+
+    def on_peer_lost(self, peer: PeerAddress, reason: str) -> None:
+        """Recovers what ran at the peer."""
+        del reason
+        self.directory.forget(peer.instance)
+        self.streams.on_peer_lost(peer.instance)
+        self.plain.on_peer_lost(peer.instance)
+
+    def _make_app(self) -> falcon.App:
+        app = falcon.App()
+        app.add_error_handler(falcon.HTTPNotFound, _not_found)
+        add_node_routes(app, self.metrics, lambda: self.ready)
+        door = Door(self.bundles, self.lifetime)
+        admission = Admission(self.settings.streams)
+        for path, chat in (
+            ("/v1/chat/completions", True),
+            ("/v1/completions", False),
+        ):
+            resource = Completions(
+                door,
+                self.streams,
+                admission,
+                self._clock,
+                self.metrics,
+                chat=chat,
+            )
+            app.add_route(path, resource)
+        app.add_route("/v1/models", Models(door))
+        services = Services(door, self.plain, self._clock, self.metrics)
+        app.add_sink(services, r"/services/(?P<name>[^/]+)(/(?P<path>.*))?")
+        return app
+
+    def _busy(self) -> bool:
+        return len(self.streams) > 0 or len(self.plain) > 0
+
+    def _on_head(self, head: Head) -> None:
+        """Needs nothing: every request reads the head anew."""
+
+    def _follow_instances(self) -> None:
+        while True:
+            listed = self._instances.fetch()
+            if isinstance(listed, InstancesUnavailable):
+                self.metrics.count("instance_list_failures")
+            else:
+                for record in listed:
+                    if record.role == _SIDE_ROLE and not record.leaving:
+                        self._connect(
+                            PeerAddress(
+                                record.instance, record.host, record.port
+                            )
+                        )
+            gevent.sleep(self.settings.instances_ms / 1000)
+
+    def _connect(self, peer: PeerAddress) -> None:
+        if not self.network.is_connected(peer.instance):
+            self.network.send(peer)
+
+
+def _not_found(request, response, error, params) -> None:
+    del request, error, params
+    refused = Refused(RefusalType.NOT_FOUND, "no such path")
+    write_refusal(response, refused)
+
+
+def serve(settings: EntrySettings) -> None:
+    """Runs the entry program."""
+    EntryServer(settings).run()
--- /dev/null
+++ b/caroblug/gen/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/caroblug/node/_http.py
@@ -0,0 +1,71 @@
+"""The HTTP server of a program, with health and metrics."""
+
+from collections.abc import Callable
+
+import falcon
+from gevent import pywsgi
+
+from caroblug.utils import Metrics
+
+_METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class _Health:
+    def on_get(self, request: falcon.Request, response: falcon.Response):
+        del request
+        response.media = {"status": "ok"}
+
+
+class _Ready:
+    def __init__(self, ready: Callable[[], bool]) -> None:
+        self._ready = ready
+
+    def on_get(self, request: falcon.Request, response: falcon.Response):
+        del request
+        ready = self._ready()
+        response.media = {"status": "ready" if ready else "not ready"}
+        response.status = (
+            falcon.HTTP_OK if ready else falcon.HTTP_SERVICE_UNAVAILABLE
+        )
+
+
+class _MetricsText:
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def on_get(self, request: falcon.Request, response: falcon.Response):
+        del request
+        response.data = self._metrics.expose()
+        response.content_type = _METRICS_TYPE
+
+
+def add_node_routes(
+    app: falcon.App, metrics: Metrics, ready: Callable[[], bool]
+) -> None:
+    """Adds `/healthz`, `/readyz` and `/metrics`."""
+    app.add_route("/healthz", _Health())
+    app.add_route("/readyz", _Ready(ready))
+    app.add_route("/metrics", _MetricsText(metrics))
+
+
+class NodeHttp:
+    """A WSGI server of one program.
+
+    Args:
+        host: IP address to listen on.
+        port: Port.
+        app: The application.
+    """
+
+    def __init__(self, host: str, port: int, app: falcon.App) -> None:
+        self._server = pywsgi.WSGIServer(
+            (host, port), app, log=None, error_log=None
+        )
+
+    def start(self) -> None:
+        """Starts to accept."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stops to accept; open requests were drained before."""
+        self._server.stop(timeout=1)
--- /dev/null
+++ b/caroblug/node/_lifetime.py
@@ -0,0 +1,113 @@
+"""The lifetime of a program: settings, signals, draining, exit codes."""
+
+import argparse
+import signal
+import sys
+from collections.abc import Callable
+from typing import TypeVar
+
+import gevent
+from gevent import event
+
+import caroblug
+from caroblug.utils import (
+    Clock,
+    SettingsRejected,
+    load_settings,
+    log_state,
+    start_logging,
+)
+
+_T = TypeVar("_T")
+
+EXIT_OK = 0
+EXIT_USAGE = 2
+_DRAIN_POLL_S = 0.05
+
+
+class Lifetime:
+    """Whether the program is running, draining or done.
+
+    Args:
+        clock: Source of time.
+        drain_ms: How long running work may take after SIGTERM.
+    """
+
+    def __init__(self, clock: Clock, drain_ms: int) -> None:
+        self._clock = clock
+        self._drain_ms = drain_ms
+        self._leaving = event.Event()
+
+    @property
+    def leaving(self) -> bool:
+        """Whether a stop was asked for: no new work is taken."""
+        return self._leaving.is_set()
+
+    def install(self) -> None:
+        """Lets SIGTERM and SIGINT begin the drain."""
+        gevent.signal_handler(signal.SIGTERM, self.leave)
+        gevent.signal_handler(signal.SIGINT, self.leave)
+
+    def leave(self) -> None:
+        """Begins the drain."""
+        if not self.leaving:
+            log_state("program.leaving")
+            self._leaving.set()
+
+    def wait(self, on_leave: Callable[[], None], busy: Callable[[], bool]):
+        """Blocks until the program has drained.
+
+        Args:
+            on_leave: Called once when the drain begins.
+            busy: Tells whether work is still running.
+        """
+        self._leaving.wait()
+        on_leave()
+        end_ms = self._clock.now_ms() + self._drain_ms
+        while busy() and self._clock.now_ms() < end_ms:
+            gevent.sleep(_DRAIN_POLL_S)
+        log_state("program.stopped", cut_short=busy())
+
+
+def run_program(
+    name: str,
+    description: str,
+    settings_class: type[_T],
+    serve: Callable[[_T], None],
+    arguments: list[str] | None = None,
+) -> int:
+    """Parses the command line, checks the settings and serves.
+
+    Args:
+        name: Name of the program.
+        description: One line for `--help`.
+        settings_class: The attrs class of its settings.
+        serve: Runs until the program has drained.
+        arguments: The command line without the program; None takes the
+            process's own.
+
+    Returns:
+        The exit code.
+    """
+    parser = argparse.ArgumentParser(name, description=description)
+    parser.add_argument("--config", required=True, metavar="FILE.toml")
+    parser.add_argument(
+        "--check-config",
+        action="store_true",
+        help="check the settings, say what is wrong with them, and exit",
+    )
+    parser.add_argument(
+        "--version", action="version", version=caroblug.__version__
+    )
+    options = parser.parse_args(arguments)
+    settings = load_settings(options.config, settings_class)
+    if isinstance(settings, SettingsRejected):
+        for problem in settings.problems:
+            print(problem, file=sys.stderr)
+        return EXIT_USAGE
+    if options.check_config:
+        print(f"{options.config}: ok")
+        return EXIT_OK
+    start_logging(name, settings.instance)
+    serve(settings)
+    return EXIT_OK
--- /dev/null
+++ b/caroblug/side/_streams.py
@@ -0,0 +1,322 @@
+"""The streams at one side process: messages in, effects out."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from caroblug.core import recovery
+from caroblug.core.recovery import StageFailure, StageStream
+from caroblug.gen.wire import ttypes as wire
+from caroblug.side._pump import EnginePump
+from caroblug.transport import (
+    EngineItem,
+    EngineResult,
+    PeerAddress,
+    PeerNetwork,
+)
+from caroblug.utils import Clock, Metrics
+
+_RETRY_AFTER_MS = 200
+_DEADLINE_SLACK_MS = 5000
+
+
+def address_of(ref: wire.StageRef) -> PeerAddress:
+    """Returns the address that a stage reference names."""
+    return PeerAddress(ref.instance, ref.host, ref.port)
+
+
+@attrs.define
+class _Entry:
+    """A stream with the newest open message that it has had.
+
+    The session is the stream's name at the engine. It is never used again,
+    so that a late answer for a forgotten stream can't reach its successor.
+    """
+
+    stream: StageStream
+    opened: wire.OpenStream
+    end_ms: int
+    session: str
+
+    @property
+    def stage(self) -> wire.StageRef:
+        return self.opened.chain[self.opened.stage]
+
+    @property
+    def entry(self) -> PeerAddress:
+        return address_of(self.opened.entry)
+
+    @property
+    def first(self) -> PeerAddress:
+        return address_of(self.opened.chain[0])
+
+    @property
+    def previous(self) -> PeerAddress:
+        return address_of(self.opened.chain[self.opened.stage - 1])
+
+    @property
+    def next(self) -> PeerAddress:
+        return address_of(self.opened.chain[self.opened.stage + 1])
+
+
+class StageStreams:
+    """Every stream that runs at this side process.
+
+    Args:
+        instance: Name of this instance.
+        network: Where messages are sent.
+        pump: Where units are run.
+        clock: Source of time.
+        metrics: Where streams are counted.
+        journal_positions: Outputs kept per stream.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        network: PeerNetwork,
+        pump: EnginePump,
+        clock: Clock,
+        metrics: Metrics,
+        journal_positions: int,
+    ) -> None:
+        self._instance = instance
+        self._network = network
+        self._pump = pump
+        self._clock = clock
+        self._metrics = metrics
+        self._journal_positions = journal_positions
+        self._streams: dict[str, _Entry] = {}
+        self._by_session: dict[str, str] = {}
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+    def on_open(self, opened: wire.OpenStream, refusal: str = "") -> None:
+        """Opens a stream or a newer attempt of it.
+
+        Args:
+            opened: The message.
+            refusal: A `StageFailure` for which a stream that is not yet
+                here is refused; empty to take it.
+        """
+        known = self._streams.get(opened.stream)
+        if known is not None and not _same_layers(known, opened):
+            self._forget(opened.stream)
+            known = None
+        if known is None:
+            if refusal:
+                self._refuse(opened, refusal, "takes no new streams")
+                return
+            known = self._make_entry(opened)
+        if opened.attempt <= known.stream.attempt:
+            return
+        known.opened = opened
+        known.end_ms = self._end_ms(opened)
+        effects = known.stream.open(
+            opened.attempt,
+            opened.tokens or [],
+            opened.known_length,
+            opened.prompt_length,
+            opened.max_length,
+        )
+        self._apply(opened.stream, known, effects)
+
+    def on_step(self, step: wire.Step) -> None:
+        """Takes hidden states from the previous stage."""
+        known = self._streams.get(step.stream)
+        if known is not None:
+            effects = known.stream.on_states(
+                step.attempt, step.position, step.states
+            )
+            self._apply(step.stream, known, effects)
+
+    def on_token(self, token: wire.Token) -> None:
+        """Takes a token from the last stage."""
+        known = self._streams.get(token.stream)
+        if known is not None:
+            effects = known.stream.on_token(
+                token.attempt, token.position, token.token
+            )
+            self._apply(token.stream, known, effects)
+
+    def on_need(self, need: wire.Need) -> None:
+        """Sends states again for the next stage."""
+        known = self._streams.get(need.stream)
+        if known is not None:
+            effects = known.stream.on_need(need.attempt, need.position)
+            self._apply(need.stream, known, effects)
+
+    def on_cancel(self, cancel: wire.Cancel) -> None:
+        """Ends a stream; an older attempt's cancel does nothing.
+
+        Guards against a cancel that overtakes the open message: it is also
+        passed along the chain, behind the open on each connection.
+        """
+        known = self._streams.get(cancel.stream)
+        if known is None or cancel.attempt < known.stream.attempt:
+            return
+        self._forget(cancel.stream)
+        if not known.stream.is_last:
+            self._network.send(known.next, cancel)
+
+    def on_results(self, results: Sequence[EngineResult]) -> None:
+        """Takes what the engine answered."""
+        for result in results:
+            name = self._by_session.get(result.session)
+            if name is not None:
+                self._on_result(name, self._streams[name], result)
+
+    def on_engine_lost(self, message: str) -> None:
+        """Gives up every stream: the engine's caches are gone."""
+        for name, known in list(self._streams.items()):
+            self._fail(name, known, message)
+
+    def drop_expired(self) -> None:
+        """Forgets streams well past their deadline.
+
+        Guards against streams whose entry died: nobody would cancel them.
+        """
+        now_ms = self._clock.now_ms()
+        for name, known in list(self._streams.items()):
+            if now_ms > known.end_ms:
+                self._metrics.count("streams_expired")
+                self._forget(name)
+
+    def _on_result(
+        self, name: str, known: _Entry, result: EngineResult
+    ) -> None:
+        if result.error:
+            self._fail(name, known, result.error)
+            return
+        if known.stream.is_last:
+            effects = known.stream.on_sampled(
+                result.position, result.length, result.token
+            )
+        else:
+            effects = known.stream.on_states_run(
+                result.position, list(result.states)
+            )
+        self._apply(name, known, effects)
+
+    def _make_entry(self, opened: wire.OpenStream) -> _Entry:
+        stream = StageStream(
+            is_first=opened.stage == 0,
+            is_last=opened.stage == len(opened.chain) - 1,
+            journal_positions=self._journal_positions,
+        )
+        session = f"{opened.stream}.{opened.attempt}"
+        entry = _Entry(stream, opened, self._end_ms(opened), session)
+        self._streams[opened.stream] = entry
+        self._by_session[session] = opened.stream
+        self._metrics.count("streams_opened")
+        return entry
+
+    def _end_ms(self, opened: wire.OpenStream) -> int:
+        return self._clock.now_ms() + opened.deadline_ms + _DEADLINE_SLACK_MS
+
+    def _forget(self, name: str) -> None:
+        session = self._streams.pop(name).session
+        del self._by_session[session]
+        self._pump.end(session)
+
+    def _fail(self, name: str, known: _Entry, message: str) -> None:
+        self._refuse(known.opened, StageFailure.ENGINE_FAILED, message)
+        self._forget(name)
+
+    def _refuse(
+        self, opened: wire.OpenStream, reason: str, message: str
+    ) -> None:
+        self._metrics.count("streams_refused", reason=reason)
+        refusal = wire.StageRefusal(
+            opened.stream,
+            opened.attempt,
+            self._instance,
+            reason,
+            message,
+            _RETRY_AFTER_MS,
+        )
+        self._network.send(address_of(opened.entry), refusal)
+
+    def _apply(
+        self,
+        name: str,
+        known: _Entry,
+        effects: Sequence[recovery.Effect],
+    ) -> None:
+        for effect in effects:
+            self._apply_one(name, known, effect)
+
+    def _apply_one(
+        self, name: str, known: _Entry, effect: recovery.Effect
+    ) -> None:
+        attempt = known.stream.attempt
+        match effect:
+            case recovery.RunUnit():
+                self._run(known, effect)
+            case recovery.SendStates(position, states):
+                step = wire.Step(name, attempt, position, list(states))
+                self._network.send(known.next, step)
+            case recovery.SendToken(position, token, to_first_stage):
+                message = wire.Token(name, attempt, position, token)
+                self._network.send(known.entry, message)
+                if to_first_stage:
+                    self._send_first(known, message)
+            case recovery.ForwardOpen():
+                self._network.send(known.next, _next_open(known.opened))
+            case recovery.SendNeed(position):
+                need = wire.Need(name, attempt, position)
+                self._network.send(known.previous, need)
+            case recovery.FailStream(reason, message):
+                self._refuse(known.opened, reason, message)
+
+    def _send_first(self, known: _Entry, message: wire.Token) -> None:
+        if known.stream.is_first:
+            self.on_token(message)
+        else:
+            self._network.send(known.first, message)
+
+    def _run(self, known: _Entry, effect: recovery.RunUnit) -> None:
+        item = EngineItem(
+            known.session,
+            known.stage.first_layer,
+            known.stage.end_layer,
+            effect.position,
+            effect.inputs,
+            known.opened.seed,
+        )
+        self._pump.submit(
+            known.opened.client_account,
+            item,
+            float(len(effect.inputs)),
+            known.opened.weight,
+        )
+
+
+def _same_layers(known: _Entry, opened: wire.OpenStream) -> bool:
+    """Tells whether the kept outputs and cache fit the new chain."""
+    stage = opened.chain[opened.stage]
+    return (
+        known.stage.first_layer == stage.first_layer
+        and known.stage.end_layer == stage.end_layer
+    )
+
+
+def _next_open(opened: wire.OpenStream) -> wire.OpenStream:
+    return wire.OpenStream(
+        stream=opened.stream,
+        attempt=opened.attempt,
+        client_account=opened.client_account,
+        model=opened.model,
+        chain=opened.chain,
+        stage=opened.stage + 1,
+        tokens=[],
+        prompt_length=opened.prompt_length,
+        known_length=opened.known_length,
+        max_length=opened.max_length,
+        deadline_ms=opened.deadline_ms,
+        fingerprint=opened.fingerprint,
+        seed=opened.seed,
+        entry=opened.entry,
+        weight=opened.weight,
+    )
--- /dev/null
+++ b/caroblug/transport/__init__.py
@@ -0,0 +1,62 @@
+"""Sockets and timers: peers by thrift, outside systems by HTTP."""
+
+from caroblug.transport._engine import (
+    EngineClient,
+    EngineDescription,
+    EngineFailed,
+    EngineItem,
+    EngineResult,
+    HttpEngineClient,
+    make_engine_client,
+)
+from caroblug.transport._framing import FrameError, Sealer
+from caroblug.transport._instances import (
+    HttpInstanceList,
+    InstanceList,
+    InstanceRecord,
+    InstancesUnavailable,
+    make_instance_list,
+)
+from caroblug.transport._log import (
+    Appended,
+    HttpLogService,
+    LogRecord,
+    LogService,
+    LogUnavailable,
+    Records,
+    make_log_service,
+)
+from caroblug.transport._peers import (
+    PeerAddress,
+    PeerHandler,
+    PeerNetwork,
+    make_peer_network,
+)
+
+__all__ = [
+    "Appended",
+    "EngineClient",
+    "EngineDescription",
+    "EngineFailed",
+    "EngineItem",
+    "EngineResult",
+    "FrameError",
+    "HttpEngineClient",
+    "HttpInstanceList",
+    "HttpLogService",
+    "InstanceList",
+    "InstanceRecord",
+    "InstancesUnavailable",
+    "LogRecord",
+    "LogService",
+    "LogUnavailable",
+    "PeerAddress",
+    "PeerHandler",
+    "PeerNetwork",
+    "Records",
+    "Sealer",
+    "make_engine_client",
+    "make_instance_list",
+    "make_log_service",
+    "make_peer_network",
+]
--- /dev/null
+++ b/caroblug/transport/_http.py
@@ -0,0 +1,93 @@
+"""JSON over HTTP to the systems outside, with a bounded time."""
+
+import dataclasses
+from typing import Any
+
+import orjson
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+_JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpFailed:
+    """A call without an answer.
+
+    Attributes:
+        message: What was seen.
+        sent: Whether any byte of the call may have left.
+    """
+
+    message: str
+    sent: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """An answer.
+
+    Attributes:
+        status: HTTP status.
+        body: Body bytes.
+        headers: Header names and values, in order.
+    """
+
+    status: int
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def json(self) -> Any:
+        """Returns the body parsed as JSON; raises ValueError."""
+        return orjson.loads(self.body)
+
+
+class JsonHttp:
+    """A keep-alive HTTP client for one address.
+
+    Args:
+        host: IP address.
+        port: Port.
+        timeout_ms: Bound on connecting and on each wait for bytes.
+        connections: Connections kept open.
+    """
+
+    def __init__(
+        self, host: str, port: int, timeout_ms: int, connections: int = 4
+    ) -> None:
+        self._client = HTTPClient(
+            host,
+            port,
+            concurrency=connections,
+            connection_timeout=timeout_ms / 1000,
+            network_timeout=timeout_ms / 1000,
+        )
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> HttpAnswer | HttpFailed:
+        """Makes one call; a dictionary or list is sent as JSON."""
+        data = body if isinstance(body, bytes) else b""
+        sent_headers = dict(headers or {})
+        if isinstance(body, (dict, list)):
+            data = orjson.dumps(body)
+            sent_headers.update(_JSON_HEADERS)
+        try:
+            response = self._client.request(
+                method, path, body=data, headers=sent_headers
+            )
+            content = bytes(response.read())
+            fields = tuple((str(k), str(v)) for k, v in response.items())
+            return HttpAnswer(response.status_code, content, fields)
+        except ConnectionRefusedError as error:
+            return HttpFailed(str(error), sent=False)
+        except (OSError, HTTPParseError, ValueError) as error:
+            return HttpFailed(str(error) or type(error).__name__, sent=True)
+
+    def close(self) -> None:
+        """Closes every connection."""
+        self._client.close()
--- /dev/null
+++ b/caroblug/utils/_metrics.py
@@ -0,0 +1,125 @@
+"""Counters and gauges by prometheus_client, latencies by hdrhistogram."""
+
+import prometheus_client
+from hdrh.histogram import HdrHistogram
+
+_LOWEST_US = 1
+_HIGHEST_US = 3_600_000_000
+_DIGITS = 3
+_QUANTILES = (50.0, 95.0, 99.0, 100.0)
+_US_PER_MS = 1000
+_HDR_COMMENT = "# HDR"
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """The counters, gauges and latencies of one process.
+
+    Counters and gauges are created on first use; label names must then stay
+    the same. Latencies are recorded in milliseconds and kept to three digits.
+    """
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._counters: dict[str, prometheus_client.Counter] = {}
+        self._gauges: dict[str, prometheus_client.Gauge] = {}
+        self._children: dict[tuple[str, Labels], object] = {}
+        self._histograms: dict[tuple[str, Labels], HdrHistogram] = {}
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Adds `amount` to the counter `caroblug_<name>_total`."""
+        key = (name, tuple(labels.items()))
+        child = self._children.get(key)
+        if child is None:
+            child = self._make_counter(name, labels)
+            self._children[key] = child
+        child.inc(amount)
+
+    def gauge(self, name: str, value: float, **labels: str) -> None:
+        """Sets the gauge `caroblug_<name>`."""
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = prometheus_client.Gauge(
+                f"caroblug_{name}", name, list(labels), registry=self._registry
+            )
+            self._gauges[name] = gauge
+        (gauge.labels(**labels) if labels else gauge).set(value)
+
+    def record_ms(self, name: str, ms: float, **labels: str) -> None:
+        """Records a latency under `caroblug_<name>_ms`."""
+        key = (name, tuple(labels.items()))
+        histogram = self._histograms.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+            self._histograms[key] = histogram
+        us = min(max(int(ms * _US_PER_MS), _LOWEST_US), _HIGHEST_US)
+        histogram.record_value(us)
+
+    def value(self, name: str, **labels: str) -> float:
+        """Returns a counter's value, 0 if it was never counted."""
+        found = self._registry.get_sample_value(
+            f"caroblug_{name}_total", labels
+        )
+        return found or 0.0
+
+    def expose(self) -> bytes:
+        """Returns all metrics as Prometheus text.
+
+        Each latency is a summary; a comment line `# HDR` carries the whole
+        histogram (hdrhistogram's V2 encoding, microseconds), so that a report
+        can merge instances without loss.
+        """
+        text = prometheus_client.generate_latest(self._registry)
+        lines = []
+        typed = set()
+        for (name, labels), histogram in sorted(self._histograms.items()):
+            if name not in typed:
+                typed.add(name)
+                lines.append(f"# TYPE caroblug_{name}_ms summary")
+            lines.extend(_summary_lines(name, labels, histogram))
+        return text + "".join(f"{line}\n" for line in lines).encode()
+
+    def _make_counter(
+        self, name: str, labels: dict[str, str]
+    ) -> prometheus_client.Counter:
+        counter = self._counters.get(name)
+        if counter is None:
+            counter = prometheus_client.Counter(
+                f"caroblug_{name}", name, list(labels), registry=self._registry
+            )
+            self._counters[name] = counter
+        return counter.labels(**labels) if labels else counter
+
+
+def _summary_lines(
+    name: str, labels: Labels, histogram: HdrHistogram
+) -> list[str]:
+    lines = []
+    for quantile in _QUANTILES:
+        pairs = (*labels, ("quantile", f"{quantile / 100:g}"))
+        ms = histogram.get_value_at_percentile(quantile) / _US_PER_MS
+        lines.append(f"caroblug_{name}_ms{_label_text(pairs)} {ms}")
+    total = histogram.get_total_count()
+    lines.append(f"caroblug_{name}_ms_count{_label_text(labels)} {total}")
+    mean_ms = histogram.get_mean_value() / _US_PER_MS
+    lines.append(
+        f"caroblug_{name}_ms_sum{_label_text(labels)} {mean_ms * total}"
+    )
+    encoded = histogram.encode().decode()
+    lines.append(
+        f"{_HDR_COMMENT} caroblug_{name}_ms{_label_text(labels)} {encoded}"
+    )
+    return lines
+
+
+def _label_text(labels: Labels) -> str:
+    if not labels:
+        return ""
+    inner = ",".join(f'{key}="{value}"' for key, value in labels)
+    return "{" + inner + "}"
+
+
+def make_metrics() -> Metrics:
+    """Returns an empty set of metrics."""
+    return Metrics()
--- /dev/null
+++ b/caroblug/utils/_settings.py
@@ -0,0 +1,151 @@
+"""TOML tables structured into attrs classes, reporting every mistake."""
+
+import dataclasses
+import pathlib
+import tomllib
+from typing import Any, TypeVar
+
+import attrs
+import cattrs
+from cattrs.errors import (
+    ClassValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationError,
+)
+
+_T = TypeVar("_T")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingProblem:
+    """One mistake in a TOML file.
+
+    Attributes:
+        file: Name of the file.
+        key: Dotted path of the key.
+        message: The value found and what is allowed.
+    """
+
+    file: str
+    key: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.key}: {self.message}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsRejected:
+    """A TOML file with mistakes.
+
+    Attributes:
+        problems: Every mistake found, in the file's order.
+    """
+
+    problems: tuple[SettingProblem, ...]
+
+
+def _strict(kind: type) -> Any:
+    def _structure(value: Any, _: type) -> Any:
+        if type(value) is kind or (kind is float and type(value) is int):
+            return value
+        raise TypeError(f"must be of type {kind.__name__}, got {value!r}")
+
+    return _structure
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for kind in (int, str, bool, float):
+        converter.register_structure_hook(kind, _strict(kind))
+    return converter
+
+
+_CONVERTER = _make_converter()
+
+
+def _message_of(error: BaseException) -> str:
+    if isinstance(error, KeyError):
+        return "is missing"
+    if isinstance(error, AttributeError):
+        return "must be a table"
+    return str(error)
+
+
+def _walk(
+    error: BaseException, file: str, path: tuple[str, ...]
+) -> list[SettingProblem]:
+    if isinstance(error, ForbiddenExtraKeysError):
+        allowed = ", ".join(f.name for f in attrs.fields(error.cl))
+        return [
+            SettingProblem(
+                file,
+                ".".join((*path, key)),
+                f"is unknown; allowed here: {allowed}",
+            )
+            for key in sorted(error.extra_fields)
+        ]
+    if isinstance(error, (ClassValidationError, IterableValidationError)):
+        return _walk_group(error, file, path)
+    where = ".".join(path) or "(top)"
+    return [SettingProblem(file, where, _message_of(error))]
+
+
+def _walk_group(
+    group: ClassValidationError | IterableValidationError,
+    file: str,
+    path: tuple[str, ...],
+) -> list[SettingProblem]:
+    problems = []
+    for error in group.exceptions:
+        inner = path
+        for note in getattr(error, "__notes__", ()):
+            if hasattr(note, "name"):
+                inner = (*path, str(note.name))
+            elif hasattr(note, "index"):
+                inner = (*path, str(note.index))
+        problems.extend(_walk(error, file, inner))
+    return problems
+
+
+def structure_table(
+    table: dict[str, Any], cls: type[_T], file: str
+) -> _T | SettingsRejected:
+    """Structures a parsed TOML table.
+
+    Args:
+        table: The parsed table.
+        cls: The attrs class to build.
+        file: Name to give in messages.
+
+    Returns:
+        An instance of `cls`, or every mistake found.
+    """
+    try:
+        return _CONVERTER.structure(table, cls)
+    except (ClassValidationError, IterableValidationError) as error:
+        return SettingsRejected(tuple(_walk(error, file, ())))
+
+
+def load_settings(path: str, cls: type[_T]) -> _T | SettingsRejected:
+    """Reads a TOML file into an attrs class.
+
+    Args:
+        path: The file.
+        cls: The attrs class to build.
+
+    Returns:
+        An instance of `cls`, or every mistake found; a file that cannot be
+        read or parsed is one mistake.
+    """
+    file = pathlib.Path(path).name
+    try:
+        with open(path, "rb") as stream:
+            table = tomllib.load(stream)
+    except OSError as error:
+        problem = SettingProblem(file, "(file)", error.strerror or str(error))
+        return SettingsRejected((problem,))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        problem = SettingProblem(file, "(file)", f"is not TOML: {error}")
+        return SettingsRejected((problem,))
+    return structure_table(table, cls, file)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems outside; never shipped."""
--- /dev/null
+++ b/standins/_serve.py
@@ -0,0 +1,28 @@
+"""What every stand-in has: a server on loopback and JSON answers."""
+
+import signal
+import sys
+
+import falcon
+import gevent
+import orjson
+from falcon import media
+from gevent import pywsgi
+
+HOST = "127.0.0.1"
+
+
+def make_app() -> falcon.App:
+    """Returns an application that speaks JSON through orjson."""
+    app = falcon.App()
+    handler = media.JSONHandler(dumps=orjson.dumps, loads=orjson.loads)
+    app.req_options.media_handlers["application/json"] = handler
+    app.resp_options.media_handlers["application/json"] = handler
+    return app
+
+
+def serve(app: falcon.App, port: int) -> None:
+    """Serves until SIGTERM."""
+    server = pywsgi.WSGIServer((HOST, port), app, log=None, error_log=None)
+    gevent.signal_handler(signal.SIGTERM, lambda: sys.exit(0))
+    server.serve_forever()
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,96 @@
+"""The demo: one streamed answer and one booking over real processes."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys
+
+from caroblug.entry._tokenizer import make_tokenizer
+from standins import reference
+from standins.site import (
+    MODEL,
+    EntrySpec,
+    PlainSpec,
+    Site,
+    make_site,
+    three_stages,
+)
+
+_TOKENS = 24
+_SEED = 7
+_PROMPT = "Draft a narration for the autumn sky show"
+
+
+def start(site: Site) -> None:
+    """Starts two data centres, an entry in each."""
+    site.start_platform()
+    site.add_account("school-1", group="schools")
+    site.publish()
+    for spec in three_stages():
+        site.start_engine(spec)
+    for place in ("a", "b"):
+        site.start_plain(
+            PlainSpec(name=f"booking-{place}", data_centre=f"muscat-{place}")
+        )
+        site.start_entry(
+            EntrySpec(name=f"entry-{place}", data_centre=f"muscat-{place}")
+        )
+    site.wait_ready()
+
+
+def show_answer(site: Site) -> bool:
+    """Prints a streamed answer and tells whether it is right."""
+    body = {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": _PROMPT}],
+        "max_tokens": _TOKENS,
+        "seed": _SEED,
+    }
+    parts = []
+    print("answer: ", end="")
+    for chunk in site.stream("entry-a", "school-1", body):
+        parts.append(chunk["choices"][0]["delta"].get("content", ""))
+        print(parts[-1], end="", flush=True)
+    print()
+    model = site.bundle["models"][MODEL]
+    tokenizer = make_tokenizer(model["vocabulary"])
+    expected = reference.expected_tokens(
+        tokenizer.encode(f"user: {_PROMPT}"),
+        _TOKENS,
+        model["layers"],
+        model["vocabulary"],
+        _SEED,
+    )
+    return "".join(parts) == tokenizer.decode(expected)
+
+
+def show_booking(site: Site) -> bool:
+    """Prints a booking's answer and tells whether it ran once."""
+    answer = site.call(
+        "entry-b",
+        "school-1",
+        "POST",
+        "/services/booking/seats",
+        {"show": "autumn", "seats": 24},
+        {"Idempotency-Key": "class-4b"},
+    )
+    print(f"booking: {answer.status} {answer.body.decode()}")
+    return answer.status == 201 and answer.json()["run"] == 1
+
+
+def main() -> int:
+    """Runs the demo and returns its exit code."""
+    with make_site() as site:
+        start(site)
+        for process in site.processes.values():
+            place = process.data_centre or "platform"
+            print(f"process: {process.role:10} {process.name} ({place})")
+        answer_right = show_answer(site)
+        booked_once = show_booking(site)
+    print(f"the answer is right: {answer_right}; booked once: {booked_once}")
+    return 0 if answer_right and booked_once else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,236 @@
+"""A stand-in model engine that holds a range of layers.
+
+It batches continuously: each iteration takes what waits, up to a number of
+positions, and takes a fixed time plus a time for each position. It keeps one
+cache per stream and layer, and never refuses a position that it has already
+run: as on a real engine, that spoils the cache, and the answer shows it.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse
+import base64
+import os
+import signal
+from typing import Any
+
+import attrs
+import falcon
+import gevent
+from gevent import event
+
+from standins import reference
+from standins._serve import make_app, serve
+
+_POSITIONS_AT_ONCE = 256
+
+
+@attrs.define
+class _Session:
+    """The caches of one stream, and how far each layer has run."""
+
+    caches: dict[int, bytes] = attrs.field(factory=dict)
+    done: dict[int, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class _Waiting:
+    item: dict[str, Any]
+    result: event.AsyncResult
+
+
+class Engine:
+    """The engine's state and its loop.
+
+    Args:
+        options: The command line.
+    """
+
+    def __init__(self, options: argparse.Namespace) -> None:
+        self.options = options
+        self.step_ms = options.step_ms
+        self.hung = False
+        self.layers_run = 0
+        self.repeated = 0
+        self._sessions: dict[str, _Session] = {}
+        self._waiting: list[_Waiting] = []
+        self._wake = event.Event()
+
+    def describe(self) -> dict[str, Any]:
+        """Returns what the engine says of itself."""
+        options = self.options
+        return {
+            "model": options.model,
+            "first_layer": options.first_layer,
+            "end_layer": options.end_layer,
+            "layers": options.layers,
+            "tokens_per_s": self.capacity(),
+            "batch": options.batch,
+        }
+
+    def capacity(self) -> float:
+        """Returns positions per second in full batches."""
+        options = self.options
+        iteration_ms = self.step_ms + options.batch * options.position_ms
+        return options.batch * 1000 / iteration_ms
+
+    def submit(self, item: dict[str, Any]) -> event.AsyncResult:
+        """Queues an item for the next iterations."""
+        result: event.AsyncResult = event.AsyncResult()
+        self._waiting.append(_Waiting(item, result))
+        self._wake.set()
+        return result
+
+    def end(self, session: str) -> None:
+        """Frees the cache of a stream."""
+        self._sessions.pop(session, None)
+
+    def loop(self) -> None:
+        """Runs iterations for ever."""
+        while True:
+            self._wake.wait()
+            batch = self._take()
+            if not batch:
+                self._wake.clear()
+                continue
+            positions = sum(len(w.item["inputs"]) for w in batch)
+            ms = self.step_ms + positions * self.options.position_ms
+            gevent.sleep(ms / 1000)
+            while self.hung:
+                gevent.sleep(0.05)
+            for waiting in batch:
+                waiting.result.set(self._run(waiting.item))
+
+    def _take(self) -> list[_Waiting]:
+        self._waiting.sort(key=lambda w: w.item.get("priority", 0))
+        batch: list[_Waiting] = []
+        positions = 0
+        while self._waiting and positions < self.options.batch:
+            batch.append(self._waiting.pop(0))
+            positions += len(batch[-1].item["inputs"])
+        return batch
+
+    def _run(self, item: dict[str, Any]) -> dict[str, Any]:
+        session = self._sessions.setdefault(item["session"], _Session())
+        states = []
+        for offset, value in enumerate(item["inputs"]):
+            position = item["position"] + offset
+            state = self._input(value)
+            for layer in range(item["first_layer"], item["end_layer"]):
+                state = self._run_layer(session, layer, position, state)
+            states.append(state)
+            if offset % _POSITIONS_AT_ONCE == _POSITIONS_AT_ONCE - 1:
+                gevent.sleep(0)
+        return self._answer(item, states)
+
+    def _input(self, value: int | str) -> bytes:
+        if isinstance(value, str):
+            return base64.b64decode(value)
+        if value == self.options.poison_token:
+            os.kill(os.getpid(), signal.SIGKILL)
+        return reference.embed(value)
+
+    def _run_layer(
+        self, session: _Session, layer: int, position: int, state: bytes
+    ) -> bytes:
+        self.layers_run += 1
+        if session.done.get(layer, 0) != position:
+            self.repeated += 1
+        session.done[layer] = position + 1
+        cache = session.caches.get(layer, bytes(reference.STATE_BYTES))
+        output = reference.run_layer(layer, position, state, cache)
+        session.caches[layer] = output
+        return output
+
+    def _answer(
+        self, item: dict[str, Any], states: list[bytes]
+    ) -> dict[str, Any]:
+        answer: dict[str, Any] = {
+            "session": item["session"],
+            "position": item["position"],
+            "length": len(states),
+        }
+        if item["end_layer"] < self.options.layers:
+            answer["states"] = [base64.b64encode(s).decode() for s in states]
+            return answer
+        last = item["position"] + len(states) - 1
+        answer["token"] = reference.sample(
+            states[-1], last, item["seed"], self.options.vocabulary
+        )
+        return answer
+
+
+class _Describe:
+    def __init__(self, engine: Engine) -> None:
+        self._engine = engine
+
+    def on_get(self, request: falcon.Request, response: falcon.Response):
+        del request
+        while self._engine.hung:
+            gevent.sleep(0.05)
+        response.media = self._engine.describe()
+
+
+class _Run:
+    def __init__(self, engine: Engine) -> None:
+        self._engine = engine
+
+    def on_post(self, request: falcon.Request, response: falcon.Response):
+        body = request.get_media()
+        for session in body["ended"]:
+            self._engine.end(session)
+        waiting = [self._engine.submit(item) for item in body["items"]]
+        response.media = {"results": [result.get() for result in waiting]}
+
+
+class _Control:
+    """Orders from tests: `crash`, `hang`, `wake`, `step_ms`."""
+
+    def __init__(self, engine: Engine) -> None:
+        self._engine = engine
+
+    def on_post(self, request: falcon.Request, response: falcon.Response):
+        body = request.get_media()
+        if body.get("crash"):
+            os.kill(os.getpid(), signal.SIGKILL)
+        if "hang" in body:
+            self._engine.hung = bool(body["hang"])
+        if "step_ms" in body:
+            self._engine.step_ms = float(body["step_ms"])
+        response.media = {}
+
+    def on_get(self, request: falcon.Request, response: falcon.Response):
+        del request
+        response.media = {
+            "layers_run": self._engine.layers_run,
+            "repeated": self._engine.repeated,
+        }
+
+
+def main() -> None:
+    """Parses the command line and serves."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--model", default="dome-7b")
+    parser.add_argument("--first-layer", type=int, default=0)
+    parser.add_argument("--end-layer", type=int, default=24)
+    parser.add_argument("--layers", type=int, default=24)
+    parser.add_argument("--vocabulary", type=int, default=512)
+    parser.add_argument("--batch", type=int, default=64)
+    parser.add_argument("--step-ms", type=float, default=2.0)
+    parser.add_argument("--position-ms", type=float, default=0.05)
+    parser.add_argument("--poison-token", type=int, default=-1)
+    options = parser.parse_args()
+    engine = Engine(options)
+    gevent.spawn(engine.loop)
+    app = make_app()
+    app.add_route("/v1/engine", _Describe(engine))
+    app.add_route("/v1/run", _Run(engine))
+    app.add_route("/control", _Control(engine))
+    serve(app, options.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/instances.py
@@ -0,0 +1,90 @@
+"""A stand-in instance list: live and leaving instances, with a lag."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse
+import time
+from typing import Any
+
+import falcon
+
+from standins._serve import make_app, serve
+
+
+class Instances:
+    """The list; a change shows only after the lag.
+
+    Args:
+        lag_ms: How long a change takes to show.
+    """
+
+    def __init__(self, lag_ms: float) -> None:
+        self.lag_ms = lag_ms
+        self.down = False
+        self._changes: list[tuple[float, str, dict[str, Any] | None]] = []
+        self._shown: dict[str, dict[str, Any]] = {}
+
+    def change(self, name: str, record: dict[str, Any] | None) -> None:
+        """Lists an instance, changes it, or takes it off with None."""
+        due = time.monotonic() + self.lag_ms / 1000
+        self._changes.append((due, name, record))
+
+    def shown(self) -> list[dict[str, Any]]:
+        """Returns what the list shows now."""
+        now = time.monotonic()
+        due = [c for c in self._changes if c[0] <= now]
+        self._changes = [c for c in self._changes if c[0] > now]
+        for _, name, record in due:
+            if record is None:
+                self._shown.pop(name, None)
+            else:
+                self._shown[name] = record
+        return list(self._shown.values())
+
+
+class _List:
+    def __init__(self, instances: Instances) -> None:
+        self._instances = instances
+
+    def on_get(self, request: falcon.Request, response: falcon.Response):
+        del request
+        if self._instances.down:
+            raise falcon.HTTPServiceUnavailable
+        response.media = {"instances": self._instances.shown()}
+
+    def on_post(self, request: falcon.Request, response: falcon.Response):
+        record = request.get_media()
+        gone = record.get("state") == "gone"
+        self._instances.change(record["instance"], None if gone else record)
+        response.media = {}
+
+
+class _Control:
+    def __init__(self, instances: Instances) -> None:
+        self._instances = instances
+
+    def on_post(self, request: falcon.Request, response: falcon.Response):
+        body = request.get_media()
+        self._instances.down = bool(body.get("down", False))
+        if "lag_ms" in body:
+            self._instances.lag_ms = float(body["lag_ms"])
+        response.media = {}
+
+
+def main() -> None:
+    """Parses the command line and serves."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--lag-ms", type=float, default=300.0)
+    options = parser.parse_args()
+    instances = Instances(options.lag_ms)
+    app = make_app()
+    app.add_route("/instances", _List(instances))
+    app.add_route("/control", _Control(instances))
+    serve(app, options.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/log.py
@@ -0,0 +1,183 @@
+"""A stand-in log service: append, read from an offset, fail on order."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse
+import collections
+import time
+from typing import Any
+
+import attrs
+import falcon
+import gevent
+from gevent import event
+
+from standins._serve import make_app, serve
+
+_HANG_S = 5.0
+
+
+@attrs.define
+class _Stream:
+    """One stream; `start` is the offset of the oldest record kept."""
+
+    start: int = 0
+    records: collections.deque = attrs.field(factory=collections.deque)
+    changed: event.Event = attrs.field(factory=event.Event)
+
+    @property
+    def end(self) -> int:
+        return self.start + len(self.records)
+
+
+class Log:
+    """The service's state.
+
+    Args:
+        retention_s: How long records are kept.
+        appends_per_s: Appends taken in a second.
+    """
+
+    def __init__(self, retention_s: float, appends_per_s: int) -> None:
+        self.retention_s = retention_s
+        self.appends_per_s = appends_per_s
+        self.delay_ms = 0.0
+        self.down = False
+        self.silent = False
+        self.lose_answers = 0
+        self.appends = 0
+        self.reads = 0
+        self._streams: dict[str, _Stream] = {}
+        self._second = 0
+        self._in_second = 0
+
+    def stream(self, name: str) -> _Stream:
+        """Returns a stream without its expired records."""
+        stream = self._streams.setdefault(name, _Stream())
+        oldest = time.monotonic() - self.retention_s
+        while stream.records and stream.records[0][0] < oldest:
+            stream.records.popleft()
+            stream.start += 1
+        return stream
+
+    def append(self, name: str, data: str) -> int | None:
+        """Appends a record; None if the rate limit is reached."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second, self._in_second = second, 0
+        if self._in_second >= self.appends_per_s:
+            return None
+        self._in_second += 1
+        self.appends += 1
+        stream = self.stream(name)
+        stream.records.append((time.monotonic(), data))
+        stream.changed.set()
+        stream.changed = event.Event()
+        return stream.end - 1
+
+    def read(
+        self, name: str, offset: int, limit: int, wait_ms: int
+    ) -> dict[str, Any]:
+        """Reads records, waiting for a first one."""
+        self.reads += 1
+        stream = self.stream(name)
+        if offset >= stream.end and wait_ms:
+            stream.changed.wait(wait_ms / 1000)
+            stream = self.stream(name)
+        first = max(offset, stream.start)
+        records = [
+            {"offset": index, "data": stream.records[index - stream.start][1]}
+            for index in range(first, min(first + limit, stream.end))
+        ]
+        return {
+            "records": records,
+            "next": first + len(records),
+            "start": stream.start,
+            "end": stream.end,
+        }
+
+
+class _Records:
+    def __init__(self, log: Log) -> None:
+        self._log = log
+
+    def on_post(
+        self, request: falcon.Request, response: falcon.Response, name: str
+    ) -> None:
+        data = request.get_media()["data"]
+        self._check()
+        offset = self._log.append(name, data)
+        if offset is None:
+            response.status = falcon.HTTP_429
+            return
+        if self._log.lose_answers > 0:
+            self._log.lose_answers -= 1
+            gevent.sleep(_HANG_S)
+            raise falcon.HTTPServiceUnavailable
+        response.status = falcon.HTTP_201
+        response.media = {"offset": offset}
+
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response, name: str
+    ) -> None:
+        self._check()
+        response.media = self._log.read(
+            name,
+            request.get_param_as_int("offset", default=0),
+            request.get_param_as_int("limit", default=100),
+            request.get_param_as_int("wait_ms", default=0),
+        )
+        self._check()
+
+    def _check(self) -> None:
+        if self._log.delay_ms:
+            gevent.sleep(self._log.delay_ms / 1000)
+        if self._log.silent:
+            gevent.sleep(_HANG_S)
+        if self._log.down or self._log.silent:
+            raise falcon.HTTPServiceUnavailable
+
+
+class _Control:
+    """Orders from tests.
+
+    Keys: `down`, `silent`, `lose_answers`, `delay_ms`, `retention_s`,
+    `appends_per_s`.
+    """
+
+    def __init__(self, log: Log) -> None:
+        self._log = log
+
+    def on_post(self, request: falcon.Request, response: falcon.Response):
+        for key, value in request.get_media().items():
+            if not hasattr(self._log, key):
+                raise falcon.HTTPBadRequest(title=f"no order {key}")
+            setattr(self._log, key, value)
+        response.media = {}
+
+    def on_get(self, request: falcon.Request, response: falcon.Response):
+        del request
+        response.media = {
+            "appends": self._log.appends,
+            "reads": self._log.reads,
+        }
+
+
+def main() -> None:
+    """Parses the command line and serves."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--retention-s", type=float, default=3600.0)
+    parser.add_argument("--appends-per-s", type=int, default=500)
+    options = parser.parse_args()
+    log = Log(options.retention_s, options.appends_per_s)
+    app = make_app()
+    app.add_route("/streams/{name}", _Records(log))
+    app.add_route("/control", _Control(log))
+    serve(app, options.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/plain.py
@@ -0,0 +1,74 @@
+"""A stand-in plain service that counts how often each key has run."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse
+import collections
+
+import falcon
+import gevent
+
+from standins._serve import make_app, serve
+
+
+class Plain:
+    """Answers any call.
+
+    Args:
+        delay_ms: How long each call takes.
+    """
+
+    def __init__(self, delay_ms: float) -> None:
+        self.delay_ms = delay_ms
+        self.runs: collections.Counter[str] = collections.Counter()
+
+    def __call__(
+        self, request: falcon.Request, response: falcon.Response, **parts
+    ) -> None:
+        """Runs a call: counts it first, then takes its time."""
+        del parts
+        key = request.get_header("Idempotency-Key") or ""
+        body = request.bounded_stream.read().decode()
+        self.runs[key or body] += 1
+        gevent.sleep(self.delay_ms / 1000)
+        response.media = {
+            "method": request.method,
+            "path": request.path,
+            "body": body,
+            "key": key,
+            "run": self.runs[key or body],
+        }
+        if request.method == "POST":
+            response.status = falcon.HTTP_201
+
+
+class _Counts:
+    def __init__(self, plain: Plain) -> None:
+        self._plain = plain
+
+    def on_get(self, request: falcon.Request, response: falcon.Response):
+        del request
+        response.media = {"runs": dict(self._plain.runs)}
+
+    def on_post(self, request: falcon.Request, response: falcon.Response):
+        self._plain.delay_ms = float(request.get_media()["delay_ms"])
+        response.media = {}
+
+
+def main() -> None:
+    """Parses the command line and serves."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--delay-ms", type=float, default=5.0)
+    options = parser.parse_args()
+    plain = Plain(options.delay_ms)
+    app = make_app()
+    app.add_route("/control", _Counts(plain))
+    app.add_sink(plain, "/")
+    serve(app, options.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/reference.py
@@ -0,0 +1,60 @@
+"""The arithmetic of stand-in models, and the answers it leads to.
+
+A layer's output for a position is a hash chained over the layer, the
+position, its input and its own output for the position before. A layer that
+is skipped, run twice or crossed with another stream changes every later
+token.
+"""
+
+import hashlib
+import struct
+
+STATE_BYTES = 16
+_HEAD = struct.Struct(">II")
+_TOKEN = struct.Struct(">IQ")
+_EMPTY = bytes(STATE_BYTES)
+
+
+def embed(token: int) -> bytes:
+    """Returns the input of layer 0 for a token."""
+    return hashlib.blake2b(
+        b"embed" + token.to_bytes(4, "big"), digest_size=STATE_BYTES
+    ).digest()
+
+
+def run_layer(
+    layer: int, position: int, state: bytes, cache: bytes = _EMPTY
+) -> bytes:
+    """Returns a layer's output, which is also its new cache."""
+    return hashlib.blake2b(
+        _HEAD.pack(layer, position) + state + cache, digest_size=STATE_BYTES
+    ).digest()
+
+
+def sample(state: bytes, position: int, seed: int, vocabulary: int) -> int:
+    """Returns the token after `position`."""
+    digest = hashlib.blake2b(
+        _TOKEN.pack(position, seed) + state, digest_size=8
+    ).digest()
+    return int.from_bytes(digest, "big") % vocabulary
+
+
+def expected_tokens(
+    prompt: list[int], count: int, layers: int, vocabulary: int, seed: int
+) -> list[int]:
+    """Returns the tokens that a right answer holds."""
+    caches = [_EMPTY] * layers
+    tokens = list(prompt)
+    generated: list[int] = []
+    position = 0
+    while len(generated) < count:
+        state = embed(tokens[position])
+        for layer in range(layers):
+            state = run_layer(layer, position, state, caches[layer])
+            caches[layer] = state
+        if position >= len(prompt) - 1:
+            token = sample(state, position, seed, vocabulary)
+            generated.append(token)
+            tokens.append(token)
+        position += 1
+    return generated
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,456 @@
+"""A small site of real processes, for the demo, tests and benchmarks.
+
+Each program and stand-in is a process of its own, started here and never by
+a program of caroblug. All of them end with the site.
+"""
+
+import contextlib
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Sequence
+from typing import Any
+
+import attrs
+import geventhttpclient
+import orjson
+import tomli_w
+
+from caroblug.core.state import hash_key, make_key
+from caroblug.transport._http import HttpAnswer, HttpFailed, JsonHttp
+from standins._ports import Ports
+
+HOST = "127.0.0.1"
+MODEL = "dome-7b"
+SHARED_KEY = "stand-in key of a site that lives for one test"
+_READY_S = 30.0
+_STOP_S = 10.0
+_POLL_S = 0.05
+_CALL_MS = 130_000
+
+
+@attrs.frozen(kw_only=True)
+class EngineSpec:
+    """A stand-in engine with its side process."""
+
+    name: str
+    data_centre: str
+    first_layer: int
+    end_layer: int
+    options: tuple[str, ...] = ()
+    side: dict[str, Any] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class PlainSpec:
+    """A stand-in plain service with its side process."""
+
+    name: str
+    data_centre: str
+    service: str = "booking"
+    options: tuple[str, ...] = ()
+    side: dict[str, Any] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class EntrySpec:
+    """An entry instance."""
+
+    name: str
+    data_centre: str
+    settings: dict[str, Any] = attrs.field(factory=dict)
+
+
+@attrs.define
+class RunningProcess:
+    """A process of the site."""
+
+    name: str
+    role: str
+    popen: subprocess.Popen
+    http_port: int
+    peer_port: int = 0
+    data_centre: str = ""
+
+    def signal(self, number: int) -> None:
+        """Sends a signal to the process."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kills the process and waits for its end."""
+        self.popen.kill()
+        self.popen.wait()
+
+
+def default_bundle() -> dict[str, Any]:
+    """Returns a bundle of one model, one service and no accounts."""
+    return {
+        "models": {MODEL: {"layers": 24, "vocabulary": 512}},
+        "services": {"booking": {}},
+        "client_accounts": {},
+        "limits": {"deadline_ms": 60_000},
+    }
+
+
+class Site:
+    """Processes on loopback, with everything they need to find each other.
+
+    Args:
+        folder: Where settings, keys and logs are written.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.processes: dict[str, RunningProcess] = {}
+        self.ports = Ports()
+        self.keys: dict[str, str] = {}
+        self.bundle = default_bundle()
+        self.log_port = 0
+        self.instances_port = 0
+        self.operator_keys: list[str] = []
+        self._published = 0
+
+    def start_platform(
+        self,
+        log_options: Sequence[str] = (),
+        list_options: Sequence[str] = (),
+        operators: int = 1,
+    ) -> None:
+        """Starts the log service and the instance list."""
+        self.log_port = self.ports.take()
+        self.instances_port = self.ports.take()
+        self._standin("log", "log", self.log_port, log_options)
+        self._standin(
+            "instances", "instances", self.instances_port, list_options
+        )
+        self.wait_http(self.log_port, "/control")
+        self.wait_http(self.instances_port, "/instances")
+        for number in range(operators):
+            path = self.folder / f"operator-{number}.key"
+            answer = self.bundle_command("keygen", "--out", str(path))
+            self.operator_keys.append(answer.stdout.strip())
+
+    def add_account(self, name: str, **rule: Any) -> str:
+        """Adds a client account to the next bundle and returns its key."""
+        key = make_key(name)
+        self.keys[name] = key
+        self.bundle["client_accounts"][name] = {
+            "key_hashes": [hash_key(key)],
+            **rule,
+        }
+        return key
+
+    def start_engine(self, spec: EngineSpec) -> None:
+        """Starts an engine and its side process, and lists it."""
+        port = self.ports.take()
+        model = self.bundle["models"][MODEL]
+        options = (
+            f"--first-layer={spec.first_layer}",
+            f"--end-layer={spec.end_layer}",
+            f"--layers={model['layers']}",
+            f"--vocabulary={model['vocabulary']}",
+            *spec.options,
+        )
+        self._standin(f"engine-{spec.name}", "engine", port, options)
+        self.wait_http(port, "/control")
+        engine = {"engine": {"host": HOST, "port": port}}
+        self.start_side(spec.name, spec.data_centre, engine | spec.side)
+
+    def start_plain(self, spec: PlainSpec) -> None:
+        """Starts a plain service and its side process, and lists it."""
+        port = self.ports.take()
+        self._standin(f"plain-{spec.name}", "plain", port, spec.options)
+        self.wait_http(port, "/control")
+        plain = {"service": spec.service, "host": HOST, "port": port}
+        self.start_side(
+            spec.name, spec.data_centre, {"plain": plain} | spec.side
+        )
+
+    def start_side(
+        self, name: str, data_centre: str, settings: dict[str, Any]
+    ) -> RunningProcess:
+        """Starts a side process and lists it."""
+        return self._program("side", f"side-{name}", data_centre, settings)
+
+    def start_entry(self, spec: EntrySpec) -> RunningProcess:
+        """Starts an entry instance and lists it."""
+        return self._program(
+            "entry", spec.name, spec.data_centre, spec.settings
+        )
+
+    def bundle_command(
+        self, *arguments: str, check: bool = True
+    ) -> subprocess.CompletedProcess[str]:
+        """Runs `caroblug-bundle`."""
+        return subprocess.run(
+            [sys.executable, "-m", "caroblug.cli.bundle", *arguments],
+            capture_output=True,
+            text=True,
+            check=check,
+        )
+
+    def log_options(self) -> list[str]:
+        """Returns the options by which `caroblug-bundle` reads the log."""
+        options = ["--log", f"{HOST}:{self.log_port}"]
+        for key in self.operator_keys:
+            options += ["--operator", key]
+        return options
+
+    def publish(self) -> None:
+        """Signs the bundle with the first operator's key and publishes."""
+        self._published += 1
+        path = self.folder / f"bundle-{self._published}.toml"
+        record = self.folder / f"bundle-{self._published}.record"
+        path.write_text(tomli_w.dumps(self.bundle))
+        key = self.folder / "operator-0.key"
+        self.bundle_command(
+            "sign",
+            str(path),
+            "--key",
+            str(key),
+            "--out",
+            str(record),
+            *self.log_options(),
+        )
+        self.bundle_command("publish", str(record), *self.log_options())
+
+    def list_instance(self, name: str, state: str = "live") -> None:
+        """Shows an instance on the platform's list as `state`."""
+        process = self.processes[name]
+        record = {
+            "instance": name,
+            "role": process.role,
+            "host": HOST,
+            "port": process.peer_port,
+            "data_centre": process.data_centre,
+            "state": state,
+        }
+        self.http(self.instances_port, "POST", "/instances", record)
+
+    def control(self, name: str, orders: dict[str, Any]) -> None:
+        """Gives orders to a stand-in."""
+        port = self.processes[name].http_port
+        self.http(port, "POST", "/control", orders)
+
+    def observe(self, name: str) -> Any:
+        """Returns what a stand-in has counted."""
+        port = self.processes[name].http_port
+        return self.http(port, "GET", "/control").json()
+
+    def http(
+        self,
+        port: int,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> HttpAnswer:
+        """Makes one call; raises if there is no answer."""
+        client = JsonHttp(HOST, port, _CALL_MS, connections=1)
+        try:
+            answer = client.request(method, path, body, headers)
+        finally:
+            client.close()
+        if isinstance(answer, HttpFailed):
+            raise ConnectionError(answer.message)
+        return answer
+
+    def call(
+        self,
+        entry: str,
+        account: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> HttpAnswer:
+        """Makes a caller's request to an entry."""
+        sent = {"Authorization": f"Bearer {self.keys[account]}"}
+        sent.update(headers or {})
+        port = self.processes[entry].http_port
+        return self.http(port, method, path, body, sent)
+
+    def stream(
+        self, entry: str, account: str, body: dict[str, Any]
+    ) -> Iterator[dict[str, Any]]:
+        """Yields the chunks of a streamed chat completion, parsed."""
+        port = self.processes[entry].http_port
+        client = geventhttpclient.HTTPClient(
+            HOST, port, network_timeout=_CALL_MS / 1000
+        )
+        headers = {"Authorization": f"Bearer {self.keys[account]}"}
+        try:
+            response = client.request(
+                "POST",
+                "/v1/chat/completions",
+                body=orjson.dumps({**body, "stream": True}),
+                headers=headers,
+            )
+            yield from read_events(response)
+        finally:
+            client.close()
+
+    def metric(self, name: str, metric: str) -> float:
+        """Returns the sum of a metric's samples at a program."""
+        port = self.processes[name].http_port
+        text = self.http(port, "GET", "/metrics").body.decode()
+        total = 0.0
+        for line in text.splitlines():
+            label, _, value = line.rpartition(" ")
+            if label.partition("{")[0] == metric:
+                total += float(value)
+        return total
+
+    def wait_http(self, port: int, path: str) -> None:
+        """Waits until a server answers 200."""
+        self.wait_for(lambda: self._is_ok(port, path), f"port {port}{path}")
+
+    def wait_ready(self) -> None:
+        """Waits until every program is ready and every chain is known."""
+        for process in self.processes.values():
+            if process.role in ("entry", "side"):
+                self.wait_http(process.http_port, "/readyz")
+        sides = sum(p.role == "side" for p in self.processes.values())
+        for process in list(self.processes.values()):
+            if process.role == "entry":
+                name = process.name
+                self.wait_for(
+                    lambda name=name: (
+                        self.metric(name, "caroblug_known_sides") >= sides
+                    ),
+                    f"{name} knows {sides} side processes",
+                )
+
+    def wait_for(self, condition: Any, what: str) -> None:
+        """Polls until a condition holds; raises when it takes too long."""
+        end = time.monotonic() + _READY_S
+        while not condition():
+            if time.monotonic() > end:
+                raise TimeoutError(f"gave up waiting for {what}")
+            time.sleep(_POLL_S)
+
+    def stop(self, name: str) -> int:
+        """Stops a process by SIGTERM and returns its exit code."""
+        process = self.processes[name]
+        process.signal(signal.SIGTERM)
+        return process.popen.wait(_READY_S)
+
+    def close(self) -> None:
+        """Ends every process."""
+        running = [p for p in self.processes.values() if p.popen.poll() is None]
+        for process in running:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGTERM)
+        end = time.monotonic() + _STOP_S
+        for process in running:
+            try:
+                process.popen.wait(max(0.01, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+
+    def _is_ok(self, port: int, path: str) -> bool:
+        try:
+            return self.http(port, "GET", path).status == 200
+        except (ConnectionError, OSError):
+            return False
+
+    def _standin(
+        self, name: str, module: str, port: int, options: Sequence[str]
+    ) -> None:
+        command = [
+            sys.executable,
+            "-m",
+            f"standins.{module}",
+            f"--port={port}",
+            *options,
+        ]
+        self._spawn(RunningProcess(name, module, None, port), command)
+
+    def _program(
+        self,
+        role: str,
+        name: str,
+        data_centre: str,
+        settings: dict[str, Any],
+    ) -> RunningProcess:
+        peer_port, http_port = self.ports.take(), self.ports.take()
+        table = {
+            "instance": name,
+            "data_centre": data_centre,
+            "peer_port": peer_port,
+            "http_port": http_port,
+            "shared_key": SHARED_KEY,
+            "operators": self.operator_keys,
+            "log": {"host": HOST, "port": self.log_port},
+            "instance_list": {"host": HOST, "port": self.instances_port},
+            **settings,
+        }
+        path = self.folder / f"{name}.toml"
+        path.write_text(tomli_w.dumps(table))
+        command = [
+            sys.executable,
+            "-m",
+            f"caroblug.cli.{role}",
+            "--config",
+            str(path),
+        ]
+        process = RunningProcess(
+            name, role, None, http_port, peer_port, data_centre
+        )
+        self._spawn(process, command)
+        self.list_instance(name)
+        return process
+
+    def _spawn(self, process: RunningProcess, command: list[str]) -> None:
+        with open(self.folder / f"{process.name}.log", "ab") as output:
+            process.popen = subprocess.Popen(
+                command, stdout=output, stderr=subprocess.STDOUT
+            )
+        self.processes[process.name] = process
+
+
+def read_events(response: Any) -> Iterator[dict[str, Any]]:
+    """Yields the JSON of each server-sent event until `[DONE]`."""
+    buffer = b""
+    while True:
+        part = response.read(1) if not buffer else response.read(256)
+        if not part:
+            return
+        buffer += bytes(part)
+        while b"\n\n" in buffer:
+            event, _, buffer = buffer.partition(b"\n\n")
+            data = event.removeprefix(b"data: ")
+            if data == b"[DONE]":
+                return
+            yield json.loads(data)
+
+
+@contextlib.contextmanager
+def make_site() -> Iterator[Site]:
+    """Yields an empty site whose processes end with the block."""
+    with tempfile.TemporaryDirectory(prefix="caroblug-") as folder:
+        site = Site(pathlib.Path(folder))
+        try:
+            yield site
+        finally:
+            site.close()
+
+
+def three_stages(**options: Any) -> list[EngineSpec]:
+    """Returns engines of three stages, each twice, in two data centres."""
+    bounds = ((0, 8), (8, 16), (16, 24))
+    return [
+        EngineSpec(
+            name=f"{place}-{number}",
+            data_centre=f"muscat-{place}",
+            first_layer=first,
+            end_layer=end,
+            **options,
+        )
+        for place in ("a", "b")
+        for number, (first, end) in enumerate(bounds)
+    ]
--- /dev/null
+++ b/thrift/caroblug.thrift
@@ -0,0 +1,154 @@
+/** Messages between caroblug's own processes.
+ *
+ * Every message travels inside a Frame; a Frame carries all that waited for
+ * one peer. Times are relative milliseconds: clocks of instances are never
+ * compared.
+ */
+namespace py caroblug.gen.wire
+
+/** First message of each end of a connection. */
+struct Hello {
+  1: string instance
+  2: string role
+  3: string data_centre
+  4: binary nonce
+  5: i32 protocol
+  6: string host
+  7: i32 port
+}
+
+/** One stage of a chain: the side process and the layers it runs. */
+struct StageRef {
+  1: string instance
+  2: string host
+  3: i32 port
+  4: i32 first_layer
+  5: i32 end_layer
+}
+
+/** Opens a stream, or opens it again under a newer attempt. */
+struct OpenStream {
+  1: string stream
+  2: i32 attempt
+  3: string client_account
+  4: string model
+  5: list<StageRef> chain
+  6: i32 stage
+  /** Prompt and accepted tokens; only the first stage receives them. */
+  7: list<i32> tokens
+  8: i32 prompt_length
+  /** Tokens the entry has already accepted, prompt included. */
+  9: i32 known_length
+  10: i32 max_length
+  11: i64 deadline_ms
+  12: string fingerprint
+  13: i64 seed
+  14: StageRef entry
+  15: double weight
+}
+
+/** Hidden states for consecutive positions, starting at `position`. */
+struct Step {
+  1: string stream
+  2: i32 attempt
+  3: i32 position
+  4: list<binary> states
+}
+
+/** The token at `position`, sampled by the last stage. */
+struct Token {
+  1: string stream
+  2: i32 attempt
+  3: i32 position
+  4: i32 token
+}
+
+/** Asks the previous stage to send its states again from `position`. */
+struct Need {
+  1: string stream
+  2: i32 attempt
+  3: i32 position
+}
+
+/** Ends a stream at every stage. */
+struct Cancel {
+  1: string stream
+  2: i32 attempt
+}
+
+/** A stage gives up a stream; `reason` is a StageFailure value. */
+struct StageRefusal {
+  1: string stream
+  2: i32 attempt
+  3: string instance
+  4: string reason
+  5: string message
+  6: i32 retry_after_ms
+}
+
+/** What a side process tells its peers about itself. */
+struct LoadReport {
+  1: string instance
+  2: string role
+  3: string data_centre
+  4: string target
+  5: i32 first_layer
+  6: i32 end_layer
+  7: double tokens_per_s
+  8: i32 waiting
+  9: i32 running
+  10: bool leaving
+  11: i32 bundle_version
+  12: string host
+  13: i32 port
+}
+
+struct Header {
+  1: string name
+  2: string value
+}
+
+/** A call of a plain service. */
+struct PlainCall {
+  1: string call
+  2: string target
+  3: string method
+  4: string path
+  5: list<Header> headers
+  6: binary body
+  7: string key
+  8: bool repeatable
+  9: i64 deadline_ms
+  10: string client_account
+  11: string fingerprint
+}
+
+/** The answer of a plain service, or a refusal (`status` 0). */
+struct PlainReply {
+  1: string call
+  2: i32 status
+  3: list<Header> headers
+  4: binary body
+  5: string reason
+  6: string message
+  7: string ran
+  8: i32 retry_after_ms
+}
+
+/** Sent when a connection has had nothing else to say for a while. */
+struct Heartbeat {
+  1: i64 sequence
+}
+
+struct Frame {
+  1: list<OpenStream> opens
+  2: list<Need> needs
+  3: list<Step> steps
+  4: list<Token> tokens
+  5: list<Cancel> cancels
+  6: list<StageRefusal> refusals
+  7: list<LoadReport> reports
+  8: list<PlainCall> calls
+  9: list<PlainReply> replies
+  10: list<Heartbeat> heartbeats
+}
