Split the callers' API into small modules

Cause: caroblug/entry/_api.py held the door, the feed, both answer shapes, the event stream and three resources in 460 lines. Ruled out: leaving it until the limits are in; every change would touch it. Change: one module for each job; _api.py now only joins paths to resources. No behaviour changes. Conclusion: the limits have a place to go.

--- /dev/null
+++ b/caroblug/entry/_door.py
@@ -0,0 +1,51 @@
+"""What every request is asked first: bundle, client account, body."""
+
+import falcon
+
+from caroblug.core.state import Bundle, Head
+from caroblug.entry._accounts import authenticate
+from caroblug.node import BundleFollower, Lifetime
+from caroblug.utils import RefusalType, Refused
+
+_RETRY_AFTER_MS = 1000
+_NOT_READY = Refused(
+    RefusalType.OVERLOADED,
+    "this instance is not ready",
+    retry_after_ms=_RETRY_AFTER_MS,
+)
+
+
+class Door:
+    """What every resource asks first: bundle, account, body.
+
+    Args:
+        bundles: The bundle in force.
+        lifetime: Whether the program is leaving.
+    """
+
+    def __init__(self, bundles: BundleFollower, lifetime: Lifetime) -> None:
+        self._bundles = bundles
+        self._lifetime = lifetime
+
+    def enter(self, request: falcon.Request) -> tuple[Head, str] | Refused:
+        """Returns the head and the client account, or a refusal."""
+        head = self._bundles.head
+        if head is None or self._lifetime.leaving:
+            return _NOT_READY
+        account = authenticate(head.bundle, request.get_header("Authorization"))
+        if isinstance(account, Refused):
+            return account
+        return head, account
+
+    def read_body(
+        self, request: falcon.Request, bundle: Bundle
+    ) -> bytes | Refused:
+        """Returns the body, or refuses one over the limit."""
+        limit = bundle.limits.body_bytes
+        if (request.content_length or 0) <= limit:
+            body = request.bounded_stream.read(limit + 1)
+            if len(body) <= limit:
+                return body
+        return Refused(
+            RefusalType.BODY_TOO_LARGE, f"the body is over {limit} bytes"
+        )
--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -6,10 +6,10 @@
 from caroblug.core.limits import Admission
 from caroblug.core.routing import ShortestWaitChooser
 from caroblug.core.state import BundleFold, Head
-from caroblug.entry._api import Completions, Door, Models, Services
+from caroblug.entry._api import make_app
 from caroblug.entry._directory import Directory
+from caroblug.entry._door import Door
 from caroblug.entry._plain import PlainClient
-from caroblug.entry._refusals import write_refusal
 from caroblug.entry._settings import EntrySettings
 from caroblug.entry._streams import EntryStreams
 from caroblug.gen.wire import ttypes as wire
@@ -30,8 +30,6 @@
 from caroblug.utils import (
     Metrics,
     MonotonicClock,
-    RefusalType,
-    Refused,
     log_state,
     make_metrics,
 )
@@ -127,27 +125,15 @@
         self.plain.on_peer_lost(peer.instance)
 
     def _make_app(self) -> falcon.App:
-        app = falcon.App()
-        app.add_error_handler(falcon.HTTPNotFound, _not_found)
+        app = make_app(
+            Door(self.bundles, self.lifetime),
+            self.streams,
+            self.plain,
+            Admission(self.settings.streams),
+            self._clock,
+            self.metrics,
+        )
         add_node_routes(app, self.metrics, lambda: self.ready)
-        door = Door(self.bundles, self.lifetime)
-        admission = Admission(self.settings.streams)
-        for path, chat in (
-            ("/v1/chat/completions", True),
-            ("/v1/completions", False),
-        ):
-            resource = Completions(
-                door,
-                self.streams,
-                admission,
-                self._clock,
-                self.metrics,
-                chat=chat,
-            )
-            app.add_route(path, resource)
-        app.add_route("/v1/models", Models(door))
-        services = Services(door, self.plain, self._clock, self.metrics)
-        app.add_sink(services, r"/services/(?P<name>[^/]+)(/(?P<path>.*))?")
         return app
 
     def _busy(self) -> bool:
@@ -176,12 +162,6 @@
             self.network.send(peer)
 
 
-def _not_found(request, response, error, params) -> None:
-    del request, error, params
-    refused = Refused(RefusalType.NOT_FOUND, "no such path")
-    write_refusal(response, refused)
-
-
 def serve(settings: EntrySettings) -> None:
     """Runs the entry program."""
     EntryServer(settings).run()
--- /dev/null
+++ b/caroblug/entry/_services.py
@@ -0,0 +1,86 @@
+"""`ANY /services/NAME/PATH`: calls of plain services."""
+
+import falcon
+
+from caroblug.core.state import Bundle
+from caroblug.entry._door import Door
+from caroblug.entry._plain import PlainClient
+from caroblug.entry._refusals import write_refusal
+from caroblug.gen.wire import ttypes as wire
+from caroblug.utils import Clock, Metrics, RefusalType, Refused
+
+_PASSED_HEADERS = ("content-type", "accept")
+
+
+class Services:
+    """`ANY /services/NAME/PATH`."""
+
+    def __init__(
+        self, door: Door, client: PlainClient, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._door = door
+        self._client = client
+        self._clock = clock
+        self._metrics = metrics
+
+    def __call__(
+        self, request: falcon.Request, response: falcon.Response, **parts: str
+    ) -> None:
+        """Passes a call on to the named service."""
+        since_ms = self._clock.now_ms()
+        entered = self._door.enter(request)
+        if isinstance(entered, Refused):
+            write_refusal(response, entered)
+            return
+        head, account = entered
+        name = parts["name"]
+        group = head.bundle.client_accounts[account].group
+        outcome = self._call(request, head.bundle, account, name, parts)
+        kind = "answered"
+        if isinstance(outcome, Refused):
+            kind = outcome.type.value
+            write_refusal(response, outcome)
+        else:
+            _write_reply(response, outcome)
+        self._metrics.count("calls", service=name, group=group, outcome=kind)
+        elapsed_ms = self._clock.now_ms() - since_ms
+        self._metrics.record_ms("call", elapsed_ms, service=name, group=group)
+
+    def _call(
+        self,
+        request: falcon.Request,
+        bundle: Bundle,
+        account: str,
+        name: str,
+        parts: dict[str, str],
+    ) -> wire.PlainReply | Refused:
+        rule = bundle.services.get(name)
+        if rule is None:
+            return Refused(RefusalType.UNKNOWN_SERVICE, f"no service {name!r}")
+        body = self._door.read_body(request, bundle)
+        if isinstance(body, Refused):
+            return body
+        query = f"?{request.query_string}" if request.query_string else ""
+        call = wire.PlainCall(
+            target=name,
+            method=request.method,
+            path=f"/{parts.get('path', '')}{query}",
+            headers=[
+                wire.Header(header, request.get_header(header))
+                for header in _PASSED_HEADERS
+                if request.get_header(header)
+            ],
+            body=body,
+            key=request.get_header("Idempotency-Key") or "",
+            repeatable=request.method in rule.idempotent_methods,
+            deadline_ms=rule.timeout_ms,
+            client_account=account,
+        )
+        return self._client.call(call, rule)
+
+
+def _write_reply(response: falcon.Response, reply: wire.PlainReply) -> None:
+    response.status = reply.status
+    response.data = reply.body
+    for header in reply.headers or ():
+        response.set_header(header.name, header.value)
