--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -1,6 +1,50 @@
 """Shares, queues, admission, retry budgets and quarantine."""
 
 from caroblug.core.limits._admission import Admission
-from caroblug.core.limits._fair_queue import FairQueue
+from caroblug.core.limits._fair_queue import (
+    QUEUE_KINDS,
+    FairQueue,
+    FifoQueue,
+    ItemQueue,
+    make_queue,
+)
+from caroblug.core.limits._homes import Homes
+from caroblug.core.limits._overload import (
+    EngineLoad,
+    OpenedSince,
+    estimate_wait_ms,
+)
+from caroblug.core.limits._retry_after import RetryAfter
+from caroblug.core.limits._run_gate import RunGate, Ticket
+from caroblug.core.limits._shares import (
+    AccountRule,
+    Demand,
+    EntryShares,
+    Grant,
+    HomeShares,
+)
+from caroblug.core.limits._suspicions import Suspicion, Suspicions, Verdict
 
-__all__ = ["Admission", "FairQueue"]
+__all__ = [
+    "QUEUE_KINDS",
+    "AccountRule",
+    "Admission",
+    "Demand",
+    "EngineLoad",
+    "EntryShares",
+    "FairQueue",
+    "FifoQueue",
+    "Grant",
+    "HomeShares",
+    "Homes",
+    "ItemQueue",
+    "OpenedSince",
+    "RetryAfter",
+    "RunGate",
+    "Suspicion",
+    "Suspicions",
+    "Ticket",
+    "Verdict",
+    "estimate_wait_ms",
+    "make_queue",
+]
--- /dev/null
+++ b/caroblug/core/limits/_suspicions.py
@@ -0,0 +1,161 @@
+"""Requests that may be what crashes engines.
+
+A request that was in an engine when it crashed is suspected of that crash
+until it has run on past the place where it was; one that is suspected of two
+crashes is quarantined. Records are sets of crash names, so that instances can
+tell each other in any order and as often as they like.
+"""
+
+import collections
+import enum
+
+import attrs
+
+QUARANTINE_CRASHES = 2
+_MAX_RECORDS = 4096
+_MAX_CRASHES = 8
+
+
+class Verdict(enum.IntEnum):
+    """What is known against a request."""
+
+    CLEAR = 0
+    SUSPECT = 1
+    QUARANTINED = 2
+
+
+@attrs.frozen
+class Suspicion:
+    """One request and one crash.
+
+    Attributes:
+        fingerprint: The request: client account, service and body.
+        client_account: Whose request it is.
+        crash: Name of the crash, unique in the fleet.
+        cleared: Whether the request has since run on past that place.
+        remaining_ms: After this it is forgotten.
+    """
+
+    fingerprint: str
+    client_account: str
+    crash: str
+    cleared: bool
+    remaining_ms: int
+
+
+@attrs.define
+class _Record:
+    client_account: str
+    end_ms: int
+    crashes: dict[str, bool] = attrs.field(factory=dict)
+
+    @property
+    def against(self) -> int:
+        return sum(not cleared for cleared in self.crashes.values())
+
+
+class Suspicions:
+    """What one instance knows of crashes; bounded, oldest forgotten first."""
+
+    def __init__(self) -> None:
+        self._records: collections.OrderedDict[str, _Record] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def on_suspicion(self, suspicion: Suspicion, now_ms: int) -> bool:
+        """Takes a suspicion; returns whether it was news."""
+        end_ms = now_ms + suspicion.remaining_ms
+        if suspicion.remaining_ms <= 0:
+            return False
+        record = self._live(suspicion.fingerprint, now_ms)
+        if record is None:
+            record = self._make(suspicion, end_ms)
+        cleared = record.crashes.get(suspicion.crash)
+        if cleared is None and len(record.crashes) >= _MAX_CRASHES:
+            return False
+        if cleared is not None and (cleared or not suspicion.cleared):
+            return False
+        record.crashes[suspicion.crash] = suspicion.cleared
+        record.end_ms = max(record.end_ms, end_ms)
+        return True
+
+    def verdict(self, fingerprint: str, now_ms: int) -> Verdict:
+        """Returns what is known against a request."""
+        record = self._live(fingerprint, now_ms)
+        if record is None:
+            return Verdict.CLEAR
+        if record.against >= QUARANTINE_CRASHES:
+            return Verdict.QUARANTINED
+        return Verdict.SUSPECT if record.against else Verdict.CLEAR
+
+    def remaining_ms(self, fingerprint: str, now_ms: int) -> int:
+        """Returns when a request is forgotten; 0 if nothing is known."""
+        record = self._live(fingerprint, now_ms)
+        return record.end_ms - now_ms if record else 0
+
+    def clear(self, fingerprint: str, now_ms: int) -> list[Suspicion]:
+        """Clears a request that has run on; returns what to tell others.
+
+        A quarantined request stays so: it is never run, so a late token of
+        an older attempt is no proof.
+        """
+        if self.verdict(fingerprint, now_ms) is not Verdict.SUSPECT:
+            return []
+        record = self._records[fingerprint]
+        changed = [c for c, cleared in record.crashes.items() if not cleared]
+        for crash in changed:
+            record.crashes[crash] = True
+        return [
+            suspicion
+            for suspicion in self.known(fingerprint, now_ms)
+            if suspicion.crash in changed
+        ]
+
+    def known(self, fingerprint: str, now_ms: int) -> list[Suspicion]:
+        """Returns everything known of one request."""
+        record = self._live(fingerprint, now_ms)
+        if record is None:
+            return []
+        return [
+            Suspicion(
+                fingerprint,
+                record.client_account,
+                crash,
+                cleared,
+                record.end_ms - now_ms,
+            )
+            for crash, cleared in record.crashes.items()
+        ]
+
+    def quarantined(self, now_ms: int) -> list[Suspicion]:
+        """Returns everything known of quarantined requests."""
+        return [
+            suspicion
+            for fingerprint in list(self._records)
+            if self.verdict(fingerprint, now_ms) is Verdict.QUARANTINED
+            for suspicion in self.known(fingerprint, now_ms)
+        ]
+
+    def count_quarantined(self, now_ms: int) -> int:
+        """Returns how many requests are quarantined."""
+        return sum(
+            self.verdict(fingerprint, now_ms) is Verdict.QUARANTINED
+            for fingerprint in list(self._records)
+        )
+
+    def _live(self, fingerprint: str, now_ms: int) -> _Record | None:
+        record = self._records.get(fingerprint)
+        if record is not None and now_ms >= record.end_ms:
+            del self._records[fingerprint]
+            return None
+        return record
+
+    def _make(self, suspicion: Suspicion, end_ms: int) -> _Record:
+        if len(self._records) >= _MAX_RECORDS:
+            self._records.popitem(last=False)
+        record = _Record(suspicion.client_account, end_ms)
+        self._records[suspicion.fingerprint] = record
+        return record
--- a/caroblug/core/state/_bundle.py
+++ b/caroblug/core/state/_bundle.py
@@ -19,6 +19,7 @@
 _MAX_LAYERS = 1024
 _MAX_VOCABULARY = 1_000_000
 _MAX_TOKENS = 1_000_000
+_MAX_TOKENS_PER_MINUTE = 1_000_000_000
 _MAX_BODY_BYTES = 64 * 1024 * 1024
 _IDEMPOTENT_METHODS = ["GET", "HEAD", "OPTIONS"]
 
@@ -30,10 +31,12 @@
     Attributes:
         layers: Number of layers, over all stages.
         vocabulary: Number of tokens.
+        body_bytes: Largest request body; 0 takes the one of `[limits]`.
     """
 
     layers: int = count(1, _MAX_LAYERS, "Layers over all stages.")
     vocabulary: int = count(2, _MAX_VOCABULARY, "Number of tokens.")
+    body_bytes: int = count(0, _MAX_BODY_BYTES, "Largest request body.", 0)
 
 
 @attrs.frozen
@@ -44,12 +47,16 @@
         idempotent_methods: HTTP methods that may be repeated; a call with
             another method runs at most once.
         timeout_ms: How long one call may take.
+        calls: Calls that one account may have open at one entry.
+        body_bytes: Largest request body; 0 takes the one of `[limits]`.
     """
 
     idempotent_methods: list[str] = attrs.field(
         factory=lambda: list(_IDEMPOTENT_METHODS)
     )
     timeout_ms: int = duration_ms("How long one call may take.", 5000)
+    calls: int = count(1, 100_000, "Calls open at once.", 256)
+    body_bytes: int = count(0, _MAX_BODY_BYTES, "Largest request body.", 0)
 
 
 @attrs.frozen
@@ -61,12 +68,16 @@
         key_hashes: Salted hashes of its keys, as `hash_key` makes them.
         streams: Streams it may have open at once.
         weight: Its share relative to other accounts.
+        tokens_per_minute: Weighted tokens it may use in a minute.
     """
 
     key_hashes: list[str] = attrs.field()
     group: str = name("Group under which it is counted.", "default")
     streams: int = count(1, 100_000, "Streams open at once.", 64)
     weight: float = number(0.01, 100.0, "Share relative to others.", 1.0)
+    tokens_per_minute: int = count(
+        1, _MAX_TOKENS_PER_MINUTE, "Weighted tokens a minute.", 6_000_000
+    )
 
 
 @attrs.frozen
@@ -78,6 +89,8 @@
         max_tokens: Most tokens generated for one request.
         prompt_tokens: Longest prompt.
         deadline_ms: How long one request may take.
+        queue_ms: Longest wait for a token that a new stream may meet.
+        unread_tokens: Tokens that may wait for a caller to read them.
     """
 
     body_bytes: int = count(
@@ -86,6 +99,8 @@
     max_tokens: int = count(1, _MAX_TOKENS, "Most tokens generated.", 4096)
     prompt_tokens: int = count(1, _MAX_TOKENS, "Longest prompt.", 16384)
     deadline_ms: int = duration_ms("How long a request may take.", 120_000)
+    queue_ms: int = duration_ms("Longest wait for a token.", 500)
+    unread_tokens: int = count(1, _MAX_TOKENS, "Tokens not read.", 1024)
 
 
 @attrs.frozen
@@ -103,6 +118,20 @@
     )
 
 
+@attrs.frozen
+class Quarantine:
+    """What happens to requests that crash backend servers.
+
+    Attributes:
+        expire_ms: Time after the last crash until it is forgotten.
+        retry_after_ms: When callers are told to come back; at most what is
+            left of the quarantine.
+    """
+
+    expire_ms: int = duration_ms("Time until a crash is forgotten.", 600_000)
+    retry_after_ms: int = duration_ms("When to come back.", 600_000)
+
+
 @attrs.frozen
 class Objective:
     """A service-level objective.
@@ -131,6 +160,7 @@
     client_accounts: dict[str, ClientAccount] = attrs.field(factory=dict)
     limits: Limits = attrs.field(factory=Limits)
     sharing: Sharing = attrs.field(factory=Sharing)
+    quarantine: Quarantine = attrs.field(factory=Quarantine)
     objectives: list[Objective] = attrs.field(factory=list)
 
 
--- a/caroblug/gen/wire/ttypes.py
+++ b/caroblug/gen/wire/ttypes.py
@@ -296,6 +296,7 @@
      - seed
      - entry
      - weight
+     - alone: Whether positions already known run with nothing else in the engine.
 
     """
 
@@ -315,10 +316,11 @@
         'seed',
         'entry',
         'weight',
+        'alone',
     )
 
 
-    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None,):
+    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None, alone=None,):
         self.stream = stream
         self.attempt = attempt
         self.client_account = client_account
@@ -334,6 +336,7 @@
         self.seed = seed
         self.entry = entry
         self.weight = weight
+        self.alone = alone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -431,6 +434,11 @@
                     self.weight = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.BOOL:
+                    self.alone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -507,6 +515,10 @@
             oprot.writeFieldBegin('weight', TType.DOUBLE, 15)
             oprot.writeDouble(self.weight)
             oprot.writeFieldEnd()
+        if self.alone is not None:
+            oprot.writeFieldBegin('alone', TType.BOOL, 60)
+            oprot.writeBool(self.alone)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1076,6 +1088,8 @@
      - bundle_version
      - host
      - port
+     - client_accounts: Client accounts with streams open here.
+     - streams: Streams open here.
 
     """
 
@@ -1093,10 +1107,12 @@
         'bundle_version',
         'host',
         'port',
+        'client_accounts',
+        'streams',
     )
 
 
-    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None,):
+    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None, client_accounts=None, streams=None,):
         self.instance = instance
         self.role = role
         self.data_centre = data_centre
@@ -1110,6 +1126,8 @@
         self.bundle_version = bundle_version
         self.host = host
         self.port = port
+        self.client_accounts = client_accounts
+        self.streams = streams
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1185,6 +1203,16 @@
                     self.port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.I32:
+                    self.client_accounts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 61:
+                if ftype == TType.I32:
+                    self.streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1247,6 +1275,14 @@
             oprot.writeFieldBegin('port', TType.I32, 13)
             oprot.writeI32(self.port)
             oprot.writeFieldEnd()
+        if self.client_accounts is not None:
+            oprot.writeFieldBegin('client_accounts', TType.I32, 60)
+            oprot.writeI32(self.client_accounts)
+            oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 61)
+            oprot.writeI32(self.streams)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1784,6 +1820,533 @@
         return not (self == other)
 
 
+class ShareDemand(object):
+    """
+    What an entry reports of an account to the account's home.
+
+    Attributes:
+     - client_account
+     - streams
+     - used
+
+    """
+
+    __slots__ = (
+        'client_account',
+        'streams',
+        'used',
+    )
+
+
+    def __init__(self, client_account=None, streams=None, used=None,):
+        self.client_account = client_account
+        self.streams = streams
+        self.used = used
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.client_account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.used = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ShareDemand')
+        if self.client_account is not None:
+            oprot.writeFieldBegin('client_account', TType.STRING, 1)
+            oprot.writeString(self.client_account.encode('utf-8') if sys.version_info[0] == 2 else self.client_account)
+            oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 2)
+            oprot.writeI32(self.streams)
+            oprot.writeFieldEnd()
+        if self.used is not None:
+            oprot.writeFieldBegin('used', TType.DOUBLE, 3)
+            oprot.writeDouble(self.used)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ShareGrant(object):
+    """
+    What an entry may use of an account until the term ends.
+
+    Attributes:
+     - client_account
+     - streams
+     - tokens
+     - total
+     - term_ms
+
+    """
+
+    __slots__ = (
+        'client_account',
+        'streams',
+        'tokens',
+        'total',
+        'term_ms',
+    )
+
+
+    def __init__(self, client_account=None, streams=None, tokens=None, total=None, term_ms=None,):
+        self.client_account = client_account
+        self.streams = streams
+        self.tokens = tokens
+        self.total = total
+        self.term_ms = term_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.client_account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.tokens = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.total = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.term_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ShareGrant')
+        if self.client_account is not None:
+            oprot.writeFieldBegin('client_account', TType.STRING, 1)
+            oprot.writeString(self.client_account.encode('utf-8') if sys.version_info[0] == 2 else self.client_account)
+            oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 2)
+            oprot.writeI32(self.streams)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.DOUBLE, 3)
+            oprot.writeDouble(self.tokens)
+            oprot.writeFieldEnd()
+        if self.total is not None:
+            oprot.writeFieldBegin('total', TType.I32, 4)
+            oprot.writeI32(self.total)
+            oprot.writeFieldEnd()
+        if self.term_ms is not None:
+            oprot.writeFieldBegin('term_ms', TType.I32, 5)
+            oprot.writeI32(self.term_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Suspicion(object):
+    """
+    A request that was in an engine, or a plain service, as it crashed.
+
+    Attributes:
+     - fingerprint
+     - client_account
+     - crash
+     - cleared: Whether the request has since run on past that place.
+     - remaining_ms
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'client_account',
+        'crash',
+        'cleared',
+        'remaining_ms',
+    )
+
+
+    def __init__(self, fingerprint=None, client_account=None, crash=None, cleared=None, remaining_ms=None,):
+        self.fingerprint = fingerprint
+        self.client_account = client_account
+        self.crash = crash
+        self.cleared = cleared
+        self.remaining_ms = remaining_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.client_account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.crash = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.cleared = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Suspicion')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.client_account is not None:
+            oprot.writeFieldBegin('client_account', TType.STRING, 2)
+            oprot.writeString(self.client_account.encode('utf-8') if sys.version_info[0] == 2 else self.client_account)
+            oprot.writeFieldEnd()
+        if self.crash is not None:
+            oprot.writeFieldBegin('crash', TType.STRING, 3)
+            oprot.writeString(self.crash.encode('utf-8') if sys.version_info[0] == 2 else self.crash)
+            oprot.writeFieldEnd()
+        if self.cleared is not None:
+            oprot.writeFieldBegin('cleared', TType.BOOL, 4)
+            oprot.writeBool(self.cleared)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 5)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunRequest(object):
+    """
+    Asks an account's home whether a request may run now, or leaves.
+
+    Attributes:
+     - fingerprint
+     - number
+     - leave
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'number',
+        'leave',
+    )
+
+
+    def __init__(self, fingerprint=None, number=None, leave=None,):
+        self.fingerprint = fingerprint
+        self.number = number
+        self.leave = leave
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.leave = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunRequest')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.leave is not None:
+            oprot.writeFieldBegin('leave', TType.BOOL, 3)
+            oprot.writeBool(self.leave)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunAdmitted(object):
+    """
+    Lets a request run, with what is known against it.
+
+    Attributes:
+     - fingerprint
+     - number
+     - known
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'number',
+        'known',
+    )
+
+
+    def __init__(self, fingerprint=None, number=None, known=None,):
+        self.fingerprint = fingerprint
+        self.number = number
+        self.known = known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.known = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Suspicion()
+                        _elem40.read(iprot)
+                        self.known.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunAdmitted')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.known))
+            for iter41 in self.known:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -1797,6 +2360,11 @@
      - calls
      - replies
      - heartbeats
+     - demands
+     - grants
+     - suspicions
+     - run_requests
+     - run_admitted
 
     """
 
@@ -1811,10 +2379,15 @@
         'calls',
         'replies',
         'heartbeats',
+        'demands',
+        'grants',
+        'suspicions',
+        'run_requests',
+        'run_admitted',
     )
 
 
-    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None,):
+    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None, demands=None, grants=None, suspicions=None, run_requests=None, run_admitted=None,):
         self.opens = opens
         self.needs = needs
         self.steps = steps
@@ -1825,6 +2398,11 @@
         self.calls = calls
         self.replies = replies
         self.heartbeats = heartbeats
+        self.demands = demands
+        self.grants = grants
+        self.suspicions = suspicions
+        self.run_requests = run_requests
+        self.run_admitted = run_admitted
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1838,110 +2416,165 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.opens = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = OpenStream()
-                        _elem40.read(iprot)
-                        self.opens.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = OpenStream()
+                        _elem47.read(iprot)
+                        self.opens.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.needs = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = Need()
-                        _elem46.read(iprot)
-                        self.needs.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = Need()
+                        _elem53.read(iprot)
+                        self.needs.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = Step()
-                        _elem52.read(iprot)
-                        self.steps.append(_elem52)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = Step()
+                        _elem59.read(iprot)
+                        self.steps.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = Token()
-                        _elem58.read(iprot)
-                        self.tokens.append(_elem58)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = Token()
+                        _elem65.read(iprot)
+                        self.tokens.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.cancels = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = Cancel()
-                        _elem64.read(iprot)
-                        self.cancels.append(_elem64)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = Cancel()
+                        _elem71.read(iprot)
+                        self.cancels.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = StageRefusal()
-                        _elem70.read(iprot)
-                        self.refusals.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = StageRefusal()
+                        _elem77.read(iprot)
+                        self.refusals.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = LoadReport()
-                        _elem76.read(iprot)
-                        self.reports.append(_elem76)
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = LoadReport()
+                        _elem83.read(iprot)
+                        self.reports.append(_elem83)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.calls = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = PlainCall()
-                        _elem82.read(iprot)
-                        self.calls.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = PlainCall()
+                        _elem89.read(iprot)
+                        self.calls.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.replies = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = PlainReply()
-                        _elem88.read(iprot)
-                        self.replies.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = PlainReply()
+                        _elem95.read(iprot)
+                        self.replies.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.heartbeats = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = Heartbeat()
-                        _elem94.read(iprot)
-                        self.heartbeats.append(_elem94)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = Heartbeat()
+                        _elem101.read(iprot)
+                        self.heartbeats.append(_elem101)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = ShareDemand()
+                        _elem107.read(iprot)
+                        self.demands.append(_elem107)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 61:
+                if ftype == TType.LIST:
+                    self.grants = []
+                    (_etype111, _size108) = iprot.readListBegin()
+                    for _i112 in range(_size108):
+                        _elem113 = ShareGrant()
+                        _elem113.read(iprot)
+                        self.grants.append(_elem113)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 62:
+                if ftype == TType.LIST:
+                    self.suspicions = []
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = Suspicion()
+                        _elem119.read(iprot)
+                        self.suspicions.append(_elem119)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 63:
+                if ftype == TType.LIST:
+                    self.run_requests = []
+                    (_etype123, _size120) = iprot.readListBegin()
+                    for _i124 in range(_size120):
+                        _elem125 = RunRequest()
+                        _elem125.read(iprot)
+                        self.run_requests.append(_elem125)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 64:
+                if ftype == TType.LIST:
+                    self.run_admitted = []
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = RunAdmitted()
+                        _elem131.read(iprot)
+                        self.run_admitted.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1958,71 +2591,106 @@
         if self.opens is not None:
             oprot.writeFieldBegin('opens', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.opens))
-            for iter95 in self.opens:
-                iter95.write(oprot)
+            for iter132 in self.opens:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.needs is not None:
             oprot.writeFieldBegin('needs', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.needs))
-            for iter96 in self.needs:
-                iter96.write(oprot)
+            for iter133 in self.needs:
+                iter133.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter97 in self.steps:
-                iter97.write(oprot)
+            for iter134 in self.steps:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.tokens))
-            for iter98 in self.tokens:
-                iter98.write(oprot)
+            for iter135 in self.tokens:
+                iter135.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cancels is not None:
             oprot.writeFieldBegin('cancels', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.cancels))
-            for iter99 in self.cancels:
-                iter99.write(oprot)
+            for iter136 in self.cancels:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter100 in self.refusals:
-                iter100.write(oprot)
+            for iter137 in self.refusals:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter101 in self.reports:
-                iter101.write(oprot)
+            for iter138 in self.reports:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter102 in self.calls:
-                iter102.write(oprot)
+            for iter139 in self.calls:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.replies is not None:
             oprot.writeFieldBegin('replies', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.replies))
-            for iter103 in self.replies:
-                iter103.write(oprot)
+            for iter140 in self.replies:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.heartbeats))
-            for iter104 in self.heartbeats:
-                iter104.write(oprot)
+            for iter141 in self.heartbeats:
+                iter141.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 60)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter142 in self.demands:
+                iter142.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.grants is not None:
+            oprot.writeFieldBegin('grants', TType.LIST, 61)
+            oprot.writeListBegin(TType.STRUCT, len(self.grants))
+            for iter143 in self.grants:
+                iter143.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspicions is not None:
+            oprot.writeFieldBegin('suspicions', TType.LIST, 62)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
+            for iter144 in self.suspicions:
+                iter144.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.run_requests is not None:
+            oprot.writeFieldBegin('run_requests', TType.LIST, 63)
+            oprot.writeListBegin(TType.STRUCT, len(self.run_requests))
+            for iter145 in self.run_requests:
+                iter145.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.run_admitted is not None:
+            oprot.writeFieldBegin('run_admitted', TType.LIST, 64)
+            oprot.writeListBegin(TType.STRUCT, len(self.run_admitted))
+            for iter146 in self.run_admitted:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2086,6 +2754,51 @@
     (13, TType.I64, 'seed', None, None, ),  # 13
     (14, TType.STRUCT, 'entry', [StageRef, None], None, ),  # 14
     (15, TType.DOUBLE, 'weight', None, None, ),  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    (60, TType.BOOL, 'alone', None, None, ),  # 60
 )
 all_structs.append(Step)
 Step.thrift_spec = (
@@ -2142,6 +2855,54 @@
     (11, TType.I32, 'bundle_version', None, None, ),  # 11
     (12, TType.STRING, 'host', 'UTF8', None, ),  # 12
     (13, TType.I32, 'port', None, None, ),  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    (60, TType.I32, 'client_accounts', None, None, ),  # 60
+    (61, TType.I32, 'streams', None, None, ),  # 61
 )
 all_structs.append(Header)
 Header.thrift_spec = (
@@ -2181,6 +2942,45 @@
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
 )
+all_structs.append(ShareDemand)
+ShareDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'client_account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'streams', None, None, ),  # 2
+    (3, TType.DOUBLE, 'used', None, None, ),  # 3
+)
+all_structs.append(ShareGrant)
+ShareGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'client_account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'streams', None, None, ),  # 2
+    (3, TType.DOUBLE, 'tokens', None, None, ),  # 3
+    (4, TType.I32, 'total', None, None, ),  # 4
+    (5, TType.I32, 'term_ms', None, None, ),  # 5
+)
+all_structs.append(Suspicion)
+Suspicion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'client_account', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'crash', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'cleared', None, None, ),  # 4
+    (5, TType.I64, 'remaining_ms', None, None, ),  # 5
+)
+all_structs.append(RunRequest)
+RunRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.BOOL, 'leave', None, None, ),  # 3
+)
+all_structs.append(RunAdmitted)
+RunAdmitted.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.LIST, 'known', (TType.STRUCT, [Suspicion, None], False), None, ),  # 3
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2194,6 +2994,60 @@
     (8, TType.LIST, 'calls', (TType.STRUCT, [PlainCall, None], False), None, ),  # 8
     (9, TType.LIST, 'replies', (TType.STRUCT, [PlainReply, None], False), None, ),  # 9
     (10, TType.LIST, 'heartbeats', (TType.STRUCT, [Heartbeat, None], False), None, ),  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    (60, TType.LIST, 'demands', (TType.STRUCT, [ShareDemand, None], False), None, ),  # 60
+    (61, TType.LIST, 'grants', (TType.STRUCT, [ShareGrant, None], False), None, ),  # 61
+    (62, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 62
+    (63, TType.LIST, 'run_requests', (TType.STRUCT, [RunRequest, None], False), None, ),  # 63
+    (64, TType.LIST, 'run_admitted', (TType.STRUCT, [RunAdmitted, None], False), None, ),  # 64
 )
 fix_spec(all_structs)
 del all_structs
--- a/caroblug/transport/_engine.py
+++ b/caroblug/transport/_engine.py
@@ -83,9 +83,12 @@
 
     Attributes:
         message: What was seen.
+        crashed: Whether it went away while it had the batch, rather than
+            stayed silent or refused.
     """
 
     message: str
+    crashed: bool = False
 
 
 class EngineClient(abc.ABC):
@@ -139,7 +142,8 @@
         }
         answer = self._client.request("POST", "/v1/run", body)
         if isinstance(answer, HttpFailed):
-            return EngineFailed(answer.message)
+            crashed = answer.sent and not answer.timed_out
+            return EngineFailed(answer.message, crashed)
         if answer.status != _OK:
             return EngineFailed(f"status {answer.status}")
         try:
--- a/caroblug/transport/_http.py
+++ b/caroblug/transport/_http.py
@@ -17,10 +17,12 @@
     Attributes:
         message: What was seen.
         sent: Whether any byte of the call may have left.
+        timed_out: Whether the other end stayed silent, rather than gone.
     """
 
     message: str
     sent: bool
+    timed_out: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,7 +88,11 @@
         except ConnectionRefusedError as error:
             return HttpFailed(str(error), sent=False)
         except (OSError, HTTPParseError, ValueError) as error:
-            return HttpFailed(str(error) or type(error).__name__, sent=True)
+            return HttpFailed(
+                str(error) or type(error).__name__,
+                sent=True,
+                timed_out=isinstance(error, TimeoutError),
+            )
 
     def close(self) -> None:
         """Closes every connection."""
--- a/caroblug/transport/_peers.py
+++ b/caroblug/transport/_peers.py
@@ -33,6 +33,11 @@
     wire.PlainCall: "calls",
     wire.PlainReply: "replies",
     wire.Heartbeat: "heartbeats",
+    wire.ShareDemand: "demands",
+    wire.ShareGrant: "grants",
+    wire.Suspicion: "suspicions",
+    wire.RunRequest: "run_requests",
+    wire.RunAdmitted: "run_admitted",
 }
 
 
--- a/thrift/caroblug.thrift
+++ b/thrift/caroblug.thrift
@@ -45,6 +45,8 @@
   13: i64 seed
   14: StageRef entry
   15: double weight
+  /** Whether positions already known run with nothing else in the engine. */
+  60: bool alone
 }
 
 /** Hidden states for consecutive positions, starting at `position`. */
@@ -101,6 +103,10 @@
   11: i32 bundle_version
   12: string host
   13: i32 port
+  /** Client accounts with streams open here. */
+  60: i32 client_accounts
+  /** Streams open here. */
+  61: i32 streams
 }
 
 struct Header {
@@ -140,6 +146,48 @@
   1: i64 sequence
 }
 
+// Limits.
+
+/** What an entry reports of an account to the account's home. */
+struct ShareDemand {
+  1: string client_account
+  2: i32 streams
+  3: double used
+}
+
+/** What an entry may use of an account until the term ends. */
+struct ShareGrant {
+  1: string client_account
+  2: i32 streams
+  3: double tokens
+  4: i32 total
+  5: i32 term_ms
+}
+
+/** A request that was in an engine, or a plain service, as it crashed. */
+struct Suspicion {
+  1: string fingerprint
+  2: string client_account
+  3: string crash
+  /** Whether the request has since run on past that place. */
+  4: bool cleared
+  5: i64 remaining_ms
+}
+
+/** Asks an account's home whether a request may run now, or leaves. */
+struct RunRequest {
+  1: string fingerprint
+  2: i64 number
+  3: bool leave
+}
+
+/** Lets a request run, with what is known against it. */
+struct RunAdmitted {
+  1: string fingerprint
+  2: i64 number
+  3: list<Suspicion> known
+}
+
 struct Frame {
   1: list<OpenStream> opens
   2: list<Need> needs
@@ -151,4 +199,9 @@
   8: list<PlainCall> calls
   9: list<PlainReply> replies
   10: list<Heartbeat> heartbeats
+  60: list<ShareDemand> demands
+  61: list<ShareGrant> grants
+  62: list<Suspicion> suspicions
+  63: list<RunRequest> run_requests
+  64: list<RunAdmitted> run_admitted
 }
