Wire shares, load refusals and quarantine into the entry

Cause: the cores were not asked by anybody. Ruled out: granting an entry all tokens that are left (a second entry's first request was then refused: test_streamed_and_whole_answers_are_right, kept as a property of the core); asking the home only at intervals (a burst at a new entry would be refused). Change: StreamAdmission asks quarantine, load, places, shares and the line of equal requests in this order; entries exchange demands, grants, suspicions and admissions by thrift; refusals carry a spread Retry-After; a caller that does not read has its stream given up at unread_tokens; an exception behind the API is logged, and a broken invariant stops the process instead of turning into a bare 500. Bundle: tokens_per_minute, queue_ms, unread_tokens, body_bytes by model and service, [quarantine].

--- a/caroblug/core/limits/_run_gate.py
+++ b/caroblug/core/limits/_run_gate.py
@@ -1,9 +1,10 @@
 """One at a time: requests with the same fingerprint, before they are proved.
 
 A caller that sends one bad request many times at once would crash as many
-engines before anybody knows of the first crash. So equal requests follow one
-another until the one in front has had its first token, by which every stage
-has run the whole prompt, or has been given up.
+engines before anybody knows of the first crash. So equal requests wait until
+the one in front has had its first token, by which every stage has run the
+whole prompt; then they are proved, and all may run. If the one in front is
+given up, the next has its turn.
 """
 
 import collections
@@ -11,6 +12,7 @@
 import attrs
 
 MAX_WAITING = 64
+_MAX_PROVED = 4096
 
 
 @attrs.frozen
@@ -37,19 +39,25 @@
     """The requests that have not been proved, by fingerprint.
 
     Args:
-        term_ms: How long a request may hold its place; guards against one
-            whose entry has died without a word.
+        term_ms: How long a request may hold its place, and how long one
+            counts as proved; guards against an entry that has died without
+            a word.
     """
 
     def __init__(self, term_ms: int) -> None:
         self.term_ms = term_ms
         self._lines: dict[str, _Line] = {}
+        self._proved: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
 
     def __len__(self) -> int:
         return len(self._lines)
 
     def enter(self, fingerprint: str, ticket: Ticket, now_ms: int) -> bool:
         """Returns whether a request may run now; else it waits in line."""
+        if self.is_proved(fingerprint, now_ms):
+            return True
         line = self._lines.get(fingerprint)
         if line is None:
             self._lines[fingerprint] = _Line(ticket, now_ms + self.term_ms)
@@ -60,6 +68,23 @@
             line.waiting.append(ticket)
         return False
 
+    def is_proved(self, fingerprint: str, now_ms: int) -> bool:
+        """Tells whether an equal request has lately run its whole prompt."""
+        return now_ms < self._proved.get(fingerprint, now_ms)
+
+    def prove(self, fingerprint: str, now_ms: int) -> list[Ticket]:
+        """Takes it that a request ran its prompt; returns who may run."""
+        self._proved.pop(fingerprint, None)
+        self._proved[fingerprint] = now_ms + self.term_ms
+        if len(self._proved) > _MAX_PROVED:
+            self._proved.popitem(last=False)
+        line = self._lines.pop(fingerprint, None)
+        return list(line.waiting) if line else []
+
+    def doubt(self, fingerprint: str) -> None:
+        """Takes back a proof, after a crash with the request in flight."""
+        self._proved.pop(fingerprint, None)
+
     def leave(
         self, fingerprint: str, ticket: Ticket, now_ms: int
     ) -> Ticket | None:
--- a/caroblug/core/limits/_shares.py
+++ b/caroblug/core/limits/_shares.py
@@ -12,7 +12,7 @@
 import attrs
 
 _MS_PER_MINUTE = 60_000
-_HEADROOM = 2
+_HEADROOM_PARTS = 8
 _MOST_HALVINGS = 64
 
 
@@ -162,15 +162,15 @@
 ) -> int:
     """Returns the streams to grant.
 
-    An entry gets twice what it has and a little more, so that the rest stays
-    free for the others; when all want more than is allowed, its part by
-    demand. Never more than the others' grants leave: a grant once given
-    can't be called back before its term ends.
+    An entry gets what it wants and a part of what is left, so that another
+    one that comes next finds something; when all want more than is allowed,
+    its part by demand. Never more than the others' grants leave: a grant
+    once given can't be called back before its term ends.
     """
     if not wanted:
         return 0
     left = rule.streams - sum(other.streams for other in others)
-    part = 2 * wanted + _HEADROOM
+    part = wanted + (left - wanted) // _HEADROOM_PARTS
     if total > rule.streams:
         part = max(1, rule.streams * wanted // total)
     return max(0, min(part, left))
@@ -179,11 +179,15 @@
 def _tokens_for(
     wanted: int, total: int, others: list[_Granted], level: float
 ) -> float:
-    """Returns the tokens to grant: a part by demand of what is left."""
+    """Returns the tokens to grant: a part by demand of what is left.
+
+    Half of what is left stays for another entry that comes next: with
+    nothing left its first request would be refused.
+    """
     if not wanted:
         return 0.0
     left = level - sum(other.tokens for other in others)
-    return max(0.0, min(level * wanted / total, left))
+    return max(0.0, min(level * wanted / total, left / 2))
 
 
 @attrs.define
@@ -282,6 +286,11 @@
         part = max(_decay(held, now_ms), 1 / self._entries)
         return weight * part / max(1, held.grant.total, held.open)
 
+    def total_streams(self, client_account: str) -> int:
+        """Returns the account's streams at all entries, as last heard."""
+        held = self._held.get(client_account)
+        return max(held.grant.total, held.open) if held else 0
+
     def take(self, client_account: str, rule: AccountRule, now_ms: int) -> bool:
         """Opens a stream if there is a place; notes a refusal if not."""
         held = self._held[client_account]
--- a/caroblug/core/limits/_suspicions.py
+++ b/caroblug/core/limits/_suspicions.py
@@ -32,26 +32,35 @@
         fingerprint: The request: client account, service and body.
         client_account: Whose request it is.
         crash: Name of the crash, unique in the fleet.
-        cleared: Whether the request has since run on past that place.
+        position: One past the last position that was in the engine; 0 for
+            a call of a plain service.
+        cleared: Whether the request has since run on past that position.
         remaining_ms: After this it is forgotten.
     """
 
     fingerprint: str
     client_account: str
     crash: str
+    position: int
     cleared: bool
     remaining_ms: int
 
 
+@attrs.define
+class _Crash:
+    position: int
+    cleared: bool
+
+
 @attrs.define
 class _Record:
     client_account: str
     end_ms: int
-    crashes: dict[str, bool] = attrs.field(factory=dict)
+    crashes: dict[str, _Crash] = attrs.field(factory=dict)
 
     @property
     def against(self) -> int:
-        return sum(not cleared for cleared in self.crashes.values())
+        return sum(not crash.cleared for crash in self.crashes.values())
 
 
 class Suspicions:
@@ -73,12 +82,14 @@
         record = self._live(suspicion.fingerprint, now_ms)
         if record is None:
             record = self._make(suspicion, end_ms)
-        cleared = record.crashes.get(suspicion.crash)
-        if cleared is None and len(record.crashes) >= _MAX_CRASHES:
+        known = record.crashes.get(suspicion.crash)
+        if known is None and len(record.crashes) >= _MAX_CRASHES:
             return False
-        if cleared is not None and (cleared or not suspicion.cleared):
+        if known is not None and (known.cleared or not suspicion.cleared):
             return False
-        record.crashes[suspicion.crash] = suspicion.cleared
+        record.crashes[suspicion.crash] = _Crash(
+            suspicion.position, suspicion.cleared
+        )
         record.end_ms = max(record.end_ms, end_ms)
         return True
 
@@ -96,23 +107,40 @@
         record = self._live(fingerprint, now_ms)
         return record.end_ms - now_ms if record else 0
 
-    def clear(self, fingerprint: str, now_ms: int) -> list[Suspicion]:
-        """Clears a request that has run on; returns what to tell others.
-
-        A quarantined request stays so: it is never run, so a late token of
-        an older attempt is no proof.
+    def alone_until(self, fingerprint: str, now_ms: int) -> int:
+        """Returns the position up to which a request is to run alone."""
+        record = self._live(fingerprint, now_ms)
+        if record is None:
+            return 0
+        crashes = record.crashes.values()
+        return max((c.position for c in crashes if not c.cleared), default=0)
+
+    def clear(
+        self, fingerprint: str, length: int, now_ms: int
+    ) -> list[Suspicion]:
+        """Clears crashes that a request has run on past.
+
+        The token that follows the last position in the engine can't have
+        been sampled before the crash, so that having it proves that every
+        stage has run that position since. A quarantined request stays so.
+
+        Args:
+            fingerprint: The request.
+            length: Its tokens, prompt included.
+            now_ms: Time now.
+
+        Returns:
+            What to tell others.
         """
         if self.verdict(fingerprint, now_ms) is not Verdict.SUSPECT:
             return []
-        record = self._records[fingerprint]
-        changed = [c for c, cleared in record.crashes.items() if not cleared]
-        for crash in changed:
-            record.crashes[crash] = True
-        return [
-            suspicion
-            for suspicion in self.known(fingerprint, now_ms)
-            if suspicion.crash in changed
-        ]
+        cleared = []
+        for name, crash in self._records[fingerprint].crashes.items():
+            if not crash.cleared and length > crash.position:
+                crash.cleared = True
+                cleared.append(name)
+        known = self.known(fingerprint, now_ms)
+        return [s for s in known if s.crash in cleared]
 
     def known(self, fingerprint: str, now_ms: int) -> list[Suspicion]:
         """Returns everything known of one request."""
@@ -123,11 +151,12 @@
             Suspicion(
                 fingerprint,
                 record.client_account,
-                crash,
-                cleared,
+                name,
+                crash.position,
+                crash.cleared,
                 record.end_ms - now_ms,
             )
-            for crash, cleared in record.crashes.items()
+            for name, crash in record.crashes.items()
         ]
 
     def quarantined(self, now_ms: int) -> list[Suspicion]:
--- a/caroblug/core/recovery/_release.py
+++ b/caroblug/core/recovery/_release.py
@@ -26,6 +26,11 @@
         """Prompt and accepted tokens."""
         return list(self._tokens)
 
+    @property
+    def generated(self) -> int:
+        """How many tokens have been accepted after the prompt."""
+        return len(self._tokens) - self.prompt_length
+
     @property
     def complete(self) -> bool:
         """Whether every token has been accepted."""
--- /dev/null
+++ b/caroblug/entry/_admission.py
@@ -0,0 +1,201 @@
+"""Whether a completion may run: quarantine, load, shares, places."""
+
+import attrs
+
+from caroblug.core.limits import (
+    AccountRule,
+    Admission,
+    RetryAfter,
+    Ticket,
+)
+from caroblug.core.state import Bundle, ClientAccount, Sharing
+from caroblug.entry._loads import EngineLoads
+from caroblug.entry._shares import ShareClient
+from caroblug.entry._streams import StreamRequest
+from caroblug.entry._suspects import SuspectClient
+from caroblug.utils import Ran, RefusalType, Refused
+
+_RETRY_AFTER_MS = 1000
+_RETRY_MINUTE_MS = 10_000
+
+
+class Permit:
+    """What an admitted request holds; given back when it ends.
+
+    Args:
+        admission: Where it is given back.
+        request: The request.
+        sharing: The weights of prompt and generated tokens.
+        ticket: Its place among equal requests.
+    """
+
+    def __init__(
+        self,
+        admission: "StreamAdmission",
+        request: StreamRequest,
+        sharing: Sharing,
+        ticket: Ticket,
+    ) -> None:
+        self.request = request
+        self.sharing = sharing
+        self.ticket = ticket
+        self._admission = admission
+        self._proved = False
+        self._closed = False
+
+    def on_tokens(self) -> None:
+        """Lets equal requests run: this one has run its whole prompt."""
+        if not self._proved:
+            self._proved = True
+            self._admission.leave_line(self, proved=True)
+
+    def close(self, generated: int) -> None:
+        """Gives everything back; twice does nothing.
+
+        Args:
+            generated: Tokens that the request had.
+        """
+        if self._closed:
+            return
+        self._closed = True
+        if not self._proved:
+            self._admission.leave_line(self, proved=False)
+        self._admission.give_back(self, generated)
+
+
+class StreamAdmission:
+    """Refuses early and cheaply what can't be served well.
+
+    Args:
+        places: The entry's own places.
+        shares: The accounts' shares.
+        suspects: The quarantine.
+        loads: The engines' load.
+        retry_after: When refused callers come back.
+    """
+
+    def __init__(
+        self,
+        places: Admission,
+        shares: ShareClient,
+        suspects: SuspectClient,
+        loads: EngineLoads,
+        retry_after: RetryAfter,
+    ) -> None:
+        self._places = places
+        self._shares = shares
+        self._suspects = suspects
+        self._loads = loads
+        self._retry_after = retry_after
+
+    def admit(self, request: StreamRequest, bundle: Bundle) -> Permit | Refused:
+        """Admits a request, or refuses it before anything has run.
+
+        Args:
+            request: The request.
+            bundle: The bundle in force.
+        """
+        quarantined = self._suspects.refusal(request.fingerprint, Ran.NO)
+        if quarantined is not None:
+            return quarantined
+        overloaded = self._check_load(request, bundle)
+        if overloaded is not None:
+            return overloaded
+        account = bundle.client_accounts[request.client_account]
+        refused = self._take(request, account, bundle.sharing)
+        if refused is not None:
+            return refused
+        return self._enter_line(request, account, bundle.sharing)
+
+    def on_open(self, instances: tuple[str, ...]) -> None:
+        """Counts a stream that was opened at some engines."""
+        self._loads.on_open(instances)
+
+    def leave_line(self, permit: Permit, *, proved: bool) -> None:
+        """Lets requests that are equal to this one run."""
+        request = permit.request
+        self._suspects.leave(
+            request.fingerprint,
+            request.client_account,
+            permit.ticket,
+            proved=proved,
+        )
+
+    def give_back(self, permit: Permit, generated: int) -> None:
+        """Gives back a place, and the tokens that were not generated."""
+        request = permit.request
+        unused = request.max_tokens - generated
+        self._shares.give_back(
+            request.client_account, permit.sharing.generated_weight * unused
+        )
+        self._places.release()
+
+    def _check_load(
+        self, request: StreamRequest, bundle: Bundle
+    ) -> Refused | None:
+        """Refuses a stream whose tokens would come too slowly.
+
+        Guards against collapse under overload: streams that are all too slow
+        to be of use take the engines from those that could be finished, so
+        that the goodput falls as more is offered.
+        """
+        held = self._shares.total_streams(request.client_account)
+        wait_ms = self._loads.wait_ms(request.model, request.layers, held)
+        late = wait_ms * request.max_tokens > request.deadline_ms
+        if wait_ms <= bundle.limits.queue_ms and not late:
+            return None
+        return self._refuse(RefusalType.OVERLOADED, "the engines are full")
+
+    def _take(
+        self, request: StreamRequest, account: ClientAccount, sharing: Sharing
+    ) -> Refused | None:
+        name = request.client_account
+        if not self._places.take():
+            return self._refuse(RefusalType.OVERLOADED, "this instance is full")
+        rule = rule_of(account)
+        if not self._shares.take(name, rule):
+            self._places.release()
+            return self._refuse(
+                RefusalType.LIMIT_REACHED,
+                f"the account's {account.streams} streams are open already",
+            )
+        cost = (
+            sharing.prompt_weight * len(request.prompt)
+            + sharing.generated_weight * request.max_tokens
+        )
+        if not self._shares.spend(name, rule, cost):
+            self._shares.give_back(name, 0.0)
+            self._places.release()
+            return self._refuse(
+                RefusalType.LIMIT_REACHED,
+                "the account's tokens for this minute are used",
+                _RETRY_MINUTE_MS,
+            )
+        return None
+
+    def _enter_line(
+        self, request: StreamRequest, account: ClientAccount, sharing: Sharing
+    ) -> Permit | Refused:
+        name = request.client_account
+        ticket = self._suspects.enter(
+            request.fingerprint, name, request.deadline_ms
+        )
+        weight = self._shares.stream_weight(name, account.weight)
+        weighed = attrs.evolve(request, weight=weight)
+        if isinstance(ticket, Refused):
+            unused = Permit(self, weighed, sharing, Ticket("", 0))
+            unused.close(generated=0)
+            return ticket
+        return Permit(self, weighed, sharing, ticket)
+
+    def _refuse(
+        self, kind: RefusalType, message: str, mean_ms: int = _RETRY_AFTER_MS
+    ) -> Refused:
+        return Refused(
+            kind, message, retry_after_ms=self._retry_after.ms(mean_ms)
+        )
+
+
+def rule_of(account: ClientAccount) -> AccountRule:
+    """Returns what an account may use, as the bundle says."""
+    return AccountRule(account.streams, account.tokens_per_minute)
--- a/caroblug/entry/_api.py
+++ b/caroblug/entry/_api.py
@@ -1,8 +1,11 @@
 """The callers' HTTP: which resource answers which path."""
 
+import os
+import traceback
+
 import falcon
 
-from caroblug.core.limits import Admission
+from caroblug.entry._admission import StreamAdmission
 from caroblug.entry._completions import Completions
 from caroblug.entry._door import Door
 from caroblug.entry._models import Models
@@ -10,19 +13,22 @@
 from caroblug.entry._refusals import write_refusal
 from caroblug.entry._services import Services
 from caroblug.entry._streams import EntryStreams
-from caroblug.utils import Clock, Metrics, RefusalType, Refused
+from caroblug.utils import Clock, Metrics, Ran, RefusalType, Refused
+
+_EXIT_BROKEN = 70
 
 
 def make_app(
     door: Door,
     streams: EntryStreams,
     plain: PlainClient,
-    admission: Admission,
+    admission: StreamAdmission,
     clock: Clock,
     metrics: Metrics,
 ) -> falcon.App:
     """Returns the application that serves callers."""
     app = falcon.App()
+    app.add_error_handler(Exception, _broken)
     app.add_error_handler(falcon.HTTPNotFound, _not_found)
     for path, chat in (
         ("/v1/chat/completions", True),
@@ -42,3 +48,19 @@
     del request, error, params
     refused = Refused(RefusalType.NOT_FOUND, "no such path")
     write_refusal(response, refused)
+
+
+def _broken(request, response, error, params) -> None:
+    """Stops the process on a broken invariant, whose trace is logged.
+
+    Guards against falcon's own handler, which hides what was raised behind a
+    bare answer 500 and goes on serving from a state that is known to be bad.
+    """
+    del request, params
+    traceback.print_exception(error)
+    if isinstance(error, AssertionError):
+        os._exit(_EXIT_BROKEN)
+    refused = Refused(
+        RefusalType.BACKEND_FAILED, "the request failed here", Ran.UNKNOWN
+    )
+    write_refusal(response, refused)
--- a/caroblug/entry/_completions.py
+++ b/caroblug/entry/_completions.py
@@ -6,8 +6,8 @@
 import falcon
 import orjson
 
-from caroblug.core.limits import Admission
 from caroblug.core.state import Bundle
+from caroblug.entry._admission import Permit, StreamAdmission
 from caroblug.entry._door import Door
 from caroblug.entry._feed import Feed
 from caroblug.entry._refusals import refusal_body, write_refusal
@@ -32,7 +32,7 @@
         self,
         door: Door,
         streams: EntryStreams,
-        admission: Admission,
+        admission: StreamAdmission,
         clock: Clock,
         metrics: Metrics,
         *,
@@ -60,13 +60,11 @@
         if isinstance(begun, Refused):
             self._refuse(response, begun, group)
             return
-        completion, stream = begun
+        completion, stream, permit = begun
         tokenizer = make_tokenizer(
             head.bundle.models[completion.model].vocabulary
         )
-        feed = Feed(
-            stream, self._streams, self._admission, self._clock, self._metrics
-        )
+        feed = Feed(stream, self._streams, permit, self._clock, self._metrics)
         feed.begin(since_ms, group)
         if completion.stream:
             response.content_type = _SSE_TYPE
@@ -76,25 +74,26 @@
 
     def _begin(
         self, request: falcon.Request, bundle: Bundle, account: str
-    ) -> tuple[Completion, RunningStream] | Refused:
-        body = self._door.read_body(request, bundle)
+    ) -> tuple[Completion, RunningStream, Permit] | Refused:
+        body = self._door.read_body(request, bundle.limits.body_bytes)
         if isinstance(body, Refused):
             return body
         completion = parse_completion(body)
         if isinstance(completion, Refused):
             return completion
-        wanted = make_stream_request(completion, bundle, account)
+        wanted = make_stream_request(completion, bundle, account, len(body))
         if isinstance(wanted, Refused):
             return wanted
-        allowed = bundle.client_accounts[account].streams
-        refused = self._admission.admit(account, allowed)
-        if refused is not None:
-            return refused
-        stream = self._streams.start(wanted)
+        permit = self._admission.admit(wanted, bundle)
+        if isinstance(permit, Refused):
+            return permit
+        stream = self._streams.start(permit.request)
         if isinstance(stream, Refused):
-            self._admission.release(account)
+            permit.close(generated=0)
             return stream
-        return completion, stream
+        stream.on_end = lambda: permit.close(stream.tokens.generated)
+        self._admission.on_open(stream.chain.instances)
+        return completion, stream, permit
 
     def _answer_whole(
         self,
--- a/caroblug/entry/_door.py
+++ b/caroblug/entry/_door.py
@@ -2,7 +2,7 @@
 
 import falcon
 
-from caroblug.core.state import Bundle, Head
+from caroblug.core.state import Head
 from caroblug.entry._accounts import authenticate
 from caroblug.node import BundleFollower, Lifetime
 from caroblug.utils import RefusalType, Refused
@@ -37,15 +37,17 @@
             return account
         return head, account
 
-    def read_body(
-        self, request: falcon.Request, bundle: Bundle
-    ) -> bytes | Refused:
-        """Returns the body, or refuses one over the limit."""
-        limit = bundle.limits.body_bytes
+    def read_body(self, request: falcon.Request, limit: int) -> bytes | Refused:
+        """Returns the body, or refuses one over `limit` bytes."""
         if (request.content_length or 0) <= limit:
             body = request.bounded_stream.read(limit + 1)
             if len(body) <= limit:
                 return body
-        return Refused(
-            RefusalType.BODY_TOO_LARGE, f"the body is over {limit} bytes"
-        )
+        return body_too_large(limit)
+
+
+def body_too_large(limit: int) -> Refused:
+    """Returns the refusal of a body that is over `limit` bytes."""
+    return Refused(
+        RefusalType.BODY_TOO_LARGE, f"the body is over {limit} bytes"
+    )
--- a/caroblug/entry/_feed.py
+++ b/caroblug/entry/_feed.py
@@ -4,7 +4,7 @@
 
 from gevent import queue
 
-from caroblug.core.limits import Admission
+from caroblug.entry._admission import Permit
 from caroblug.entry._streams import EntryStreams, RunningStream
 from caroblug.utils import Clock, Metrics, Ran, RefusalType, Refused
 
@@ -25,13 +25,13 @@
         self,
         stream: RunningStream,
         streams: EntryStreams,
-        admission: Admission,
+        permit: Permit,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self.stream = stream
         self._streams = streams
-        self._admission = admission
+        self._permit = permit
         self._clock = clock
         self._metrics = metrics
         self._since_ms = 0
@@ -56,6 +56,7 @@
                     outcome = part.type.value
                     yield part
                     break
+                self._permit.on_tokens()
                 now_ms = self._clock.now_ms()
                 self._record(name, now_ms - last_ms)
                 name, last_ms = "between_tokens", now_ms
@@ -72,7 +73,6 @@
             return
         self._closed = True
         self._streams.end(self.stream)
-        self._admission.release(self.stream.request.client_account)
 
     def _next(self) -> list[int] | Refused | None:
         left_ms = self.stream.end_ms - self._clock.now_ms()
--- /dev/null
+++ b/caroblug/entry/_loads.py
@@ -0,0 +1,75 @@
+"""How long a new stream would wait, from the engines' load reports."""
+
+import attrs
+
+from caroblug.core.limits import EngineLoad, OpenedSince, estimate_wait_ms
+from caroblug.gen.wire import ttypes as wire
+from caroblug.utils import Clock
+
+
+@attrs.frozen
+class _Heard:
+    model: str
+    load: EngineLoad
+    at_ms: int
+
+
+class EngineLoads:
+    """The newest load report of each engine.
+
+    Args:
+        clock: Source of time.
+        report_age_ms: Age at which a report no longer counts.
+    """
+
+    def __init__(self, clock: Clock, report_age_ms: int) -> None:
+        self._clock = clock
+        self._report_age_ms = report_age_ms
+        self._heard: dict[str, _Heard] = {}
+        self._opened = OpenedSince()
+
+    def on_report(self, report: wire.LoadReport) -> None:
+        """Takes a load report."""
+        self._opened.on_report(report.instance)
+        if not report.end_layer or report.leaving:
+            self._heard.pop(report.instance, None)
+            return
+        load = EngineLoad(
+            report.first_layer,
+            report.end_layer,
+            report.tokens_per_s,
+            report.streams or 0,
+            report.client_accounts or 0,
+        )
+        self._heard[report.instance] = _Heard(
+            report.target, load, self._clock.now_ms()
+        )
+
+    def forget(self, instance: str) -> None:
+        """Drops an instance whose connection is lost."""
+        self._heard.pop(instance, None)
+        self._opened.on_report(instance)
+
+    def on_open(self, instances: tuple[str, ...]) -> None:
+        """Counts a stream that was opened at some engines."""
+        self._opened.on_open(instances)
+
+    def wait_ms(self, model: str, layers: int, account_streams: int) -> float:
+        """Returns the wait for each token that one more stream would meet.
+
+        Without any report the answer is 0: the chain chooser knows better
+        than this whether there is a chain at all.
+        """
+        now_ms = self._clock.now_ms()
+        loads = [
+            attrs.evolve(
+                heard.load,
+                streams=heard.load.streams + self._opened.count(instance),
+            )
+            for instance, heard in self._heard.items()
+            if heard.model == model
+            and now_ms - heard.at_ms <= self._report_age_ms
+        ]
+        if not loads:
+            return 0.0
+        return estimate_wait_ms(loads, layers, account_streams)
--- a/caroblug/entry/_requests.py
+++ b/caroblug/entry/_requests.py
@@ -1,5 +1,6 @@
 """Callers' requests: parsed and checked, every mistake named."""
 
+import hashlib
 import secrets
 from typing import Any
 
@@ -7,6 +8,7 @@
 import orjson
 
 from caroblug.core.state import Bundle
+from caroblug.entry._door import body_too_large
 from caroblug.entry._streams import StreamRequest
 from caroblug.entry._tokenizer import make_tokenizer
 from caroblug.utils import (
@@ -22,6 +24,8 @@
 _DEFAULT_MAX_TOKENS = 64
 _MAX_SEED = 2**31 - 1
 _MAX_INT = 1_000_000
+_FINGERPRINT_BYTES = 10
+_LENGTH_BYTES = 8
 
 
 @attrs.frozen(kw_only=True)
@@ -74,14 +78,26 @@
 
 
 def make_stream_request(
-    completion: Completion, bundle: Bundle, client_account: str
+    completion: Completion,
+    bundle: Bundle,
+    client_account: str,
+    body_bytes: int,
 ) -> StreamRequest | Refused:
-    """Checks a completion against the bundle in force."""
+    """Checks a completion against the bundle in force.
+
+    Args:
+        completion: The request.
+        bundle: The bundle in force.
+        client_account: Whose request it is.
+        body_bytes: Size of its body.
+    """
     model = bundle.models.get(completion.model)
     if model is None:
         return Refused(
             RefusalType.UNKNOWN_MODEL, f"no model {completion.model!r}"
         )
+    if model.body_bytes and body_bytes > model.body_bytes:
+        return body_too_large(model.body_bytes)
     limits = bundle.limits
     max_tokens = completion.max_completion_tokens or completion.max_tokens
     if max_tokens > limits.max_tokens:
@@ -98,8 +114,29 @@
         max_tokens=max_tokens,
         deadline_ms=limits.deadline_ms,
         seed=completion.seed or secrets.randbelow(_MAX_SEED) + 1,
+        fingerprint=make_fingerprint(
+            client_account, completion.model, completion.text.encode()
+        ),
+        unread_tokens=limits.unread_tokens,
     )
 
 
+def make_fingerprint(client_account: str, service: str, body: bytes) -> str:
+    """Returns what equal requests of an account have in common.
+
+    Args:
+        client_account: Whose request it is.
+        service: Its model or plain service.
+        body: What the engine is given: the prompt, or the call. Settings of
+            the sampling are left out, so that a bad request sent again with
+            another seed is known.
+    """
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    for part in (client_account.encode(), service.encode(), body):
+        digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
 def _bad(message: str) -> Refused:
     return Refused(RefusalType.BAD_REQUEST, message)
--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -1,17 +1,24 @@
 """The entry program: wires its parts together."""
 
+import random
+from collections.abc import Sequence
+
 import falcon
 import gevent
 
-from caroblug.core.limits import Admission
+from caroblug.core.limits import AccountRule, Admission, Homes, RetryAfter
 from caroblug.core.routing import ShortestWaitChooser
-from caroblug.core.state import BundleFold, Head
+from caroblug.core.state import BundleFold, Head, Quarantine
+from caroblug.entry._admission import StreamAdmission, rule_of
 from caroblug.entry._api import make_app
 from caroblug.entry._directory import Directory
 from caroblug.entry._door import Door
+from caroblug.entry._loads import EngineLoads
 from caroblug.entry._plain import PlainClient
 from caroblug.entry._settings import EntrySettings
+from caroblug.entry._shares import ShareClient
 from caroblug.entry._streams import EntryStreams
+from caroblug.entry._suspects import SuspectClient
 from caroblug.gen.wire import ttypes as wire
 from caroblug.node import (
     BundleFollower,
@@ -20,6 +27,7 @@
     add_node_routes,
 )
 from caroblug.transport import (
+    InstanceRecord,
     InstancesUnavailable,
     PeerAddress,
     PeerHandler,
@@ -34,7 +42,9 @@
     make_metrics,
 )
 
+_ENTRY_ROLE = "entry"
 _SIDE_ROLE = "side"
+_SETTLED_MS = 60_000
 
 
 class EntryServer(PeerHandler):
@@ -65,6 +75,8 @@
             self._on_head,
         )
         self.directory = Directory(self._clock, settings.report_age_ms)
+        self.loads = EngineLoads(self._clock, settings.report_age_ms)
+        self._make_limits()
         self.streams = EntryStreams(
             wire.StageRef(
                 settings.instance, settings.host, settings.peer_port, 0, 0
@@ -76,6 +88,7 @@
             self.metrics,
             settings.data_centre,
             settings.attempts,
+            self.suspects,
         )
         self.plain = PlainClient(self.network, self.directory, self.metrics)
         self._instances = make_instance_list(
@@ -96,16 +109,19 @@
         http.start()
         gevent.spawn(self.bundles.run)
         gevent.spawn(self._follow_instances)
+        gevent.spawn(self.shares.run)
+        gevent.spawn(self.suspects.run)
         log_state("program.started", port=settings.http_port)
         self.lifetime.wait(lambda: None, self._busy)
         http.stop()
         self.network.stop()
 
     def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
-        """Takes a frame from a side process."""
-        del peer
+        """Takes a frame from a side process or another entry."""
+        self._on_limits_messages(peer, frame)
         for report in frame.reports or ():
             self.directory.on_report(report)
+            self.loads.on_report(report)
             self.metrics.gauge("known_sides", len(self.directory))
         for token in frame.tokens or ():
             self.streams.on_token(token)
@@ -121,15 +137,56 @@
         """Recovers what ran at the peer."""
         del reason
         self.directory.forget(peer.instance)
+        self.loads.forget(peer.instance)
+        self.shares.on_peer_lost(peer.instance)
+        self.suspects.on_peer_lost(peer.instance)
         self.streams.on_peer_lost(peer.instance)
         self.plain.on_peer_lost(peer.instance)
 
+    def _make_limits(self) -> None:
+        homes = Homes(self.settings.instance, _SETTLED_MS)
+        self.shares = ShareClient(
+            self.network, homes, self._account_rule, self._clock, self.metrics
+        )
+        self.suspects = SuspectClient(
+            self.network, homes, self._quarantine, self._clock, self.metrics
+        )
+
+    def _account_rule(self, client_account: str) -> AccountRule | None:
+        head = self.bundles.head
+        if head is None:
+            return None
+        account = head.bundle.client_accounts.get(client_account)
+        return rule_of(account) if account is not None else None
+
+    def _quarantine(self) -> Quarantine:
+        head = self.bundles.head
+        return head.bundle.quarantine if head is not None else Quarantine()
+
+    def _on_limits_messages(self, peer: PeerAddress, frame: wire.Frame) -> None:
+        for demand in frame.demands or ():
+            self.shares.on_demand(peer, demand)
+        for grant in frame.grants or ():
+            self.shares.on_grant(grant)
+        for suspicion in frame.suspicions or ():
+            self.suspects.on_suspicion(suspicion)
+        for wanted in frame.run_requests or ():
+            self.suspects.on_run_request(peer, wanted)
+        for admitted in frame.run_admitted or ():
+            self.suspects.on_run_admitted(admitted)
+
     def _make_app(self) -> falcon.App:
         app = make_app(
             Door(self.bundles, self.lifetime),
             self.streams,
             self.plain,
-            Admission(self.settings.streams),
+            StreamAdmission(
+                Admission(self.settings.streams),
+                self.shares,
+                self.suspects,
+                self.loads,
+                RetryAfter(random.Random()),
+            ),
             self._clock,
             self.metrics,
         )
@@ -148,6 +205,7 @@
             if isinstance(listed, InstancesUnavailable):
                 self.metrics.count("instance_list_failures")
             else:
+                self._on_entries(listed)
                 for record in listed:
                     if record.role == _SIDE_ROLE and not record.leaving:
                         self._connect(
@@ -157,6 +215,15 @@
                         )
             gevent.sleep(self.settings.instances_ms / 1000)
 
+    def _on_entries(self, listed: Sequence[InstanceRecord]) -> None:
+        entries = [
+            PeerAddress(r.instance, r.host, r.port)
+            for r in listed
+            if r.role == _ENTRY_ROLE and not r.leaving
+        ]
+        self.shares.on_listed(entries)
+        self.suspects.on_listed(entries)
+
     def _connect(self, peer: PeerAddress) -> None:
         if not self.network.is_connected(peer.instance):
             self.network.send(peer)
--- a/caroblug/entry/_services.py
+++ b/caroblug/entry/_services.py
@@ -57,7 +57,9 @@
         rule = bundle.services.get(name)
         if rule is None:
             return Refused(RefusalType.UNKNOWN_SERVICE, f"no service {name!r}")
-        body = self._door.read_body(request, bundle)
+        body = self._door.read_body(
+            request, rule.body_bytes or bundle.limits.body_bytes
+        )
         if isinstance(body, Refused):
             return body
         query = f"?{request.query_string}" if request.query_string else ""
--- a/caroblug/entry/_streams.py
+++ b/caroblug/entry/_streams.py
@@ -1,6 +1,7 @@
 """The streams of one entry: attempts, tokens released, recovery."""
 
 import secrets
+from collections.abc import Callable
 
 import attrs
 from gevent import queue
@@ -8,6 +9,7 @@
 from caroblug.core.recovery import EntryStream
 from caroblug.core.routing import Chain, ChainChooser
 from caroblug.entry._directory import Directory
+from caroblug.entry._suspects import SuspectClient
 from caroblug.gen.wire import ttypes as wire
 from caroblug.transport import PeerAddress, PeerNetwork
 from caroblug.utils import (
@@ -21,6 +23,12 @@
 
 _STREAM_BYTES = 8
 _RETRY_AFTER_MS = 1000
+_UNREAD = Refused(
+    RefusalType.LIMIT_REACHED,
+    "the caller does not read its answer",
+    Ran.YES,
+    _RETRY_AFTER_MS,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -36,6 +44,8 @@
         max_tokens: Tokens to generate.
         deadline_ms: How long it may take.
         seed: Seed of the sampling.
+        fingerprint: What equal requests of the account have in common.
+        unread_tokens: Tokens that may wait for the caller to read them.
     """
 
     client_account: str
@@ -46,6 +56,8 @@
     max_tokens: int
     deadline_ms: int
     seed: int
+    fingerprint: str = ""
+    unread_tokens: int = 1024
 
 
 class RunningStream:
@@ -64,6 +76,11 @@
         self.chain: Chain | None = None
         self.excluded: set[str] = set()
         self.output: queue.Queue = queue.Queue()
+        self.on_end: Callable[[], None] = _nothing
+
+
+def _nothing() -> None:
+    """Does nothing."""
 
 
 class EntryStreams:
@@ -78,6 +95,7 @@
         metrics: Where attempts are counted.
         data_centre: Where this entry runs.
         attempts: Attempts for one request, the first included.
+        suspects: What is known of requests that crash engines.
     """
 
     def __init__(
@@ -90,6 +108,7 @@
         metrics: Metrics,
         data_centre: str,
         attempts: int,
+        suspects: SuspectClient,
     ) -> None:
         self.attempts = attempts
         self._data_centre = data_centre
@@ -99,6 +118,7 @@
         self._chooser = chooser
         self._clock = clock
         self._metrics = metrics
+        self._suspects = suspects
         self._streams: dict[str, RunningStream] = {}
 
     def __len__(self) -> int:
@@ -119,6 +139,7 @@
         """Ends a stream at every stage; ending it twice does nothing."""
         if self._streams.pop(stream.name, None) is None:
             return
+        stream.on_end()
         self._cancel(stream, stream.chain)
         self._directory.add_streams(stream.chain.instances, -1)
 
@@ -130,9 +151,13 @@
         released = stream.tokens.on_token(token.position, token.token)
         if released:
             stream.output.put(released)
+            length = token.position + 1
+            self._suspects.on_progress(stream.request.fingerprint, length)
         if stream.tokens.complete:
             stream.output.put(None)
             self.end(stream)
+        elif stream.output.qsize() > stream.request.unread_tokens:
+            self._give_up(stream, _UNREAD)
 
     def on_refusal(self, refusal: wire.StageRefusal) -> None:
         """Takes a stage's refusal; an older attempt's is dropped."""
@@ -161,6 +186,10 @@
         self._cancel(stream, before, left)
 
     def _attempt(self, stream: RunningStream) -> Refused | None:
+        ran = Ran.UNKNOWN if stream.tokens.attempt else Ran.NO
+        quarantined = self._suspects.refusal(stream.request.fingerprint, ran)
+        if quarantined is not None:
+            return quarantined
         if stream.tokens.attempt >= self.attempts:
             return Refused(
                 RefusalType.BACKEND_FAILED,
@@ -259,6 +288,8 @@
             seed=request.seed,
             entry=self._own,
             weight=request.weight,
+            fingerprint=request.fingerprint,
+            alone_until=self._suspects.alone_until(request.fingerprint),
         )
         self._network.send(_address(stream.chain, 0), message)
 
--- a/caroblug/gen/wire/ttypes.py
+++ b/caroblug/gen/wire/ttypes.py
@@ -296,7 +296,7 @@
      - seed
      - entry
      - weight
-     - alone: Whether positions already known run with nothing else in the engine.
+     - alone_until: Positions before this one run with nothing else in the engine.
 
     """
 
@@ -316,11 +316,11 @@
         'seed',
         'entry',
         'weight',
-        'alone',
+        'alone_until',
     )
 
 
-    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None, alone=None,):
+    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None, alone_until=None,):
         self.stream = stream
         self.attempt = attempt
         self.client_account = client_account
@@ -336,7 +336,7 @@
         self.seed = seed
         self.entry = entry
         self.weight = weight
-        self.alone = alone
+        self.alone_until = alone_until
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -435,8 +435,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 60:
-                if ftype == TType.BOOL:
-                    self.alone = iprot.readBool()
+                if ftype == TType.I32:
+                    self.alone_until = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -515,9 +515,9 @@
             oprot.writeFieldBegin('weight', TType.DOUBLE, 15)
             oprot.writeDouble(self.weight)
             oprot.writeFieldEnd()
-        if self.alone is not None:
-            oprot.writeFieldBegin('alone', TType.BOOL, 60)
-            oprot.writeBool(self.alone)
+        if self.alone_until is not None:
+            oprot.writeFieldBegin('alone_until', TType.I32, 60)
+            oprot.writeI32(self.alone_until)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1088,8 +1088,8 @@
      - bundle_version
      - host
      - port
+     - streams: Streams open at this engine, from every entry.
      - client_accounts: Client accounts with streams open here.
-     - streams: Streams open here.
 
     """
 
@@ -1107,12 +1107,12 @@
         'bundle_version',
         'host',
         'port',
-        'client_accounts',
         'streams',
+        'client_accounts',
     )
 
 
-    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None, client_accounts=None, streams=None,):
+    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None, streams=None, client_accounts=None,):
         self.instance = instance
         self.role = role
         self.data_centre = data_centre
@@ -1126,8 +1126,8 @@
         self.bundle_version = bundle_version
         self.host = host
         self.port = port
-        self.client_accounts = client_accounts
         self.streams = streams
+        self.client_accounts = client_accounts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1203,14 +1203,14 @@
                     self.port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 60:
+            elif fid == 20:
                 if ftype == TType.I32:
-                    self.client_accounts = iprot.readI32()
+                    self.streams = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 61:
+            elif fid == 60:
                 if ftype == TType.I32:
-                    self.streams = iprot.readI32()
+                    self.client_accounts = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1275,14 +1275,14 @@
             oprot.writeFieldBegin('port', TType.I32, 13)
             oprot.writeI32(self.port)
             oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 20)
+            oprot.writeI32(self.streams)
+            oprot.writeFieldEnd()
         if self.client_accounts is not None:
             oprot.writeFieldBegin('client_accounts', TType.I32, 60)
             oprot.writeI32(self.client_accounts)
             oprot.writeFieldEnd()
-        if self.streams is not None:
-            oprot.writeFieldBegin('streams', TType.I32, 61)
-            oprot.writeI32(self.streams)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2042,6 +2042,7 @@
      - crash
      - cleared: Whether the request has since run on past that place.
      - remaining_ms
+     - position: One past the last position that was in the engine; 0 for a call.
 
     """
 
@@ -2051,15 +2052,17 @@
         'crash',
         'cleared',
         'remaining_ms',
+        'position',
     )
 
 
-    def __init__(self, fingerprint=None, client_account=None, crash=None, cleared=None, remaining_ms=None,):
+    def __init__(self, fingerprint=None, client_account=None, crash=None, cleared=None, remaining_ms=None, position=None,):
         self.fingerprint = fingerprint
         self.client_account = client_account
         self.crash = crash
         self.cleared = cleared
         self.remaining_ms = remaining_ms
+        self.position = position
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2095,6 +2098,11 @@
                     self.remaining_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.position = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2125,6 +2133,10 @@
             oprot.writeFieldBegin('remaining_ms', TType.I64, 5)
             oprot.writeI64(self.remaining_ms)
             oprot.writeFieldEnd()
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.I32, 6)
+            oprot.writeI32(self.position)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2158,6 +2170,7 @@
      - fingerprint
      - number
      - leave
+     - proved: Whether it has run its whole prompt; said when it leaves.
 
     """
 
@@ -2165,13 +2178,15 @@
         'fingerprint',
         'number',
         'leave',
+        'proved',
     )
 
 
-    def __init__(self, fingerprint=None, number=None, leave=None,):
+    def __init__(self, fingerprint=None, number=None, leave=None, proved=None,):
         self.fingerprint = fingerprint
         self.number = number
         self.leave = leave
+        self.proved = proved
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2197,6 +2212,11 @@
                     self.leave = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.proved = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2219,6 +2239,10 @@
             oprot.writeFieldBegin('leave', TType.BOOL, 3)
             oprot.writeBool(self.leave)
             oprot.writeFieldEnd()
+        if self.proved is not None:
+            oprot.writeFieldBegin('proved', TType.BOOL, 4)
+            oprot.writeBool(self.proved)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2798,7 +2822,7 @@
     None,  # 57
     None,  # 58
     None,  # 59
-    (60, TType.BOOL, 'alone', None, None, ),  # 60
+    (60, TType.I32, 'alone_until', None, None, ),  # 60
 )
 all_structs.append(Step)
 Step.thrift_spec = (
@@ -2861,7 +2885,7 @@
     None,  # 17
     None,  # 18
     None,  # 19
-    None,  # 20
+    (20, TType.I32, 'streams', None, None, ),  # 20
     None,  # 21
     None,  # 22
     None,  # 23
@@ -2902,7 +2926,6 @@
     None,  # 58
     None,  # 59
     (60, TType.I32, 'client_accounts', None, None, ),  # 60
-    (61, TType.I32, 'streams', None, None, ),  # 61
 )
 all_structs.append(Header)
 Header.thrift_spec = (
@@ -2966,6 +2989,7 @@
     (3, TType.STRING, 'crash', 'UTF8', None, ),  # 3
     (4, TType.BOOL, 'cleared', None, None, ),  # 4
     (5, TType.I64, 'remaining_ms', None, None, ),  # 5
+    (6, TType.I32, 'position', None, None, ),  # 6
 )
 all_structs.append(RunRequest)
 RunRequest.thrift_spec = (
@@ -2973,6 +2997,7 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.I64, 'number', None, None, ),  # 2
     (3, TType.BOOL, 'leave', None, None, ),  # 3
+    (4, TType.BOOL, 'proved', None, None, ),  # 4
 )
 all_structs.append(RunAdmitted)
 RunAdmitted.thrift_spec = (
--- a/caroblug/transport/__init__.py
+++ b/caroblug/transport/__init__.py
@@ -32,6 +32,10 @@
     PeerNetwork,
     make_peer_network,
 )
+from caroblug.transport._suspicions import (
+    suspicion_from_wire,
+    suspicion_to_wire,
+)
 
 __all__ = [
     "Appended",
@@ -59,4 +63,6 @@
     "make_instance_list",
     "make_log_service",
     "make_peer_network",
+    "suspicion_from_wire",
+    "suspicion_to_wire",
 ]
--- a/thrift/caroblug.thrift
+++ b/thrift/caroblug.thrift
@@ -45,8 +45,8 @@
   13: i64 seed
   14: StageRef entry
   15: double weight
-  /** Whether positions already known run with nothing else in the engine. */
-  60: bool alone
+  /** Positions before this one run with nothing else in the engine. */
+  60: i32 alone_until
 }
 
 /** Hidden states for consecutive positions, starting at `position`. */
@@ -103,10 +103,10 @@
   11: i32 bundle_version
   12: string host
   13: i32 port
+  /** Streams open at this engine, from every entry. */
+  20: i32 streams
   /** Client accounts with streams open here. */
   60: i32 client_accounts
-  /** Streams open here. */
-  61: i32 streams
 }
 
 struct Header {
@@ -172,6 +172,8 @@
   /** Whether the request has since run on past that place. */
   4: bool cleared
   5: i64 remaining_ms
+  /** One past the last position that was in the engine; 0 for a call. */
+  6: i32 position
 }
 
 /** Asks an account's home whether a request may run now, or leaves. */
@@ -179,6 +181,8 @@
   1: string fingerprint
   2: i64 number
   3: bool leave
+  /** Whether it has run its whole prompt; said when it leaves. */
+  4: bool proved
 }
 
 /** Lets a request run, with what is known against it. */
