Report service-level burn over pairs of windows

Ruled out: merging quantiles (not additive); a plot library that fetches its script from the network. Conclusion: the worst accounts are read where a counter carries `client_account`, which entries do not export yet.

--- /dev/null
+++ b/caroblug/report/_burn.py
@@ -0,0 +1,258 @@
+"""Service-level burn over several windows.
+
+The burn rate is the share of bad requests divided by the share that the
+objective allows: at 1 the budget lasts exactly the objective's period.
+
+References:
+    Beyer et al., "The Site Reliability Workbook", 2018, chapter 5: alerts on
+    a long and a short window together. The rates below are those of its
+    table for a budget of 30 days.
+"""
+
+from collections.abc import Mapping, Sequence
+
+import attrs
+
+from caroblug.core.state import Objective
+from caroblug.report._pages import Counts, Page, Series
+from caroblug.report._snapshots import Snapshot, difference
+
+_US_PER_MS = 1000
+_PERIOD_S = 30 * 24 * 3600
+_COUNTER_OF_MEASURE = {
+    "first_token": "requests",
+    "between_tokens": "",
+    "request": "requests",
+    "call": "calls",
+}
+_NOT_BAD = frozenset(
+    {
+        "answered",
+        "cancelled",
+        "bad_request",
+        "key_conflict",
+        "limit_reached",
+        "quarantined",
+        "body_too_large",
+        "unknown_service",
+        "unknown_model",
+    }
+)
+
+
+@attrs.frozen
+class Window:
+    """A pair of windows that burn together.
+
+    Attributes:
+        name: `fast`, `slow` or `trend`.
+        long_s: Length of the long window.
+        short_s: Length of the short window, which ends the alert soon.
+        rate: Burn rate at which the pair burns.
+    """
+
+    name: str
+    long_s: float
+    short_s: float
+    rate: float
+
+
+WINDOWS = (
+    Window("fast", 3600, 300, 14.4),
+    Window("slow", 6 * 3600, 1800, 6.0),
+    Window("trend", 3 * 24 * 3600, 6 * 3600, 1.0),
+)
+
+
+@attrs.frozen
+class Tally:
+    """Requests of one objective and group in a window."""
+
+    total: float
+    bad: float
+
+    def burn(self, share: float) -> float:
+        """Returns the burn rate against an objective's share of good."""
+        if not self.total:
+            return 0.0
+        return (self.bad / self.total) / (1 - share)
+
+
+@attrs.frozen
+class WindowBurn:
+    """Burn in one pair of windows.
+
+    Attributes:
+        window: The pair.
+        covered_s: How much of the long window the snapshots cover.
+        long: Burn rate over the long window.
+        short: Burn rate over the short window.
+    """
+
+    window: Window
+    covered_s: float
+    long: float
+    short: float
+
+    @property
+    def burning(self) -> bool:
+        """Whether both windows are at or over the rate."""
+        return min(self.long, self.short) >= self.window.rate
+
+
+@attrs.frozen
+class Burn:
+    """Burn of one objective for one group of client accounts.
+
+    Attributes:
+        objective: The objective.
+        group: Group of client accounts.
+        windows: Burn by pair of windows.
+        total: Requests over all snapshots.
+        bad: Those that were too slow or failed.
+        budget_left: Share of the period's budget not yet spent, at the
+            volume seen; below 0 when overspent.
+    """
+
+    objective: Objective
+    group: str
+    windows: tuple[WindowBurn, ...]
+    total: float
+    bad: float
+    budget_left: float
+
+
+def tally(page: Page, objective: Objective, group: str) -> Tally:
+    """Counts the requests of an objective on a page of differences.
+
+    A request that failed counts as bad whatever time it took; one that its
+    caller got wrong or gave up does not.
+    """
+    series = Series(objective.measure, objective.service, group)
+    counts = page.latencies.get(series, {})
+    total = float(sum(counts.values()))
+    slow = _slow(counts, objective.within_ms)
+    failed = _failed(page, objective, group)
+    total = max(total, failed)
+    return Tally(total, min(total, slow + failed))
+
+
+def _slow(counts: Counts, within_ms: int) -> float:
+    """Counts above the bound; a bucket that straddles it counts as slow."""
+    bound_us = within_ms * _US_PER_MS
+    return float(sum(n for us, n in counts.items() if us > bound_us))
+
+
+def _failed(page: Page, objective: Objective, group: str) -> float:
+    counter = _COUNTER_OF_MEASURE[objective.measure]
+    return sum(
+        value
+        for series, value in page.counters.items()
+        if series.measure == counter
+        and series.service == objective.service
+        and series.group == group
+        and series.outcome not in _NOT_BAD
+    )
+
+
+def compute_burn(
+    snapshots: Sequence[Snapshot], objectives: Sequence[Objective]
+) -> list[Burn]:
+    """Returns the burn of every objective and group.
+
+    Args:
+        snapshots: Oldest first, at least one. Before the first one nothing
+            is taken to have happened.
+        objectives: From the bundle.
+    """
+    parsed = [snapshot.pages() for snapshot in snapshots]
+    times = [snapshot.time_s for snapshot in snapshots]
+    whole = difference({}, parsed[-1]) if len(parsed) == 1 else None
+    changes = _Changes(parsed, times, whole)
+    burns = []
+    for objective in objectives:
+        for group in _groups(parsed[-1], objective):
+            burns.append(_burn_of(changes, objective, group))
+    return burns
+
+
+class _Changes:
+    """Pages of differences by window length, each computed once."""
+
+    def __init__(
+        self,
+        parsed: Sequence[Mapping[str, Page]],
+        times: Sequence[float],
+        whole: Page | None,
+    ) -> None:
+        self._parsed = parsed
+        self._times = times
+        self._whole = whole
+        self._cache: dict[int, Page] = {}
+
+    def over(self, length_s: float) -> tuple[Page, float]:
+        """Returns the differences over a window and the time it covers."""
+        if self._whole is not None:
+            return self._whole, 0.0
+        end_s = self._times[-1]
+        index = 0
+        for place, time_s in enumerate(self._times[:-1]):
+            if time_s <= end_s - length_s:
+                index = place
+        if index not in self._cache:
+            self._cache[index] = self._sum(index)
+        return self._cache[index], min(length_s, end_s - self._times[index])
+
+    def _sum(self, index: int) -> Page:
+        """Adds up the steps, so that a restart in any of them is seen."""
+        total = Page({}, {}, {})
+        for place in range(index, len(self._parsed) - 1):
+            step = difference(self._parsed[place], self._parsed[place + 1])
+            total = _merge(total, step)
+        return total
+
+
+def _merge(left: Page, right: Page) -> Page:
+    return difference({}, {"left": left, "right": right})
+
+
+def _groups(pages: Mapping[str, Page], objective: Objective) -> list[str]:
+    return sorted(
+        {
+            series.group
+            for page in pages.values()
+            for series in page.latencies
+            if series.measure == objective.measure
+            and series.service == objective.service
+        }
+    )
+
+
+def _burn_of(changes: _Changes, objective: Objective, group: str) -> Burn:
+    windows = []
+    for window in WINDOWS:
+        long_page, covered_s = changes.over(window.long_s)
+        short_page, _ = changes.over(window.short_s)
+        windows.append(
+            WindowBurn(
+                window,
+                covered_s,
+                tally(long_page, objective, group).burn(objective.share),
+                tally(short_page, objective, group).burn(objective.share),
+            )
+        )
+    page, covered_s = changes.over(_PERIOD_S)
+    seen = tally(page, objective, group)
+    return Burn(
+        objective,
+        group,
+        tuple(windows),
+        seen.total,
+        seen.bad,
+        1 - seen.burn(objective.share) * _share_of_period(covered_s),
+    )
+
+
+def _share_of_period(covered_s: float) -> float:
+    """A single snapshot covers an unknown time, taken as the whole period."""
+    return min(1.0, covered_s / _PERIOD_S) if covered_s else 1.0
--- a/caroblug/report/_commands.py
+++ b/caroblug/report/_commands.py
@@ -1,61 +1,196 @@
 """The command line of `caroblug-report`."""
 
 import argparse
+import json
+import pathlib
 import sys
+import time
 
-from hdrh.histogram import HdrHistogram
+import attrs
 
 import caroblug
-from caroblug.transport._http import HttpFailed, JsonHttp
+from caroblug.core.state import Objective, parse_bundle
+from caroblug.report._burn import Burn, compute_burn
+from caroblug.report._pages import Page
+from caroblug.report._snapshots import (
+    Snapshot,
+    difference,
+    load_snapshots,
+    save_snapshot,
+)
+from caroblug.report._text import to_json, to_text
+from caroblug.transport import HttpAnswer, JsonHttp
+from caroblug.utils import SettingsRejected
 
-_HDR_COMMENT = "# HDR "
-_US_PER_MS = 1000
-_LOWEST_US = 1
-_HIGHEST_US = 3_600_000_000
-_DIGITS = 3
+EXIT_OK = 0
+EXIT_BURNING = 1
+EXIT_USAGE = 2
+_FAST = "fast"
 _TIMEOUT_MS = 2000
+_OK = 200
+_DEFAULT_WATCH_S = 30.0
 
 
-def merge_histograms(pages: list[str]) -> dict[str, HdrHistogram]:
-    """Returns the latencies of several `/metrics` pages, merged losslessly.
+@attrs.frozen
+class _Failed:
+    """The report can't be made."""
 
-    Args:
-        pages: Prometheus text with `# HDR` lines.
+    message: str
+
+
+def scrape(addresses: list[str]) -> Snapshot | _Failed:
+    """Reads `/metrics` of every address that answers.
+
+    An instance that is down must not hide the others' burn: it is named on
+    standard error, and only when none answers is there no report.
     """
-    merged: dict[str, HdrHistogram] = {}
-    for page in pages:
-        for line in page.splitlines():
-            if not line.startswith(_HDR_COMMENT):
-                continue
-            name, _, encoded = line[len(_HDR_COMMENT) :].rpartition(" ")
-            total = merged.setdefault(
-                name, HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
-            )
-            total.decode_and_add(encoded.encode())
-    return merged
+    texts = {}
+    for address in addresses:
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit():
+            return _Failed(f"{address} must be HOST:PORT")
+        answer = JsonHttp(host, int(port), _TIMEOUT_MS).request(
+            "GET", "/metrics"
+        )
+        if isinstance(answer, HttpAnswer) and answer.status == _OK:
+            texts[address] = answer.body.decode()
+        else:
+            print(f"{address}: gave no metrics", file=sys.stderr)
+    if not texts:
+        return _Failed("no instance gave its metrics")
+    return Snapshot(time.time(), texts)
 
 
 def run(arguments: list[str] | None = None) -> int:
-    """Prints what the instances' latencies are, merged."""
+    """Makes the report and returns the exit code.
+
+    0: no fast window burns; 1: one does; 2: the report can't be made.
+    """
+    options = _make_parser().parse_args(arguments)
+    if not options.instance and not options.snapshots:
+        print("give instances or --snapshots", file=sys.stderr)
+        return EXIT_USAGE
+    objectives = _read_objectives(options.bundle)
+    if isinstance(objectives, _Failed):
+        return _fail(objectives)
+    history: list[Snapshot] = []
+    while True:
+        code = _round(options, objectives, history)
+        if options.watch is None or code == EXIT_USAGE:
+            return code
+        sys.stdout.flush()
+        time.sleep(options.watch)
+
+
+def _round(
+    options: argparse.Namespace,
+    objectives: list[Objective],
+    history: list[Snapshot],
+) -> int:
+    snapshots = _gather(options, history)
+    if isinstance(snapshots, _Failed):
+        return _fail(snapshots)
+    try:
+        burns = compute_burn(snapshots, objectives)
+        total = difference({}, snapshots[-1].pages())
+    except ValueError as error:
+        return _fail(_Failed(f"a page does not parse: {error}"))
+    _write(options, burns, total)
+    burning = any(
+        item.burning and item.window.name == _FAST
+        for burn in burns
+        for item in burn.windows
+    )
+    return EXIT_BURNING if burning else EXIT_OK
+
+
+def _gather(
+    options: argparse.Namespace, history: list[Snapshot]
+) -> list[Snapshot] | _Failed:
+    if options.instance:
+        scraped = scrape(options.instance)
+        if isinstance(scraped, _Failed):
+            return scraped
+        history.append(scraped)
+        if options.snapshots:
+            save_snapshot(scraped, pathlib.Path(options.snapshots))
+    if not options.snapshots:
+        return history
+    try:
+        found = load_snapshots(pathlib.Path(options.snapshots))
+    except (OSError, ValueError) as error:
+        return _Failed(str(error))
+    return found or _Failed(f"{options.snapshots} holds no snapshot")
+
+
+def _read_objectives(path: str | None) -> list[Objective] | _Failed:
+    if path is None:
+        return []
+    try:
+        parsed = parse_bundle(pathlib.Path(path).read_text(), path)
+    except OSError as error:
+        return _Failed(f"{path}: {error.strerror}")
+    if isinstance(parsed, SettingsRejected):
+        return _Failed("\n".join(str(p) for p in parsed.problems))
+    return parsed.objectives
+
+
+def _write(options: argparse.Namespace, burns: list[Burn], total: Page) -> None:
+    if options.format == "text":
+        report = to_text(burns, total.accounts)
+    elif options.format == "json":
+        report = json.dumps(to_json(burns, total.accounts)) + "\n"
+    else:
+        # Drawing is slow to import, and only this format needs the extra.
+        from caroblug.report._html import to_html
+
+        report = to_html(burns, total, total.accounts)
+    if options.out:
+        pathlib.Path(options.out).write_text(report)
+    else:
+        sys.stdout.write(report)
+
+
+def _fail(failed: _Failed) -> int:
+    print(failed.message, file=sys.stderr)
+    return EXIT_USAGE
+
+
+def _make_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
-        "caroblug-report", description="Reports on service levels."
+        "caroblug-report",
+        description="Reports the burn of service-level budgets.",
     )
     parser.add_argument(
         "--version", action="version", version=caroblug.__version__
     )
-    parser.add_argument("instance", nargs="+", metavar="HOST:PORT")
-    options = parser.parse_args(arguments)
-    pages = []
-    for address in options.instance:
-        host, _, port = address.rpartition(":")
-        answer = JsonHttp(host, int(port), _TIMEOUT_MS).request(
-            "GET", "/metrics"
-        )
-        if isinstance(answer, HttpFailed):
-            print(f"{address}: {answer.message}", file=sys.stderr)
-            return 1
-        pages.append(answer.body.decode())
-    for name, histogram in sorted(merge_histograms(pages).items()):
-        p95 = histogram.get_value_at_percentile(95) / _US_PER_MS
-        print(f"{name} count {histogram.get_total_count()} p95 {p95:.1f} ms")
-    return 0
+    parser.add_argument(
+        "instance",
+        nargs="*",
+        metavar="HOST:PORT",
+        help="HTTP address of an entry instance",
+    )
+    parser.add_argument(
+        "--bundle",
+        metavar="BUNDLE.toml",
+        help="the bundle that holds the objectives",
+    )
+    parser.add_argument(
+        "--snapshots",
+        metavar="FOLDER",
+        help="read the snapshots kept there, and add one if instances are "
+        "given",
+    )
+    parser.add_argument(
+        "--format", choices=("text", "json", "html"), default="text"
+    )
+    parser.add_argument("--out", metavar="FILE", help="write there")
+    parser.add_argument(
+        "--watch",
+        nargs="?",
+        type=float,
+        const=_DEFAULT_WATCH_S,
+        metavar="SECONDS",
+        help="report again and again",
+    )
+    return parser
--- /dev/null
+++ b/caroblug/report/_snapshots.py
@@ -0,0 +1,98 @@
+"""Snapshots of many instances, and what happened between two of them."""
+
+import json
+import pathlib
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+import attrs
+
+from caroblug.report._pages import Counts, Page, Series, parse_page
+
+_SUFFIX = ".snapshot.json"
+
+_K = TypeVar("_K")
+
+
+@attrs.frozen
+class Snapshot:
+    """The `/metrics` pages of several instances at about one time.
+
+    Attributes:
+        time_s: Seconds since the epoch.
+        texts: Page text by instance address.
+    """
+
+    time_s: float
+    texts: Mapping[str, str]
+
+    def pages(self) -> dict[str, Page]:
+        """Returns the parsed pages."""
+        return {name: parse_page(text) for name, text in self.texts.items()}
+
+
+def save_snapshot(snapshot: Snapshot, folder: pathlib.Path) -> pathlib.Path:
+    """Writes a snapshot into a folder and returns its path."""
+    path = folder / f"{int(snapshot.time_s * 1000)}{_SUFFIX}"
+    body = {"time_s": snapshot.time_s, "texts": dict(snapshot.texts)}
+    path.write_text(json.dumps(body))
+    return path
+
+
+def load_snapshots(folder: pathlib.Path) -> list[Snapshot]:
+    """Reads every snapshot of a folder, oldest first.
+
+    Raises:
+        ValueError: A file is not a snapshot.
+    """
+    snapshots = []
+    for path in sorted(folder.glob(f"*{_SUFFIX}")):
+        body: Any = json.loads(path.read_text())
+        if not isinstance(body, dict) or set(body) != {"time_s", "texts"}:
+            raise ValueError(f"{path.name} is not a snapshot")
+        snapshots.append(Snapshot(float(body["time_s"]), body["texts"]))
+    return sorted(snapshots, key=lambda snapshot: snapshot.time_s)
+
+
+def difference(old: Mapping[str, Page], new: Mapping[str, Page]) -> Page:
+    """Returns what all instances counted between two snapshots.
+
+    Guards against an instance that restarted in between, whose counts began
+    again at zero: a count that fell is taken whole, so that the window is
+    never negative and misses only what the old process did after its last
+    snapshot.
+    """
+    latencies: dict[Series, Counts] = {}
+    counters: dict[Series, float] = {}
+    accounts: dict[str, float] = {}
+    empty = Page({}, {}, {})
+    for name, page in new.items():
+        before = old.get(name, empty)
+        restarted = _fell(before.counters, page.counters)
+        base = empty if restarted else before
+        for series, counts in page.latencies.items():
+            total = latencies.setdefault(series, {})
+            _add_counts(total, counts, base.latencies.get(series, {}))
+        _add(counters, page.counters, base.counters)
+        _add(accounts, page.accounts, base.accounts)
+    return Page(latencies, counters, accounts)
+
+
+def _fell(old: Mapping[_K, float], new: Mapping[_K, float]) -> bool:
+    return any(new.get(key, 0) < value for key, value in old.items())
+
+
+def _add_counts(total: Counts, counts: Counts, base: Counts) -> None:
+    for bucket, count in counts.items():
+        change = count - base.get(bucket, 0)
+        if change > 0:
+            total[bucket] = total.get(bucket, 0) + change
+
+
+def _add(
+    total: dict[_K, float], new: Mapping[_K, float], base: Mapping[_K, float]
+) -> None:
+    for key, value in new.items():
+        change = value - base.get(key, 0)
+        if change > 0:
+            total[key] = total.get(key, 0) + change
--- a/caroblug/transport/__init__.py
+++ b/caroblug/transport/__init__.py
@@ -10,6 +10,7 @@
     make_engine_client,
 )
 from caroblug.transport._framing import FrameError, Sealer
+from caroblug.transport._http import HttpAnswer, HttpFailed, JsonHttp
 from caroblug.transport._instances import (
     HttpInstanceList,
     InstanceList,
@@ -41,10 +42,13 @@
     "EngineItem",
     "EngineResult",
     "FrameError",
+    "HttpAnswer",
     "HttpEngineClient",
+    "HttpFailed",
     "HttpInstanceList",
     "HttpLogService",
     "InstanceList",
+    "JsonHttp",
     "InstanceRecord",
     "InstancesUnavailable",
     "LogRecord",
