Add the soak; stop a program whose greenlet dies

Cause: a first soak showed a side process that lived on without its watch of the engine: a log line with a field named `message` raised a TypeError, gevent printed it, and only that greenlet ended. Conclusion: at-most-once is the open fault that the soak shows.

--- a/benchmarks/_result.py
+++ b/benchmarks/_result.py
@@ -30,7 +30,7 @@
     """Prints the result as one line of JSON."""
     body = {
         "name": result.name,
-        "commit": _commit(),
+        "commit": commit(),
         "runs": result.runs,
         "figures": dict(result.figures),
         "baselines": {k: dict(v) for k, v in result.baselines.items()},
@@ -38,7 +38,8 @@
     print(orjson.dumps(body).decode(), flush=True)
 
 
-def _commit() -> str:
+def commit() -> str:
+    """Returns the commit that is checked out, marked if it was changed."""
     command = ["git", "describe", "--always", "--dirty"]
     found = subprocess.run(command, capture_output=True, text=True, check=False)
     return found.stdout.strip() or "unknown"
--- a/caroblug/node/_http.py
+++ b/caroblug/node/_http.py
@@ -5,6 +5,7 @@
 import falcon
 from gevent import pywsgi, socket
 
+from caroblug.node._lifetime import report_broken_invariant
 from caroblug.utils import Metrics
 
 _BACKLOG = 1024
@@ -47,6 +48,12 @@
     app.add_route("/healthz", _Health())
     app.add_route("/readyz", _Ready(ready))
     app.add_route("/metrics", _MetricsText(metrics))
+    app.add_error_handler(AssertionError, _stop)
+
+
+def _stop(request, response, error, params) -> None:
+    del request, response, params
+    report_broken_invariant(error)
 
 
 class NodeHttp:
--- a/caroblug/node/_lifetime.py
+++ b/caroblug/node/_lifetime.py
@@ -1,8 +1,10 @@
 """The lifetime of a program: settings, signals, draining, exit codes."""
 
 import argparse
+import os
 import signal
 import sys
+import traceback
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -22,6 +24,7 @@
 
 EXIT_OK = 0
 EXIT_USAGE = 2
+EXIT_BROKEN = 70
 _DRAIN_POLL_S = 0.05
 
 
@@ -69,6 +72,34 @@
         log_state("program.stopped", cut_short=busy())
 
 
+def stop_on_broken_invariant() -> None:
+    """Lets an exception that ends a greenlet stop the process.
+
+    Guards against a greenlet that dies alone: gevent would print the trace
+    and the process would go on without its watch or with a state known to be
+    wrong, and look alive. Failures that are expected are values and never
+    end a greenlet.
+    """
+    hub = gevent.get_hub()
+    handle_error = hub.handle_error
+
+    def _handle_error(context, kind, value, trace) -> None:
+        ends = isinstance(context, gevent.Greenlet)
+        if ends and kind is not None and issubclass(kind, Exception):
+            report_broken_invariant(value)
+        handle_error(context, kind, value, trace)
+
+    hub.handle_error = _handle_error
+
+
+def report_broken_invariant(error: BaseException) -> None:
+    """Logs the trace of a broken invariant and ends the process."""
+    trace = "".join(traceback.format_exception(error))
+    log_state("invariant.broken", trace=trace)
+    sys.stderr.flush()
+    os._exit(EXIT_BROKEN)
+
+
 def run_program(
     name: str,
     description: str,
@@ -109,5 +140,6 @@
         print(f"{options.config}: ok")
         return EXIT_OK
     start_logging(name, settings.instance)
+    stop_on_broken_invariant()
     serve(settings)
     return EXIT_OK
--- a/caroblug/utils/_logging.py
+++ b/caroblug/utils/_logging.py
@@ -17,11 +17,11 @@
     eliot.to_file(sys.stderr)
 
 
-def log_state(message: str, **fields: Any) -> None:
+def log_state(kind: str, /, **fields: Any) -> None:
     """Writes one line for a change of state.
 
     Args:
-        message: Dotted name of the change.
+        kind: Dotted name of the change.
         **fields: Values of the change; never a secret.
     """
-    eliot.log_message(message_type=message, **fields)
+    eliot.log_message(message_type=kind, **fields)
--- a/standins/site.py
+++ b/standins/site.py
@@ -75,6 +75,7 @@
     http_port: int
     peer_port: int = 0
     data_centre: str = ""
+    command: tuple[str, ...] = ()
 
     def signal(self, number: int) -> None:
         """Sends a signal to the process."""
@@ -405,7 +406,13 @@
         self.list_instance(name)
         return process
 
+    def restart(self, name: str) -> None:
+        """Starts a process that has ended again, as it was."""
+        process = self.processes[name]
+        self._spawn(process, list(process.command))
+
     def _spawn(self, process: RunningProcess, command: list[str]) -> None:
+        process.command = tuple(command)
         with open(self.folder / f"{process.name}.log", "ab") as output:
             process.popen = subprocess.Popen(
                 command, stdout=output, stderr=subprocess.STDOUT
--- /dev/null
+++ b/standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A long randomised run over real processes, checked from outside."""
--- /dev/null
+++ b/standins/soak/_callers.py
@@ -0,0 +1,254 @@
+"""Callers: each makes requests, one after the other, and checks answers."""
+
+import random
+import time
+from typing import Any
+
+import gevent
+import geventhttpclient
+import orjson
+
+from caroblug.entry._tokenizer import make_tokenizer
+from standins import reference
+from standins.site import HOST, MODEL, Site, read_events
+from standins.soak._record import CallRecord, Record, StreamRecord
+
+_WORDS = ("star", "moon", "dome", "class", "night", "orbit", "seat", "comet")
+_STREAM_SHARE = 0.7
+_LOOKUP_SHARE = 0.15
+_RESEND_SHARE = 0.4
+_REQUEST_S = 40.0
+_HANG_S = 30.0
+_BACKOFF_S = 0.2
+_MAX_BACKOFF_S = 2.0
+_CREATED = 201
+_SUCCESS = range(200, 300)
+
+
+class Callers:
+    """The callers of one soak.
+
+    Args:
+        site: The site.
+        record: Where answers and violations are noted.
+        entries: Names of the entries.
+        killed: When each entry was last killed, in seconds of the soak.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        record: Record,
+        entries: list[str],
+        killed: dict[str, float],
+    ) -> None:
+        self.stopping = False
+        self._site = site
+        self._record = record
+        self._entries = entries
+        self._killed = killed
+        self._key_number = 0
+
+    def run(self, account: str, rng: random.Random, pause_s: float) -> None:
+        """Makes requests until told to stop."""
+        while not self.stopping:
+            drawn = rng.random()
+            if drawn < _STREAM_SHARE:
+                self._stream(account, rng)
+            elif drawn < _STREAM_SHARE + _LOOKUP_SHARE:
+                self._lookup(account, rng)
+            else:
+                self._book(account, rng)
+            gevent.sleep(rng.uniform(0, 2 * pause_s))
+
+    def send_poison(self, account: str, word: str, rng: random.Random) -> None:
+        """Sends a request that crashes the engine which embeds `word`."""
+        body = self._body(f"{word} tonight", 4, 1)
+        self._exchange(account, body, rng.choice(self._entries), None)
+
+    def _body(self, text: str, tokens: int, seed: int) -> dict[str, Any]:
+        return {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": tokens,
+            "seed": seed,
+            "stream": True,
+        }
+
+    def _stream(self, account: str, rng: random.Random) -> None:
+        long = rng.random() < 0.2
+        words = rng.choices(_WORDS, k=rng.randint(30, 120) if long else 6)
+        tokens = rng.randint(60, 160) if long else rng.randint(4, 40)
+        seed = rng.randint(1, 10**6)
+        text = " ".join(words)
+        expected = self._expected(f"user: {text}", tokens, seed)
+        body = self._body(text, tokens, seed)
+        outcome = self._exchange(
+            account, body, rng.choice(self._entries), expected
+        )
+        self._record.outcomes[f"stream.{outcome}"] += 1
+        if outcome != "answered":
+            gevent.sleep(rng.uniform(_BACKOFF_S, _MAX_BACKOFF_S))
+
+    def _expected(self, text: str, tokens: int, seed: int) -> str:
+        model = self._site.bundle["models"][MODEL]
+        tokenizer = make_tokenizer(model["vocabulary"])
+        return tokenizer.decode(
+            reference.expected_tokens(
+                tokenizer.encode(text),
+                tokens,
+                model["layers"],
+                model["vocabulary"],
+                seed,
+            )
+        )
+
+    def _exchange(
+        self,
+        account: str,
+        body: dict[str, Any],
+        entry: str,
+        expected: str | None,
+    ) -> str:
+        """Makes one streamed request and returns its outcome."""
+        since_s = self._record.now_s()
+        seen = StreamRecord()
+        self._record.streams.append(seen)
+        outcome = "hung"
+        with gevent.Timeout(_REQUEST_S, False):
+            outcome = self._read_stream(account, body, entry, expected, seen)
+        took_s = self._record.now_s() - since_s
+        if took_s > _HANG_S:
+            self._record.violate("request hung", entry=entry, took_s=took_s)
+        if outcome == "broken" and not self._was_killed(entry, since_s):
+            self._record.violate(
+                "connection broke on a live entry",
+                entry=entry,
+                since_s=since_s,
+                parts=len(seen.times_s),
+            )
+        return outcome
+
+    def _read_stream(
+        self,
+        account: str,
+        body: dict[str, Any],
+        entry: str,
+        expected: str | None,
+        seen: StreamRecord,
+    ) -> str:
+        client = geventhttpclient.HTTPClient(
+            HOST,
+            self._site.processes[entry].http_port,
+            network_timeout=_REQUEST_S,
+        )
+        headers = {"Authorization": f"Bearer {self._site.keys[account]}"}
+        try:
+            response = client.request(
+                "POST", "/v1/chat/completions", orjson.dumps(body), headers
+            )
+            if response.status_code not in _SUCCESS:
+                return self._refusal(orjson.loads(bytes(response.read())))
+            return self._read_parts(response, expected, seen)
+        except ConnectionRefusedError:
+            return "refused_connection"
+        except (OSError, ValueError, geventhttpclient.response.HTTPParseError):
+            return "broken"
+        finally:
+            client.close()
+
+    def _read_parts(
+        self, response: Any, expected: str | None, seen: StreamRecord
+    ) -> str:
+        text = ""
+        finished = False
+        for chunk in read_events(response):
+            if "error" in chunk:
+                return self._refusal(chunk)
+            choice = chunk["choices"][0]
+            part = choice["delta"].get("content", "")
+            finished = choice["finish_reason"] is not None
+            if part:
+                text += part
+                now_s = self._record.now_s()
+                seen.times_s.append(now_s)
+                self._record.token_times_s.extend([now_s] * part.count("w"))
+            if expected is not None and not expected.startswith(text):
+                self._record.violate("answer is wrong", text=text[-60:])
+                return "wrong"
+        if not finished:
+            return "broken"
+        if expected is not None and text != expected:
+            self._record.violate("answer is not whole", length=len(text))
+            return "wrong"
+        return "answered"
+
+    def _refusal(self, body: dict[str, Any]) -> str:
+        error = body.get("error", {})
+        missing = {"type", "message", "ran", "retry_after_ms"} - set(error)
+        if missing:
+            self._record.violate("refusal without fields", body=body)
+            return "bad_refusal"
+        return f"{error['type']}.{error['ran']}"
+
+    def _was_killed(self, entry: str, since_s: float) -> bool:
+        return self._killed.get(entry, -1.0) >= since_s
+
+    def _lookup(self, account: str, rng: random.Random) -> None:
+        entry = rng.choice(self._entries)
+        status, ran = self._call(account, entry, "GET", "", {})
+        self._record.outcomes[f"lookup.{status or 'broken'}.{ran}"] += 1
+
+    def _book(self, account: str, rng: random.Random) -> None:
+        """Books, and sometimes sends the same key again elsewhere."""
+        self._key_number += 1
+        key = f"key-{self._key_number}"
+        calls = self._record.calls.setdefault(key, CallRecord())
+        self._book_once(account, key, rng.choice(self._entries), calls)
+        while rng.random() < _RESEND_SHARE:
+            gevent.sleep(rng.uniform(0, 1.0))
+            self._book_once(account, key, rng.choice(self._entries), calls)
+
+    def _book_once(
+        self, account: str, key: str, entry: str, calls: CallRecord
+    ) -> None:
+        status, ran = self._call(
+            account, entry, "POST", key, {"Idempotency-Key": key}
+        )
+        calls.statuses.append(status)
+        calls.ran.append(ran)
+        self._record.outcomes[f"booking.{status or 'broken'}.{ran}"] += 1
+        self._record.event(
+            "booking", key=key, entry=entry, status=status, ran=ran
+        )
+
+    def _call(
+        self,
+        account: str,
+        entry: str,
+        method: str,
+        key: str,
+        headers: dict[str, str],
+    ) -> tuple[int, str]:
+        """Returns the status and whether the call is known to have run."""
+        since = time.monotonic()
+        try:
+            answer = self._site.call(
+                entry,
+                account,
+                method,
+                "/services/booking/seats",
+                orjson.dumps({"key": key}),
+                headers,
+            )
+        except ConnectionRefusedError:
+            return 0, "no"
+        except (ConnectionError, OSError):
+            return 0, "unknown"
+        finally:
+            if time.monotonic() - since > _HANG_S:
+                self._record.violate("call hung", entry=entry, key=key)
+        if answer.status in _SUCCESS:
+            return answer.status, "yes"
+        self._refusal(answer.json())
+        return answer.status, answer.json()["error"]["ran"]
