--- a/caroblug/core/routing/_chooser.py
+++ b/caroblug/core/routing/_chooser.py
@@ -1,10 +1,11 @@
 """Choosers: each answers with a chain, or with nothing."""
 
 import abc
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 
 import attrs
 
+from caroblug.core.routing._search import usable_engines
 from caroblug.core.routing._types import Chain, EngineView, Stage
 
 _LINK_PENALTY_MS = 20.0
@@ -21,6 +22,7 @@
         layers: int,
         data_centre: str,
         excluded: Collection[str] = (),
+        prompt: Sequence[int] = (),
     ) -> Chain | None:
         """Returns a chain over all `layers`, or None if there is none.
 
@@ -29,8 +31,13 @@
             layers: Number of layers of the model.
             data_centre: The entry's own data centre.
             excluded: Instances that must not be used.
+            prompt: The prompt's tokens, for choosers that heed caches.
         """
 
+    def on_latency(self, one: str, other: str, ms: float) -> None:
+        """Learns a one-way latency; choosers without use pass it over."""
+        del one, other, ms
+
 
 @attrs.frozen
 class _Partial:
@@ -61,16 +68,10 @@
         layers: int,
         data_centre: str,
         excluded: Collection[str] = (),
+        prompt: Sequence[int] = (),
     ) -> Chain | None:
         """Returns the cheapest chain; ties go to the lower instance name."""
-        usable = sorted(
-            (
-                engine
-                for engine in engines
-                if not engine.leaving and engine.instance not in excluded
-            ),
-            key=lambda engine: engine.instance,
-        )
+        usable = usable_engines(engines, excluded)
         best: dict[int, dict[str, _Partial]] = {
             0: {data_centre: _Partial(0.0, data_centre, ())}
         }
--- /dev/null
+++ b/caroblug/core/routing/_flow.py
@@ -0,0 +1,198 @@
+"""The bound: maximum flow of tokens through the graph of layer ranges.
+
+A node is a place in a token's way: a layer boundary in a data centre. Engines
+that hold the same layers in the same data centre are one edge, entered at any
+boundary inside their range and left at its end; a link is an edge between two
+data centres at the same boundary.
+
+References:
+    Mei et al., "Helix: Serving Large Language Models over Heterogeneous GPUs
+    and Network via Max-Flow", ASPLOS 2025.
+"""
+
+from collections.abc import Collection, Iterable, Mapping
+
+import attrs
+import networkx as nx
+
+from caroblug.core.routing._types import EngineView
+
+_SOURCE = ("source",)
+_SINK = ("sink",)
+_UNITS_PER_TOKEN = 100
+_UNITS_PER_MS = 10
+_LOWEST_LINK_COST = 1
+
+
+@attrs.frozen
+class EngineGroup:
+    """Engines that hold the same layers in the same data centre.
+
+    Attributes:
+        data_centre: Where they run.
+        first_layer: First layer they hold.
+        end_layer: One past the last layer they hold.
+    """
+
+    data_centre: str
+    first_layer: int
+    end_layer: int
+
+
+@attrs.frozen
+class Place:
+    """A place in a token's way: layers below `layer` have run."""
+
+    layer: int
+    data_centre: str
+
+
+@attrs.frozen
+class Link:
+    """A link from one data centre to another, in one direction.
+
+    Attributes:
+        source: Data centre that sends.
+        target: Data centre that receives.
+        latency_ms: One-way latency.
+        tokens_per_s: Capacity at one layer boundary; None if unbounded.
+    """
+
+    source: str
+    target: str
+    latency_ms: float = 0.0
+    tokens_per_s: float | None = None
+
+
+@attrs.frozen
+class FlowPlan:
+    """A maximum flow, as weights for a walk from place to place.
+
+    Attributes:
+        tokens_per_s: The bound: no routing can run more positions.
+        starts: Flow by data centre in which the first stage runs.
+        groups: Flow by place and by the group that runs next.
+        links: Flow by place and by the data centre it moves to.
+    """
+
+    tokens_per_s: float
+    starts: Mapping[str, float]
+    groups: Mapping[Place, Mapping[EngineGroup, float]]
+    links: Mapping[Place, Mapping[str, float]]
+
+
+def group_of(engine: EngineView) -> EngineGroup:
+    """Returns the group that an engine belongs to."""
+    return EngineGroup(engine.data_centre, engine.first_layer, engine.end_layer)
+
+
+def group_capacities(
+    engines: Iterable[EngineView], layers: int
+) -> dict[EngineGroup, float]:
+    """Returns the positions per second of each group."""
+    capacities: dict[EngineGroup, float] = {}
+    for engine in engines:
+        group = group_of(engine)
+        if group.first_layer < group.end_layer <= layers:
+            known = capacities.get(group, 0.0)
+            capacities[group] = known + engine.tokens_per_s
+    return capacities
+
+
+def make_plan(
+    engines: Collection[EngineView],
+    layers: int,
+    links: Iterable[Link] = (),
+) -> FlowPlan:
+    """Returns a maximum flow; among those, one with the least latency.
+
+    Capacities are per position whatever part of its range an engine runs, as
+    with engines whose step costs hardly depend on the layers that are run.
+    A link's capacity holds at each layer boundary by itself, which can only
+    raise the bound.
+
+    Args:
+        engines: Engines of one model.
+        layers: Number of layers of the model.
+        links: Links between data centres; data centres without one are not
+            connected.
+    """
+    capacities = group_capacities(engines, layers)
+    graph = _make_graph(capacities, layers, links)
+    flow = nx.max_flow_min_cost(graph, _SOURCE, _SINK)
+    return _read_flow(flow)
+
+
+def full_mesh(
+    data_centres: Iterable[str], latency_ms: float = 0.0
+) -> list[Link]:
+    """Returns unbounded links between each two data centres."""
+    names = sorted(set(data_centres))
+    return [
+        Link(source, target, latency_ms)
+        for source in names
+        for target in names
+        if source != target
+    ]
+
+
+def _make_graph(
+    capacities: Mapping[EngineGroup, float],
+    layers: int,
+    links: Iterable[Link],
+) -> nx.DiGraph:
+    graph = nx.DiGraph()
+    graph.add_nodes_from((_SOURCE, _SINK))
+    boundaries = {0} | {group.end_layer for group in capacities}
+    data_centres = {group.data_centre for group in capacities}
+    for data_centre in data_centres:
+        graph.add_edge(_SOURCE, Place(0, data_centre))
+        graph.add_edge(Place(layers, data_centre), _SINK)
+    for group, tokens_per_s in sorted(
+        capacities.items(), key=lambda item: attrs.astuple(item[0])
+    ):
+        exit_node = ("exit", group)
+        capacity = int(tokens_per_s * _UNITS_PER_TOKEN)
+        graph.add_edge(group, exit_node, capacity=capacity)
+        graph.add_edge(exit_node, Place(group.end_layer, group.data_centre))
+        for layer in sorted(boundaries):
+            if group.first_layer <= layer < group.end_layer:
+                graph.add_edge(Place(layer, group.data_centre), group)
+    for link in links:
+        if {link.source, link.target} <= data_centres:
+            _add_link(graph, link, sorted(boundaries - {0, layers}))
+    return graph
+
+
+def _add_link(graph: nx.DiGraph, link: Link, boundaries: Iterable[int]) -> None:
+    cost = max(_LOWEST_LINK_COST, int(link.latency_ms * _UNITS_PER_MS))
+    bound = {}
+    if link.tokens_per_s is not None:
+        bound["capacity"] = int(link.tokens_per_s * _UNITS_PER_TOKEN)
+    for layer in boundaries:
+        graph.add_edge(
+            Place(layer, link.source),
+            Place(layer, link.target),
+            weight=cost,
+            **bound,
+        )
+
+
+def _read_flow(flow: Mapping) -> FlowPlan:
+    groups: dict[Place, dict[EngineGroup, float]] = {}
+    links: dict[Place, dict[str, float]] = {}
+    starts = {
+        place.data_centre: units / _UNITS_PER_TOKEN
+        for place, units in flow[_SOURCE].items()
+        if units
+    }
+    for node, targets in flow.items():
+        if not isinstance(node, Place):
+            continue
+        for target, units in targets.items():
+            weight = units / _UNITS_PER_TOKEN
+            if units and isinstance(target, EngineGroup):
+                groups.setdefault(node, {})[target] = weight
+            elif units and isinstance(target, Place):
+                links.setdefault(node, {})[target.data_centre] = weight
+    return FlowPlan(sum(starts.values()), starts, groups, links)
--- /dev/null
+++ b/caroblug/core/routing/_make.py
@@ -0,0 +1,35 @@
+"""Construction of choosers by the name in the settings."""
+
+import random
+
+from caroblug.core.routing._baselines import (
+    LeastLoadedChooser,
+    RandomChooser,
+    RoundRobinChooser,
+)
+from caroblug.core.routing._chooser import ChainChooser, ShortestWaitChooser
+from caroblug.core.routing._flow_chooser import FlowChooser
+
+CHOOSERS = ("flow", "shortest_wait", "least_loaded", "round_robin", "random")
+
+
+def make_chooser(name: str, rng: random.Random) -> ChainChooser:
+    """Returns the chooser with a name out of `CHOOSERS`.
+
+    Args:
+        name: Which chooser.
+        rng: Source of randomness for those that draw.
+    """
+    match name:
+        case "flow":
+            return FlowChooser(rng)
+        case "shortest_wait":
+            return ShortestWaitChooser()
+        case "least_loaded":
+            return LeastLoadedChooser()
+        case "round_robin":
+            return RoundRobinChooser()
+        case "random":
+            return RandomChooser(rng)
+        case _:
+            raise AssertionError(f"no chooser {name!r}")
--- a/caroblug/core/routing/_types.py
+++ b/caroblug/core/routing/_types.py
@@ -62,6 +62,9 @@
         running: Steps in the engine, as last reported.
         leaving: Whether it takes no new streams.
         own_streams: Streams that this entry has open there.
+        streams: Streams open there, from every entry, as last reported.
+        backlog: Positions waiting or running there, as last reported.
+        own_at_report: This entry's own streams when the report came.
     """
 
     instance: str
@@ -76,3 +79,17 @@
     running: int = 0
     leaving: bool = False
     own_streams: int = 0
+    streams: int = 0
+    backlog: int = 0
+    own_at_report: int = 0
+
+    @property
+    def load(self) -> int:
+        """Streams open there now: the last report, put right by own ones.
+
+        Guards against a herd: between two reports every request would see
+        the same least loaded engine and go there, so what this entry has
+        opened and closed since the report is added.
+        """
+        since = self.own_streams - self.own_at_report
+        return max(self.own_streams, self.streams + since, 0)
