Wire the flow chooser, subsets, link probes and the deadline check

Cause: the entry connected to every listed side process and knew nothing of links or deadlines. Change: EntrySettings.chooser, .subset, .probe_ms; load reports carry open streams and backlog; an entry probes one peer per other data centre; a new request whose deadline can't be met is refused at once.

--- /dev/null
+++ b/benchmarks/_load.py
@@ -0,0 +1,200 @@
+"""Callers for benchmarks: closed loops of streamed completions."""
+
+import collections
+import random
+import time
+from collections.abc import Callable, Sequence
+
+import attrs
+import gevent
+import orjson
+from gevent import socket
+
+from standins.site import HOST, MODEL, Site
+
+_RECEIVE_BYTES = 1 << 16
+_END_MARK = b"data: [DONE]"
+_TIMEOUT_S = 120.0
+_PAUSE_S = 0.05
+
+
+@attrs.frozen
+class Shape:
+    """One kind of request.
+
+    Attributes:
+        words: Words of the prompt.
+        tokens: Tokens to generate.
+        share: How often it comes, relative to the other kinds.
+    """
+
+    words: int
+    tokens: int
+    share: float = 1.0
+
+
+@attrs.define
+class Tally:
+    """What the callers saw, all times in seconds of one clock.
+
+    Attributes:
+        tokens: When each token came, by whole streams' pieces.
+        first: Time to each first token, with when it came.
+        between: Time between two tokens, with when the later came.
+        failed: Streams without a whole answer.
+        answered: Streams with a whole answer.
+    """
+
+    tokens: list[tuple[float, int]] = attrs.field(factory=list)
+    first: list[tuple[float, float]] = attrs.field(factory=list)
+    between: list[tuple[float, float]] = attrs.field(factory=list)
+    prompts: list[tuple[float, int]] = attrs.field(factory=list)
+    failed: int = 0
+    answered: int = 0
+
+    def generated(self, start: float, end: float) -> int:
+        """Returns the tokens that came in a span of time."""
+        return sum(n for at, n in self.tokens if start <= at < end)
+
+
+class Callers:
+    """Callers that each send the next request when an answer has ended.
+
+    Args:
+        site: The running site.
+        account: Whose key they use.
+        entries: Entries, taken in turn.
+        shapes: Kinds of requests.
+        seed: Seed of the mix and of the prompts.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        account: str,
+        entries: Sequence[str],
+        shapes: Sequence[Shape],
+        seed: int,
+    ) -> None:
+        self.tally = Tally()
+        self._site = site
+        self._key = site.keys[account]
+        self._entries = list(entries)
+        self._shapes = list(shapes)
+        self._random = random.Random(seed)
+        self._running: list[gevent.Greenlet] = []
+        self._stopped = False
+
+    def start(self, streams: int) -> None:
+        """Starts closed loops."""
+        for number in range(streams):
+            entry = self._entries[number % len(self._entries)]
+            self._running.append(gevent.spawn(self._loop, entry))
+
+    def stop(self) -> None:
+        """Ends every loop, also in the middle of an answer."""
+        self._stopped = True
+        gevent.killall(self._running)
+        self._running.clear()
+
+    def measure(self, warm_s: float, seconds: float) -> tuple[float, float]:
+        """Lets the loops run and returns the measured span."""
+        gevent.sleep(warm_s)
+        start = time.monotonic()
+        gevent.sleep(seconds)
+        return start, time.monotonic()
+
+    def _loop(self, entry: str) -> None:
+        while not self._stopped:
+            weights = [shape.share for shape in self._shapes]
+            shape = self._random.choices(self._shapes, weights)[0]
+            words = [
+                f"w{self._random.randrange(10_000)}" for _ in range(shape.words)
+            ]
+            try:
+                whole = self._stream(entry, " ".join(words), shape.tokens)
+            except OSError:
+                whole = False
+            if whole:
+                self.tally.answered += 1
+            else:
+                self.tally.failed += 1
+                gevent.sleep(_PAUSE_S)
+
+    def _stream(self, entry: str, prompt: str, tokens: int) -> bool:
+        port = self._site.processes[entry].http_port
+        body = {"model": MODEL, "prompt": prompt, "max_tokens": tokens}
+        sent = time.monotonic()
+        with socket.create_connection((HOST, port), _TIMEOUT_S) as sock:
+            sock.sendall(self._request({**body, "stream": True, "seed": 1}))
+            return self._read(sock, sent, tokens, len(prompt.split()))
+
+    def _request(self, body: dict) -> bytes:
+        data = orjson.dumps(body)
+        head = (
+            "POST /v1/completions HTTP/1.1\r\nHost: caroblug\r\n"
+            f"Authorization: Bearer {self._key}\r\n"
+            "Content-Type: application/json\r\nConnection: close\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n"
+        )
+        return head.encode() + data
+
+    def _read(
+        self, sock: socket.socket, sent: float, tokens: int, prompt: int
+    ) -> bool:
+        last = sent
+        seen = 0
+        tail = b""
+        while True:
+            part = sock.recv(_RECEIVE_BYTES)
+            if not part:
+                return False
+            data = tail + part
+            count = data.count(b'"text":"w')
+            now = time.monotonic()
+            if count:
+                times = self.tally.between if seen else self.tally.first
+                times.append((now, now - last))
+                if not seen:
+                    self.tally.prompts.append((now, prompt))
+                self.tally.tokens.append((now, count))
+                seen += count
+                last = now
+            if _END_MARK in data:
+                return seen >= tokens
+            tail = _rest(data)
+
+
+def _rest(data: bytes) -> bytes:
+    """Returns the part of the last, unfinished event."""
+    return data[data.rfind(b"\n\n") + 1 :][-400:]
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Returns the value below which a share of the values lie."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def median_of(
+    runs: Sequence[dict[str, float]],
+) -> dict[str, float]:
+    """Returns the median of each figure over the runs."""
+    by_name: dict[str, list[float]] = collections.defaultdict(list)
+    for run in runs:
+        for name, value in run.items():
+            by_name[name].append(value)
+    return {
+        name: round(percentile(values, 0.5), 4)
+        for name, values in by_name.items()
+    }
+
+
+def wait_until(condition: Callable[[], bool], seconds: float) -> bool:
+    """Polls a condition; returns whether it came to hold in time."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return True
+        gevent.sleep(_PAUSE_S)
+    return False
--- a/caroblug/core/routing/_chooser.py
+++ b/caroblug/core/routing/_chooser.py
@@ -34,10 +34,6 @@
             prompt: The prompt's tokens, for choosers that heed caches.
         """
 
-    def on_latency(self, one: str, other: str, ms: float) -> None:
-        """Learns a one-way latency; choosers without use pass it over."""
-        del one, other, ms
-
 
 @attrs.frozen
 class _Partial:
--- a/caroblug/core/routing/_estimate.py
+++ b/caroblug/core/routing/_estimate.py
@@ -38,6 +38,10 @@
     default_ms: float = 1.0
     measured_ms: dict[tuple[str, str], float] = attrs.field(factory=dict)
 
+    def learn(self, one: str, other: str, ms: float) -> None:
+        """Learns the one-way latency between two data centres."""
+        self.measured_ms[min(one, other), max(one, other)] = ms
+
     def between(self, one: str, other: str) -> float:
         """Returns the one-way latency in ms; 0 inside a data centre.
 
--- a/caroblug/core/routing/_flow_chooser.py
+++ b/caroblug/core/routing/_flow_chooser.py
@@ -106,11 +106,6 @@
             return self._fallback.choose(allowed, layers, data_centre)
         return _make_chain(best, layers)
 
-    def on_latency(self, one: str, other: str, ms: float) -> None:
-        """Learns the one-way latency between two data centres."""
-        pair = (min(one, other), max(one, other))
-        self.latencies.measured_ms[pair] = ms
-
     def _plans_for(
         self, usable: Sequence[EngineView], layers: int, data_centre: str
     ) -> _Plans:
--- a/caroblug/core/routing/tests/test_choosers.py
+++ b/caroblug/core/routing/tests/test_choosers.py
@@ -131,7 +131,7 @@
     for _ in range(50):
         chooser.choose(views, LAYERS, "a", ("a0",))
         views[1].own_streams += 1
-        chooser.on_latency("a", "b", 1.0)
+        chooser.latencies.learn("a", "b", 1.0)
     assert len(calls) <= 4
     before = len(calls)
     views[3].leaving = True
@@ -141,8 +141,8 @@
 
 def test_degraded_link_is_avoided():
     chooser = FlowChooser(random.Random(5))
-    chooser.on_latency("a", "b", 80.0)
-    chooser.on_latency("a", "c", 1.0)
+    chooser.latencies.learn("a", "b", 80.0)
+    chooser.latencies.learn("a", "c", 1.0)
     views = [
         make_view("a0", "a", 0, 6, 100.0),
         make_view("b1", "b", 6, 12, 100.0),
--- a/caroblug/entry/_directory.py
+++ b/caroblug/entry/_directory.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from caroblug.core.routing import EngineView
+from caroblug.core.routing import Chain, EngineView
 from caroblug.gen.wire import ttypes as wire
 from caroblug.transport import PeerAddress
 from caroblug.utils import Clock
@@ -73,6 +73,19 @@
             and self._is_fresh(view.address.instance)
         ]
 
+    def views(self, chain: Chain) -> list[EngineView]:
+        """Returns the engines of a chain that are known, in order."""
+        return [
+            self._engines[instance]
+            for instance in chain.instances
+            if instance in self._engines
+        ]
+
+    def own_streams(self, instance: str) -> int:
+        """Returns how many of this entry's streams an engine runs."""
+        engine = self._engines.get(instance)
+        return engine.own_streams if engine is not None else 0
+
     def add_streams(self, instances: tuple[str, ...], change: int) -> None:
         """Adds to the count of this entry's own streams at engines."""
         for instance in instances:
@@ -99,4 +112,7 @@
             report.running,
             report.leaving,
             known.own_streams if known else 0,
+            report.streams or 0,
+            report.backlog or 0,
+            known.own_streams if known else 0,
         )
--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -1,17 +1,22 @@
 """The entry program: wires its parts together."""
 
+import random
+from collections.abc import Sequence
+
 import falcon
 import gevent
 
 from caroblug.core.limits import Admission
-from caroblug.core.routing import ShortestWaitChooser
+from caroblug.core.routing import LatencyTable, make_chooser
 from caroblug.core.state import BundleFold, Head
 from caroblug.entry._api import make_app
 from caroblug.entry._directory import Directory
 from caroblug.entry._door import Door
+from caroblug.entry._links import LinkProber
 from caroblug.entry._plain import PlainClient
 from caroblug.entry._settings import EntrySettings
 from caroblug.entry._streams import EntryStreams
+from caroblug.entry._subset import Subset
 from caroblug.gen.wire import ttypes as wire
 from caroblug.node import (
     BundleFollower,
@@ -20,6 +25,7 @@
     add_node_routes,
 )
 from caroblug.transport import (
+    InstanceRecord,
     InstancesUnavailable,
     PeerAddress,
     PeerHandler,
@@ -64,6 +70,11 @@
             self.metrics,
             self._on_head,
         )
+        self.latencies = LatencyTable()
+        self.prober = LinkProber(
+            settings.data_centre, self.network, self.latencies, self._clock
+        )
+        self.subset = Subset(settings.instance, settings.subset)
         self.directory = Directory(self._clock, settings.report_age_ms)
         self.streams = EntryStreams(
             wire.StageRef(
@@ -71,11 +82,12 @@
             ),
             self.network,
             self.directory,
-            ShortestWaitChooser(),
+            make_chooser(settings.chooser, random.Random(), self.latencies),
             self._clock,
             self.metrics,
             settings.data_centre,
             settings.attempts,
+            self.latencies,
         )
         self.plain = PlainClient(self.network, self.directory, self.metrics)
         self._instances = make_instance_list(
@@ -96,6 +108,7 @@
         http.start()
         gevent.spawn(self.bundles.run)
         gevent.spawn(self._follow_instances)
+        gevent.spawn(self._probe_links)
         log_state("program.started", port=settings.http_port)
         self.lifetime.wait(lambda: None, self._busy)
         http.stop()
@@ -103,10 +116,12 @@
 
     def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
         """Takes a frame from a side process."""
-        del peer
         for report in frame.reports or ():
             self.directory.on_report(report)
+            self.subset.on_report(report)
             self.metrics.gauge("known_sides", len(self.directory))
+        for probe in frame.probes or ():
+            self.prober.on_probe(peer, probe)
         for token in frame.tokens or ():
             self.streams.on_token(token)
         for refusal in frame.refusals or ():
@@ -148,18 +163,30 @@
             if isinstance(listed, InstancesUnavailable):
                 self.metrics.count("instance_list_failures")
             else:
-                for record in listed:
-                    if record.role == _SIDE_ROLE and not record.leaving:
-                        self._connect(
-                            PeerAddress(
-                                record.instance, record.host, record.port
-                            )
-                        )
+                self._connect_subset(listed)
             gevent.sleep(self.settings.instances_ms / 1000)
 
-    def _connect(self, peer: PeerAddress) -> None:
-        if not self.network.is_connected(peer.instance):
-            self.network.send(peer)
+    def _connect_subset(self, listed: Sequence[InstanceRecord]) -> None:
+        live = {
+            record.instance: record
+            for record in listed
+            if record.role == _SIDE_ROLE and not record.leaving
+        }
+        wanted = self.subset.wanted(live)
+        for instance in sorted(wanted):
+            record = live[instance]
+            if not self.network.is_connected(instance):
+                self.network.send(
+                    PeerAddress(instance, record.host, record.port)
+                )
+        for instance in live.keys() - wanted:
+            if not self.directory.own_streams(instance):
+                self.network.disconnect(instance)
+
+    def _probe_links(self) -> None:
+        while True:
+            gevent.sleep(self.settings.probe_ms / 1000)
+            self.prober.probe()
 
 
 def serve(settings: EntrySettings) -> None:
--- a/caroblug/entry/_settings.py
+++ b/caroblug/entry/_settings.py
@@ -2,8 +2,9 @@
 
 import attrs
 
+from caroblug.core.routing import CHOOSERS
 from caroblug.node import NodeSettings
-from caroblug.utils import count, duration_ms
+from caroblug.utils import choice, count, duration_ms
 
 
 @attrs.frozen(kw_only=True)
@@ -15,9 +16,15 @@
         attempts: Attempts for one request, the first included.
         instances_ms: Time between reads of the instance list.
         report_age_ms: Age at which a side's load report no longer counts.
+        chooser: How chains are chosen; all but `flow` serve comparisons.
+        subset: Engines that this entry connects to, of those listed.
+        probe_ms: Time between measurements of the links.
     """
 
     streams: int = count(1, 100_000, "Streams open at once.", 2000)
     attempts: int = count(1, 16, "Attempts for one request.", 6)
     instances_ms: int = duration_ms("Time between instance list reads.", 500)
     report_age_ms: int = duration_ms("Age at which a report is too old.", 2000)
+    chooser: str = choice(CHOOSERS, "How chains are chosen.", "flow")
+    subset: int = count(1, 10_000, "Engines connected to.", 128)
+    probe_ms: int = duration_ms("Time between link measurements.", 500)
--- a/caroblug/entry/_streams.py
+++ b/caroblug/entry/_streams.py
@@ -6,7 +6,12 @@
 from gevent import queue
 
 from caroblug.core.recovery import EntryStream
-from caroblug.core.routing import Chain, ChainChooser
+from caroblug.core.routing import (
+    Chain,
+    ChainChooser,
+    LatencyTable,
+    check_deadline,
+)
 from caroblug.entry._directory import Directory
 from caroblug.gen.wire import ttypes as wire
 from caroblug.transport import PeerAddress, PeerNetwork
@@ -78,6 +83,7 @@
         metrics: Where attempts are counted.
         data_centre: Where this entry runs.
         attempts: Attempts for one request, the first included.
+        latencies: Latencies between data centres.
     """
 
     def __init__(
@@ -90,6 +96,7 @@
         metrics: Metrics,
         data_centre: str,
         attempts: int,
+        latencies: LatencyTable,
     ) -> None:
         self.attempts = attempts
         self._data_centre = data_centre
@@ -99,6 +106,7 @@
         self._chooser = chooser
         self._clock = clock
         self._metrics = metrics
+        self._latencies = latencies
         self._streams: dict[str, RunningStream] = {}
 
     def __len__(self) -> int:
@@ -177,6 +185,9 @@
                 ran,
                 _RETRY_AFTER_MS,
             )
+        late = self._refuse_late(stream, chain)
+        if late is not None:
+            return late
         if stream.chain is not None:
             self._directory.add_streams(stream.chain.instances, -1)
         stream.chain = chain
@@ -184,6 +195,30 @@
         self._open(stream)
         return None
 
+    def _refuse_late(
+        self, stream: RunningStream, chain: Chain
+    ) -> Refused | None:
+        """Refuses a new request whose deadline can't be met."""
+        request = stream.request
+        views = self._directory.views(chain)
+        if stream.tokens.attempt or len(views) < len(chain.stages):
+            return None
+        late = check_deadline(
+            views,
+            self._latencies,
+            len(request.prompt),
+            request.max_tokens,
+            request.deadline_ms,
+        )
+        if late is None:
+            return None
+        return Refused(
+            RefusalType.DEADLINE_EXCEEDED,
+            "the deadline can't be met at the present load",
+            Ran.NO,
+            late.retry_after_ms,
+        )
+
     def _choose(self, stream: RunningStream) -> Chain | None:
         """Chooses a chain, first one that keeps the stages still alive."""
         request = stream.request
@@ -193,7 +228,11 @@
             if kept is not None:
                 return kept
         return self._chooser.choose(
-            engines, request.layers, self._data_centre, stream.excluded
+            engines,
+            request.layers,
+            self._data_centre,
+            stream.excluded,
+            request.prompt,
         )
 
     def _replace_stages(self, stream, engines) -> Chain | None:
--- /dev/null
+++ b/caroblug/entry/_subset.py
@@ -0,0 +1,57 @@
+"""Which side processes this entry is connected with."""
+
+import collections
+from collections.abc import Collection
+
+from caroblug.core.routing import Kind, choose_subset, choose_unknown
+from caroblug.gen.wire import ttypes as wire
+
+_ASKED_AT_ONCE = 32
+
+
+class Subset:
+    """Learns what instances serve, and keeps to some of each kind.
+
+    The instance list does not say what an instance serves. Each is asked
+    once, a few at a time, by connecting to it; its first report tells.
+
+    Args:
+        owner: Name of the entry.
+        size: Engines to be connected with.
+    """
+
+    def __init__(self, owner: str, size: int) -> None:
+        self.owner = owner
+        self.size = size
+        self._kinds: dict[str, Kind] = {}
+        self._asked: collections.Counter[str] = collections.Counter()
+
+    def on_report(self, report: wire.LoadReport) -> None:
+        """Learns what an instance serves."""
+        if report.target:
+            self._kinds[report.instance] = Kind(
+                report.target,
+                report.data_centre,
+                report.first_layer or 0,
+                report.end_layer or 0,
+            )
+
+    def wanted(self, listed: Collection[str]) -> frozenset[str]:
+        """Returns the listed instances to be connected with.
+
+        Guards against instances that are listed but never answer: those that
+        were asked least often come first, so that they do not hold up the
+        others.
+        """
+        for gone in self._kinds.keys() - set(listed):
+            del self._kinds[gone]
+        for gone in self._asked.keys() - set(listed):
+            del self._asked[gone]
+        if len(listed) <= self.size:
+            return frozenset(listed)
+        unknown = [i for i in listed if i not in self._kinds]
+        fewest = min((self._asked[i] for i in unknown), default=0)
+        turn = [i for i in unknown if self._asked[i] == fewest]
+        asked = choose_unknown(self.owner, turn, _ASKED_AT_ONCE)
+        self._asked.update(asked)
+        return choose_subset(self.owner, self._kinds, self.size) | asked
--- a/caroblug/gen/wire/ttypes.py
+++ b/caroblug/gen/wire/ttypes.py
@@ -1076,6 +1076,8 @@
      - bundle_version
      - host
      - port
+     - streams: Streams open at this engine, from every entry.
+     - backlog: Positions that wait or run.
 
     """
 
@@ -1093,10 +1095,12 @@
         'bundle_version',
         'host',
         'port',
+        'streams',
+        'backlog',
     )
 
 
-    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None,):
+    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None, streams=None, backlog=None,):
         self.instance = instance
         self.role = role
         self.data_centre = data_centre
@@ -1110,6 +1114,8 @@
         self.bundle_version = bundle_version
         self.host = host
         self.port = port
+        self.streams = streams
+        self.backlog = backlog
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1185,6 +1191,16 @@
                     self.port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I32:
+                    self.streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I32:
+                    self.backlog = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1247,6 +1263,14 @@
             oprot.writeFieldBegin('port', TType.I32, 13)
             oprot.writeI32(self.port)
             oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 20)
+            oprot.writeI32(self.streams)
+            oprot.writeFieldEnd()
+        if self.backlog is not None:
+            oprot.writeFieldBegin('backlog', TType.I32, 21)
+            oprot.writeI32(self.backlog)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1784,6 +1808,88 @@
         return not (self == other)
 
 
+class LinkProbe(object):
+    """
+    Measures a link: sent back by the peer with `answer` set.
+
+    Attributes:
+     - sent_ms: The asker's own clock; of no meaning to the peer.
+     - answer
+
+    """
+
+    __slots__ = (
+        'sent_ms',
+        'answer',
+    )
+
+
+    def __init__(self, sent_ms=None, answer=None,):
+        self.sent_ms = sent_ms
+        self.answer = answer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sent_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.answer = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LinkProbe')
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I64, 1)
+            oprot.writeI64(self.sent_ms)
+            oprot.writeFieldEnd()
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.BOOL, 2)
+            oprot.writeBool(self.answer)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -1797,6 +1903,7 @@
      - calls
      - replies
      - heartbeats
+     - probes
 
     """
 
@@ -1811,10 +1918,11 @@
         'calls',
         'replies',
         'heartbeats',
+        'probes',
     )
 
 
-    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None,):
+    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None, probes=None,):
         self.opens = opens
         self.needs = needs
         self.steps = steps
@@ -1825,6 +1933,7 @@
         self.calls = calls
         self.replies = replies
         self.heartbeats = heartbeats
+        self.probes = probes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1945,6 +2054,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.probes = []
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = LinkProbe()
+                        _elem100.read(iprot)
+                        self.probes.append(_elem100)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1958,71 +2078,78 @@
         if self.opens is not None:
             oprot.writeFieldBegin('opens', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.opens))
-            for iter95 in self.opens:
-                iter95.write(oprot)
+            for iter101 in self.opens:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.needs is not None:
             oprot.writeFieldBegin('needs', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.needs))
-            for iter96 in self.needs:
-                iter96.write(oprot)
+            for iter102 in self.needs:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter97 in self.steps:
-                iter97.write(oprot)
+            for iter103 in self.steps:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.tokens))
-            for iter98 in self.tokens:
-                iter98.write(oprot)
+            for iter104 in self.tokens:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cancels is not None:
             oprot.writeFieldBegin('cancels', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.cancels))
-            for iter99 in self.cancels:
-                iter99.write(oprot)
+            for iter105 in self.cancels:
+                iter105.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter100 in self.refusals:
-                iter100.write(oprot)
+            for iter106 in self.refusals:
+                iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter101 in self.reports:
-                iter101.write(oprot)
+            for iter107 in self.reports:
+                iter107.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter102 in self.calls:
-                iter102.write(oprot)
+            for iter108 in self.calls:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.replies is not None:
             oprot.writeFieldBegin('replies', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.replies))
-            for iter103 in self.replies:
-                iter103.write(oprot)
+            for iter109 in self.replies:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.heartbeats))
-            for iter104 in self.heartbeats:
-                iter104.write(oprot)
+            for iter110 in self.heartbeats:
+                iter110.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.probes is not None:
+            oprot.writeFieldBegin('probes', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.probes))
+            for iter111 in self.probes:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2142,6 +2269,14 @@
     (11, TType.I32, 'bundle_version', None, None, ),  # 11
     (12, TType.STRING, 'host', 'UTF8', None, ),  # 12
     (13, TType.I32, 'port', None, None, ),  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.I32, 'streams', None, None, ),  # 20
+    (21, TType.I32, 'backlog', None, None, ),  # 21
 )
 all_structs.append(Header)
 Header.thrift_spec = (
@@ -2181,6 +2316,12 @@
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
 )
+all_structs.append(LinkProbe)
+LinkProbe.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sent_ms', None, None, ),  # 1
+    (2, TType.BOOL, 'answer', None, None, ),  # 2
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2194,6 +2335,16 @@
     (8, TType.LIST, 'calls', (TType.STRUCT, [PlainCall, None], False), None, ),  # 8
     (9, TType.LIST, 'replies', (TType.STRUCT, [PlainReply, None], False), None, ),  # 9
     (10, TType.LIST, 'heartbeats', (TType.STRUCT, [Heartbeat, None], False), None, ),  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.LIST, 'probes', (TType.STRUCT, [LinkProbe, None], False), None, ),  # 20
 )
 fix_spec(all_structs)
 del all_structs
--- a/caroblug/side/_pump.py
+++ b/caroblug/side/_pump.py
@@ -62,12 +62,18 @@
         self._dropped: set[str] = set()
         self._wake = event.Event()
         self._running = 0
+        self._backlog = 0
 
     @property
     def waiting(self) -> int:
         """Items that wait."""
         return len(self._queue) + sum(len(h) for h in self._held.values())
 
+    @property
+    def backlog(self) -> int:
+        """Positions that wait or are in the engine."""
+        return self._backlog
+
     @property
     def running(self) -> int:
         """Items in the engine."""
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -99,6 +99,9 @@
 
     def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
         """Takes a frame from a peer."""
+        for probe in frame.probes or ():
+            if not probe.answer:
+                self.network.send(peer, wire.LinkProbe(probe.sent_ms, True))
         if self._streams is not None:
             self._on_stream_messages(self._streams, frame)
         if self._calls is not None:
@@ -229,6 +232,8 @@
             report.tokens_per_s = description.tokens_per_s
             report.waiting = self._pump.waiting
             report.running = self._pump.running
+            report.streams = len(self._streams)
+            report.backlog = self._pump.backlog
         return report
 
 
--- a/caroblug/transport/_peers.py
+++ b/caroblug/transport/_peers.py
@@ -33,6 +33,7 @@
     wire.PlainCall: "calls",
     wire.PlainReply: "replies",
     wire.Heartbeat: "heartbeats",
+    wire.LinkProbe: "probes",
 }
 
 
@@ -168,6 +169,11 @@
         self._dialling[to.instance] = list(messages)
         gevent.spawn(self._dial, to)
 
+    def disconnect(self, instance: str) -> None:
+        """Closes every connection with a peer."""
+        for link in list(self._links.get(instance, ())):
+            self._drop(link, "not needed")
+
     def broadcast(self, role: str, *messages: object) -> None:
         """Queues messages for every connected peer of a role."""
         for links in list(self._links.values()):
--- a/thrift/caroblug.thrift
+++ b/thrift/caroblug.thrift
@@ -101,6 +101,10 @@
   11: i32 bundle_version
   12: string host
   13: i32 port
+  /** Streams open at this engine, from every entry. */
+  20: i32 streams
+  /** Positions that wait or run. */
+  21: i32 backlog
 }
 
 struct Header {
@@ -140,6 +144,15 @@
   1: i64 sequence
 }
 
+// Area: routing.
+
+/** Measures a link: sent back by the peer with `answer` set. */
+struct LinkProbe {
+  /** The asker's own clock; of no meaning to the peer. */
+  1: i64 sent_ms
+  2: bool answer
+}
+
 struct Frame {
   1: list<OpenStream> opens
   2: list<Need> needs
@@ -151,4 +164,5 @@
   8: list<PlainCall> calls
   9: list<PlainReply> replies
   10: list<Heartbeat> heartbeats
+  20: list<LinkProbe> probes
 }
