--- a/caroblug/bundle/__init__.py
+++ b/caroblug/bundle/__init__.py
@@ -1,5 +1,5 @@
 """The operators' tool: keys, checks, signatures, publishing."""
 
-from caroblug.bundle._commands import run
+from caroblug.bundle._parser import run
 
 __all__ = ["run"]
--- a/caroblug/bundle/_commands.py
+++ b/caroblug/bundle/_commands.py
@@ -4,197 +4,288 @@
 import json
 import pathlib
 import sys
-import tomllib
+from typing import Any
 
+import tomli_w
 from cryptography.hazmat.primitives.asymmetric.ed25519 import (
     Ed25519PrivateKey,
 )
 
-import caroblug
+from caroblug.bundle import _fleet
+from caroblug.bundle._diff import diff_tables, merge_tables
+from caroblug.bundle._files import BundleFile
+from caroblug.bundle._log import Accepted, Beaten, BundleLog, Unknown
 from caroblug.core.state import (
-    Applied,
-    BundleFold,
-    Head,
+    BundleRecord,
+    Rejected,
+    check_bundle_table,
     decode_record,
     encode_record,
     hash_key,
+    join_sections,
     make_key,
     make_record,
-    parse_bundle,
     sign_record,
     split_sections,
+    verified_signers,
 )
-from caroblug.core.state._sections import section_hash
-from caroblug.node import BUNDLE_STREAM
-from caroblug.transport import LogService, LogUnavailable, make_log_service
-from caroblug.utils import SettingsRejected
-
-_OK = 0
-_FAILED = 1
-_USAGE = 2
+from caroblug.transport import (
+    InstancesUnavailable,
+    LogUnavailable,
+    make_instance_list,
+    make_log_service,
+)
+from caroblug.utils import MonotonicClock
+
+OK = 0
+FAILED = 1
+USAGE = 2
 _PRIVATE_MODE = 0o600
+_MS_PER_S = 1000
 
 
-def _keygen(options: argparse.Namespace) -> int:
+def keygen(options: argparse.Namespace) -> int:
+    """Makes an operator's key pair; prints the public key."""
     key = Ed25519PrivateKey.generate()
     path = pathlib.Path(options.out)
     path.touch(mode=_PRIVATE_MODE, exist_ok=False)
     path.write_text(key.private_bytes_raw().hex() + "\n")
     print(key.public_key().public_bytes_raw().hex())
-    return _OK
+    return OK
 
 
-def _newkey(options: argparse.Namespace) -> int:
+def newkey(options: argparse.Namespace) -> int:
+    """Makes a caller's key; prints it with its hash."""
     key = make_key(options.client_account)
     print(json.dumps({"key": key, "key_hash": hash_key(key)}))
-    return _OK
+    return OK
 
 
-def _check(options: argparse.Namespace) -> int:
-    text = pathlib.Path(options.bundle).read_text()
-    parsed = parse_bundle(text, pathlib.Path(options.bundle).name)
-    if isinstance(parsed, SettingsRejected):
-        for problem in parsed.problems:
-            print(problem, file=sys.stderr)
-        return _USAGE
-    print(f"{options.bundle}: ok")
-    return _OK
+def check(options: argparse.Namespace) -> int:
+    """Prints every mistake in a bundle."""
+    if _print_mistakes(options.bundle):
+        return USAGE
+    print(f"{options.bundle.path}: ok")
+    return OK
 
 
-def _sign(options: argparse.Namespace) -> int:
+def diff(options: argparse.Namespace) -> int:
+    """Prints what a bundle changes, and for whom."""
+    if options.against is not None:
+        old = options.against.table
+    else:
+        log = _open_log(options)
+        if log is None:
+            return FAILED
+        old = join_sections(log.head.sections) if log.head else {}
+    changes = diff_tables(old, options.bundle.table)
+    for change in changes:
+        print(change)
+    print(f"{len(changes)} changes")
+    return OK
+
+
+def sign(options: argparse.Namespace) -> int:
     """Makes a record on the log's head, or adds a signature to one."""
-    if _check(options) != _OK:
-        return _USAGE
-    private_key = bytes.fromhex(pathlib.Path(options.key).read_text().strip())
+    if _print_mistakes(options.bundle):
+        return USAGE
+    log = _open_log(options)
+    if log is None:
+        return FAILED
     out = pathlib.Path(options.out)
+    parent = log.head.digest if log.head else ""
+    record = _new_record(options.bundle.table, log)
     if out.exists():
-        record = decode_record(out.read_bytes())
-        if record is None:
-            print(f"{out}: not a bundle record", file=sys.stderr)
-            return _USAGE
-    else:
-        head = _read_head(_log_of(options), options)
-        if isinstance(head, LogUnavailable):
-            print(f"the log gave no answer: {head.message}", file=sys.stderr)
-            return _FAILED
-        table = tomllib.loads(pathlib.Path(options.bundle).read_text())
-        record = make_record(
-            split_sections(table),
-            head.version + 1 if head else 1,
-            head.digest if head else "",
-            [section_hash(s) for s in head.sections.values()] if head else (),
-        )
-    record = sign_record(record, private_key)
+        held = _read_record(out)
+        if held is None:
+            return USAGE
+        if held.manifest != record.manifest:
+            return _complain(f"{out}: is not made from {options.bundle.path}")
+        if held.parent != parent:
+            return _complain(
+                f"{out}: another version has won since it was made; "
+                "remove it and sign anew, or see `rebase`",
+                FAILED,
+            )
+        record = held
+    record = sign_record(record, options.key)
     out.write_bytes(encode_record(record))
+    signers = len(verified_signers(record, options.operator))
     print(f"version {record.version} digest {record.digest}")
-    return _OK
-
-
-def _publish(options: argparse.Namespace) -> int:
-    record = decode_record(pathlib.Path(options.record).read_bytes())
-    if record is None:
-        print(f"{options.record}: not a bundle record", file=sys.stderr)
-        return _USAGE
-    log = _log_of(options)
-    outcome = log.append(BUNDLE_STREAM, encode_record(record))
-    if isinstance(outcome, LogUnavailable):
-        print(f"the log gave no answer: {outcome.message}", file=sys.stderr)
-        return _FAILED
-    head = _read_head(log, options)
-    if isinstance(head, Head) and head.digest == record.digest:
+    print(f"{signers} of {options.signatures} signatures")
+    return OK
+
+
+def rebase(options: argparse.Namespace) -> int:
+    """Puts a record's changes onto the version that has won."""
+    log = _open_log(options)
+    if log is None:
+        return FAILED
+    record = options.record.record
+    base = log.table(record.parent)
+    if base is None or log.head is None:
+        return _complain(
+            "the log no longer holds the version that the record is based "
+            "on; compare with `diff` and edit the bundle by hand",
+            FAILED,
+        )
+    held = record.sections | {
+        record.manifest[name]: body
+        for name, body in split_sections(base).items()
+        if name in record.manifest
+    }
+    if any(key not in held for key in record.manifest.values()):
+        return _complain("the record lacks sections of its parent")
+    mine = join_sections({n: held[k] for n, k in record.manifest.items()})
+    merged = merge_tables(base, mine, join_sections(log.head.sections))
+    pathlib.Path(options.out).write_text(tomli_w.dumps(merged.table))
+    for place in merged.conflicts:
+        print(f"{place}: both changed it; version {log.head.version} stays")
+    print(f"{options.out}: based on version {log.head.version}")
+    return FAILED if merged.conflicts else OK
+
+
+def publish(options: argparse.Namespace) -> int:
+    """Appends a record and tells what became of it."""
+    record = options.record.record
+    signers = len(verified_signers(record, options.operator))
+    if signers < options.signatures:
+        return _complain(
+            f"{options.record.path}: {signers} valid signatures, "
+            f"{options.signatures} needed"
+        )
+    log = _make_log(options)
+    outcome = log.publish(record, options.wait_s * _MS_PER_S)
+    if isinstance(outcome, Accepted):
         print(f"version {record.version} is accepted")
-        return _OK
-    print("not accepted: another version is the head", file=sys.stderr)
-    return _FAILED
+        return OK
+    if isinstance(outcome, Beaten):
+        return _complain(
+            f"not accepted: version {outcome.version} digest "
+            f"{outcome.digest} won. To rebase:\n"
+            f"  caroblug-bundle rebase {options.record.path} "
+            "--out REBASED.toml ...\n"
+            "then diff, sign and publish REBASED.toml",
+            FAILED,
+        )
+    if isinstance(outcome, Rejected):
+        return _complain(f"not accepted: {outcome.reason}", FAILED)
+    return _complain(_unknown_text(outcome), FAILED)
 
 
-def _status(options: argparse.Namespace) -> int:
-    head = _read_head(_log_of(options), options)
-    if isinstance(head, LogUnavailable):
-        print(f"the log gave no answer: {head.message}", file=sys.stderr)
-        return _FAILED
+def status(options: argparse.Namespace) -> int:
+    """Prints the head, and each instance's version and since when."""
+    log = _open_log(options)
+    if log is None:
+        return FAILED
+    head = log.head
     if head is None:
         print("no bundle has been published")
-        return _OK
-    print(f"version {head.version} digest {head.digest}")
-    return _OK
-
-
-def _log_of(options: argparse.Namespace) -> LogService:
-    host, _, port = options.log.rpartition(":")
-    return make_log_service(host, int(port))
-
-
-def _read_head(
-    log: LogService, options: argparse.Namespace
-) -> Head | LogUnavailable | None:
-    fold = BundleFold(options.operator, options.signatures)
-    offset = 0
-    while True:
-        records = log.read(BUNDLE_STREAM, offset)
-        if isinstance(records, LogUnavailable):
-            return records
-        for record in records.records:
-            outcome = fold.on_record(record.data)
-            if isinstance(outcome, Applied):
-                continue
-        offset = records.next_offset
-        if offset >= records.end_offset:
-            return fold.head
-
-
-def _add_log_options(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("--log", required=True, metavar="HOST:PORT")
-    parser.add_argument(
-        "--operator",
-        action="append",
-        required=True,
-        metavar="PUBLIC_KEY",
-        help="an operator's public key; may be given several times",
+    else:
+        print(f"version {head.version} digest {head.digest}")
+    if options.instances is None:
+        return OK
+    listed = _make_instances(options).fetch()
+    if isinstance(listed, InstancesUnavailable):
+        return _complain(
+            f"the instance list gave no answer: {listed.message}", FAILED
+        )
+    statuses = _fleet.ask_all(listed)
+    for instance in statuses:
+        print(_fleet.status_line(instance))
+    version = head.version if head else 0
+    at_head = sum(s.answered and s.version == version for s in statuses)
+    print(f"{at_head} of {len(statuses)} instances have version {version}")
+    return OK if at_head == len(statuses) else FAILED
+
+
+def withdraw(options: argparse.Namespace) -> int:
+    """Takes an instance out and waits until it has drained."""
+    outcome = _fleet.withdraw(
+        _make_instances(options),
+        options.instance,
+        options.wait_s * _MS_PER_S,
+        MonotonicClock(),
+    )
+    if isinstance(outcome, _fleet.Drained):
+        print(f"{options.instance} has drained")
+        return OK
+    if isinstance(outcome, _fleet.NotListed):
+        return _complain(f"{options.instance}: is not on the instance list")
+    if isinstance(outcome, _fleet.StillRunning):
+        left = "it has not said what" if outcome.running < 0 else "requests"
+        count = "" if outcome.running < 0 else f"{outcome.running} "
+        return _complain(
+            f"{options.instance} is leaving but still runs {count}{left}",
+            FAILED,
+        )
+    return _complain(
+        f"the instance list gave no answer: {outcome.message}", FAILED
+    )
+
+
+def _new_record(table: dict[str, Any], log: BundleLog) -> BundleRecord:
+    """Returns an unsigned child of the head.
+
+    It leaves out what the head has already, unless the log itself no longer
+    holds the whole head: then a whole record lets every reader go on.
+    """
+    head = log.head
+    known = head.bodies() if head and not log.lacks_sections else ()
+    return make_record(
+        split_sections(table),
+        head.version + 1 if head else 1,
+        head.digest if head else "",
+        known,
     )
-    parser.add_argument("--signatures", type=int, default=1)
 
 
-def _make_parser() -> argparse.ArgumentParser:
-    parser = argparse.ArgumentParser(
-        "caroblug-bundle", description="Makes and publishes signed bundles."
+def _print_mistakes(bundle: BundleFile) -> bool:
+    problems = check_bundle_table(bundle.table, bundle.path.name)
+    for problem in problems:
+        print(problem, file=sys.stderr)
+    return bool(problems)
+
+
+def _read_record(path: pathlib.Path) -> BundleRecord | None:
+    record = decode_record(path.read_bytes())
+    if record is None:
+        _complain(f"{path}: is not a bundle record")
+    return record
+
+
+def _make_log(options: argparse.Namespace) -> BundleLog:
+    return BundleLog(
+        make_log_service(options.log.host, options.log.port),
+        options.operator,
+        options.signatures,
+        MonotonicClock(),
     )
-    parser.add_argument(
-        "--version", action="version", version=caroblug.__version__
+
+
+def _make_instances(options: argparse.Namespace) -> Any:
+    return make_instance_list(options.instances.host, options.instances.port)
+
+
+def _open_log(options: argparse.Namespace) -> BundleLog | None:
+    """Returns the log, read to its end; None if it gives no answer."""
+    log = _make_log(options)
+    failed = log.read()
+    if isinstance(failed, LogUnavailable):
+        _complain(f"the log gave no answer: {failed.message}")
+        return None
+    return log
+
+
+def _unknown_text(outcome: Unknown) -> str:
+    if not outcome.maybe_written:
+        return f"the log gave no answer: {outcome.message}; nothing was written"
+    return (
+        f"the log gave no answer: {outcome.message}; the record may be in "
+        "it. Publish the same record again: it is looked up first"
     )
-    commands = parser.add_subparsers(dest="command", required=True)
-
-    keygen = commands.add_parser("keygen", help="make an operator's key")
-    keygen.add_argument("--out", required=True, metavar="FILE")
-    keygen.set_defaults(run=_keygen)
-
-    newkey = commands.add_parser("newkey", help="make a caller's key")
-    newkey.add_argument("--client-account", required=True)
-    newkey.set_defaults(run=_newkey)
-
-    check = commands.add_parser("check", help="report every mistake")
-    check.add_argument("bundle", metavar="BUNDLE.toml")
-    check.set_defaults(run=_check)
-
-    sign = commands.add_parser("sign", help="make or co-sign a record")
-    sign.add_argument("bundle", metavar="BUNDLE.toml")
-    sign.add_argument("--key", required=True, metavar="FILE")
-    sign.add_argument("--out", required=True, metavar="RECORD")
-    _add_log_options(sign)
-    sign.set_defaults(run=_sign)
-
-    publish = commands.add_parser("publish", help="append a record")
-    publish.add_argument("record", metavar="RECORD")
-    _add_log_options(publish)
-    publish.set_defaults(run=_publish)
-
-    status = commands.add_parser("status", help="show the version in force")
-    _add_log_options(status)
-    status.set_defaults(run=_status)
-    return parser
-
-
-def run(arguments: list[str] | None = None) -> int:
-    """Runs one command and returns its exit code."""
-    options = _make_parser().parse_args(arguments)
-    return options.run(options)
+
+
+def _complain(message: str, code: int = USAGE) -> int:
+    print(message, file=sys.stderr)
+    return code
--- a/caroblug/core/state/_records.py
+++ b/caroblug/core/state/_records.py
@@ -1,7 +1,9 @@
 """Bundle records: what an operator appends to the log."""
 
 import hashlib
+import hmac
 from collections.abc import Collection
+from typing import Any
 
 import attrs
 import orjson
@@ -15,6 +17,9 @@
 
 _DOMAIN = b"caroblug bundle 1\n"
 _DIGEST_BYTES = 20
+_MAX_KEY = 64
+_BUNDLE = "bundle"
+_SNAPSHOT = "snapshot"
 
 
 @attrs.frozen
@@ -66,6 +71,19 @@
         return _DOMAIN + orjson.dumps(body, option=orjson.OPT_SORT_KEYS)
 
 
+@attrs.frozen
+class Snapshot:
+    """A head that an instance appends again before its record expires.
+
+    Attributes:
+        record: The head's record with all of its sections.
+        offset: Where in the log the record was accepted.
+    """
+
+    record: BundleRecord
+    offset: int
+
+
 def make_record(
     sections: dict[str, bytes],
     version: int,
@@ -119,8 +137,66 @@
 
 def encode_record(record: BundleRecord) -> bytes:
     """Returns the record as deterministic JSON."""
-    body = {
-        "kind": "bundle",
+    body = _record_body(record)
+    return orjson.dumps(body, option=orjson.OPT_SORT_KEYS)
+
+
+def encode_snapshot(snapshot: Snapshot, key: bytes) -> bytes:
+    """Returns a snapshot as deterministic JSON.
+
+    Args:
+        snapshot: The snapshot.
+        key: Key that only processes of the system hold.
+    """
+    body = _record_body(snapshot.record)
+    body["kind"] = _SNAPSHOT
+    body["offset"] = snapshot.offset
+    body["code"] = _snapshot_code(snapshot, key)
+    return orjson.dumps(body, option=orjson.OPT_SORT_KEYS)
+
+
+def decode_snapshot(data: bytes, keys: Collection[bytes]) -> Snapshot | None:
+    """Returns the snapshot, or None if these bytes are not one.
+
+    Args:
+        data: A record of the log.
+        keys: Keys of which one must have made its code; none accepts any
+            snapshot, for a reader that only looks.
+    """
+    try:
+        body = orjson.loads(data)
+        if body["kind"] != _SNAPSHOT or type(body["offset"]) is not int:
+            return None
+        record = _parse_record(body)
+        code = str(body["code"])
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return None
+    if record is None:
+        return None
+    snapshot = Snapshot(record, body["offset"])
+    if keys and not any(
+        hmac.compare_digest(_snapshot_code(snapshot, key), code) for key in keys
+    ):
+        return None
+    return snapshot
+
+
+def _snapshot_code(snapshot: Snapshot, key: bytes) -> str:
+    """Returns the code that proves who says where a record was accepted.
+
+    Guards against a replay that claims an early offset for a record that
+    lost its race: whoever can write to the log could otherwise turn readers
+    whose history is truncated to it.
+    """
+    text = f"{snapshot.record.digest} {snapshot.offset}"
+    return hashlib.blake2b(
+        _DOMAIN + text.encode(), key=key[:_MAX_KEY], digest_size=_DIGEST_BYTES
+    ).hexdigest()
+
+
+def _record_body(record: BundleRecord) -> dict[str, Any]:
+    return {
+        "kind": _BUNDLE,
         "version": record.version,
         "parent": record.parent,
         "manifest": record.manifest,
@@ -131,7 +207,6 @@
             {"key": s.key, "value": s.value} for s in record.signatures
         ],
     }
-    return orjson.dumps(body, option=orjson.OPT_SORT_KEYS)
 
 
 def decode_record(data: bytes) -> BundleRecord | None:
@@ -142,20 +217,24 @@
     """
     try:
         body = orjson.loads(data)
-        if body["kind"] != "bundle" or body["version"] < 1:
-            return None
-        sections = {k: v.encode() for k, v in body["sections"].items()}
-        if any(section_hash(v) != k for k, v in sections.items()):
-            return None
-        return BundleRecord(
-            int(body["version"]),
-            str(body["parent"]),
-            {str(k): str(v) for k, v in body["manifest"].items()},
-            sections,
-            tuple(
-                Signature(str(s["key"]), str(s["value"]))
-                for s in body["signatures"]
-            ),
-        )
+        return _parse_record(body) if body["kind"] == _BUNDLE else None
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
+
+
+def _parse_record(body: dict[str, Any]) -> BundleRecord | None:
+    if type(body["version"]) is not int or body["version"] < 1:
+        return None
+    sections = {k: v.encode() for k, v in body["sections"].items()}
+    if any(section_hash(v) != k for k, v in sections.items()):
+        return None
+    return BundleRecord(
+        body["version"],
+        str(body["parent"]),
+        {str(k): str(v) for k, v in body["manifest"].items()},
+        sections,
+        tuple(
+            Signature(str(s["key"]), str(s["value"]))
+            for s in body["signatures"]
+        ),
+    )
--- a/caroblug/core/state/_sections.py
+++ b/caroblug/core/state/_sections.py
@@ -11,7 +11,7 @@
 import xxhash
 
 ACCOUNT_SHARDS = 256
-_ACCOUNTS = "client_accounts"
+ACCOUNTS = "client_accounts"
 _DIGEST_BYTES = 20
 
 
@@ -36,12 +36,12 @@
     """
     sections = {}
     for key, value in table.items():
-        if key != _ACCOUNTS:
+        if key != ACCOUNTS:
             sections[key] = _canonical(value)
     shards: dict[str, dict[str, Any]] = {}
-    for account, rule in table.get(_ACCOUNTS, {}).items():
+    for account, rule in table.get(ACCOUNTS, {}).items():
         shard = xxhash.xxh32_intdigest(account.encode()) % ACCOUNT_SHARDS
-        shards.setdefault(f"{_ACCOUNTS}/{shard:03d}", {})[account] = rule
+        shards.setdefault(f"{ACCOUNTS}/{shard:03d}", {})[account] = rule
     for key, value in shards.items():
         sections[key] = _canonical(value)
     return sections
@@ -52,8 +52,8 @@
     table: dict[str, Any] = {}
     for key in sorted(sections):
         value = orjson.loads(sections[key])
-        if key.startswith(f"{_ACCOUNTS}/"):
-            table.setdefault(_ACCOUNTS, {}).update(value)
+        if key.startswith(f"{ACCOUNTS}/"):
+            table.setdefault(ACCOUNTS, {}).update(value)
         else:
             table[key] = value
     return table
--- a/caroblug/core/state/tests/test_fold.py
+++ b/caroblug/core/state/tests/test_fold.py
@@ -1,5 +1,6 @@
 """Tests of the fold of bundle records."""
 
+import attrs
 from cryptography.hazmat.primitives.asymmetric.ed25519 import (
     Ed25519PrivateKey,
 )
@@ -7,10 +8,15 @@
 from caroblug.core.state import (
     Applied,
     BundleFold,
+    Deferred,
     Ignored,
+    LogEntry,
     Lost,
+    Missing,
     Rejected,
+    Snapshot,
     encode_record,
+    encode_snapshot,
     join_sections,
     make_record,
     sign_record,
@@ -18,6 +24,7 @@
 )
 
 _KEY = Ed25519PrivateKey.from_private_bytes(bytes(range(32)))
+_SNAPSHOT_KEY = b"key that only instances hold"
 _OPERATOR = _KEY.public_key().public_bytes_raw().hex()
 
 
@@ -28,7 +35,21 @@
 
 
 def _fold():
-    return BundleFold([_OPERATOR], 1)
+    return BundleFold([_OPERATOR], 1, [_SNAPSHOT_KEY])
+
+
+def _chain(count):
+    """Returns `count` records, each the child of the one before."""
+    records = [_record(8, 1, "")]
+    while len(records) < count:
+        last = records[-1]
+        records.append(_record(8 + len(records), last.version + 1, last.digest))
+    return records
+
+
+def _page(fold, offset, records, end):
+    entries = [LogEntry(offset + n, data) for n, data in enumerate(records)]
+    return fold.on_page(entries, offset + len(records), end)
 
 
 def test_racing_operators_have_one_winner():
@@ -38,12 +59,12 @@
     the head, the other is told which one won.
     """
     fold = _fold()
-    first = fold.on_record(encode_record(_record(8, 1, "")))
+    first = fold.on_record(encode_record(_record(8, 1, "")), 0)
     assert isinstance(first, Applied)
     winner = _record(9, 2, first.head.digest)
     loser = _record(10, 2, first.head.digest)
-    assert isinstance(fold.on_record(encode_record(winner)), Applied)
-    outcome = fold.on_record(encode_record(loser))
+    assert isinstance(fold.on_record(encode_record(winner), 1), Applied)
+    outcome = fold.on_record(encode_record(loser), 2)
     assert outcome == Lost(loser.digest, 2, winner.digest)
 
 
@@ -54,15 +75,15 @@
     """
     fold = _fold()
     old = _record(8, 1, "")
-    head = fold.on_record(encode_record(old)).head
-    fold.on_record(encode_record(_record(9, 2, head.digest)))
-    assert isinstance(fold.on_record(encode_record(old)), Ignored)
+    head = fold.on_record(encode_record(old), 0).head
+    fold.on_record(encode_record(_record(9, 2, head.digest)), 1)
+    assert isinstance(fold.on_record(encode_record(old), 2), Ignored)
     assert fold.head.version == 2
 
 
 def test_unsigned_record_is_rejected():
     fold = BundleFold([_OPERATOR], 2)
-    outcome = fold.on_record(encode_record(_record(8, 1, "")))
+    outcome = fold.on_record(encode_record(_record(8, 1, "")), 0)
     assert isinstance(outcome, Rejected)
     assert fold.head is None
 
@@ -75,3 +96,135 @@
         },
     }
     assert join_sections(split_sections(table)) == table
+
+
+def test_loser_is_not_taken_where_the_winner_has_expired():
+    """Half of the fleet runs one version 3 and half another.
+
+    An instance is cut off at version 2 while the log drops records. The
+    winner of version 3 has expired, the loser appended after it has not, and
+    it names version 2 as its parent. The winner's snapshot comes later in
+    the log; it says where the winner was accepted.
+    """
+    one, two, winner = _chain(3)
+    loser = _record(99, 3, two.digest)
+    fold = _fold()
+    _page(fold, 0, [encode_record(one), encode_record(two)], 2)
+    snapshot = encode_snapshot(Snapshot(winner, 2), _SNAPSHOT_KEY)
+    outcomes = _page(fold, 3, [encode_record(loser), snapshot], 5)
+    assert isinstance(outcomes[0], Deferred)
+    assert fold.head.digest == winner.digest
+
+
+def test_forged_snapshot_does_not_turn_a_race():
+    """A record that lost comes into force at new instances only.
+
+    Somebody who can write to the log appends the loser as a snapshot that
+    claims an early offset; without the instances' key it counts for nothing.
+    """
+    one, two, winner = _chain(3)
+    loser = _record(99, 3, two.digest)
+    forged = encode_snapshot(Snapshot(loser, 0), b"another key")
+    real = encode_snapshot(Snapshot(winner, 2), _SNAPSHOT_KEY)
+    fold = _fold()
+    _page(fold, 3, [forged, real], 5)
+    assert fold.head.digest == winner.digest
+
+
+def test_head_taken_too_early_is_put_right_and_then_followed():
+    """An instance that joined after an outage keeps an old rival's limits.
+
+    The log came back empty and the loser was appended again before the
+    winner's snapshot. The instance took the loser; the snapshot corrects it,
+    and the next version then applies in order.
+    """
+    one, two, winner, child = _chain(4)
+    loser = _record(99, 3, two.digest)
+    fold = _fold()
+    _page(fold, 9, [encode_record(loser)], 10)
+    assert fold.head.digest == loser.digest
+    snapshot = encode_snapshot(Snapshot(winner, 2), _SNAPSHOT_KEY)
+    _page(fold, 10, [snapshot], 11)
+    assert fold.head.digest == winner.digest
+    _page(fold, 11, [encode_record(child)], 12)
+    assert fold.head.digest == child.digest
+    assert fold.certain
+
+
+def test_sections_of_an_expired_parent_come_from_peers():
+    """A new instance never gets ready after a change of one account.
+
+    The log still holds the change but not the sections that it left out.
+    """
+    table = {
+        "models": {"dome-7b": {"layers": 8, "vocabulary": 512}},
+        "limits": {"max_tokens": 5},
+    }
+    sections = split_sections(table)
+    known = _record(8, 1, "").manifest.values()
+    record = make_record(sections, 2, "0" * 40, known)
+    record = sign_record(record, _KEY.private_bytes_raw())
+    fold = _fold()
+    outcome = _page(fold, 5, [encode_record(record)], 6)[-1]
+    assert isinstance(outcome, Missing)
+    (key,) = outcome.hashes
+    fold.on_sections({key: sections["models"]})
+    assert fold.head.digest == record.digest
+    assert fold.missing is None
+
+
+def test_record_whose_sections_nobody_has_gives_way():
+    """A new instance waits for ever for sections that never existed.
+
+    An operator's record left out a section that its parent did not have;
+    every other instance has rejected it, and so must one that cannot know.
+    """
+    one, two = _chain(2)
+    broken = make_record(
+        split_sections({"limits": {"max_tokens": 5}}),
+        3,
+        two.digest,
+        [],
+    )
+    broken = sign_record(broken, _KEY.private_bytes_raw())
+    bare = encode_record(attrs.evolve(broken, sections={}))
+    fold = _fold()
+    whole = encode_snapshot(Snapshot(two, 1), _SNAPSHOT_KEY)
+    _page(fold, 4, [whole, bare], 6)
+    assert fold.missing is not None
+    fold.discard_missing()
+    assert fold.head.digest == two.digest
+
+
+def test_peers_head_is_taken_only_with_signatures_and_only_forward():
+    one, two = _chain(2)
+    fold = _fold()
+    forged = attrs.evolve(two, signatures=())
+    assert isinstance(fold.on_peer_head(forged, 1, two.sections), Rejected)
+    assert isinstance(fold.on_peer_head(two, 1, two.sections), Applied)
+    assert isinstance(fold.on_peer_head(one, 0, one.sections), Ignored)
+    assert fold.next_offset == 2
+
+
+def test_unchanged_account_sections_are_not_structured_again():
+    accounts = {f"a-{n}": {"key_hashes": []} for n in range(600)}
+    table = {"client_accounts": accounts}
+    fold = _fold()
+    one = make_record(split_sections(table), 1, "")
+    one = sign_record(one, _KEY.private_bytes_raw())
+    fold.on_record(encode_record(one), 0)
+    before = fold.head
+    accounts["a-7"] = {"key_hashes": [], "streams": 3}
+    known = list(before.bodies())
+    two = make_record(split_sections(table), 2, one.digest, known)
+    two = sign_record(two, _KEY.private_bytes_raw())
+    assert len(two.sections) == 1
+    fold.on_record(encode_record(two), 1)
+    after = fold.head.bundle.client_accounts
+    assert after["a-7"].streams == 3
+    same = [
+        n
+        for n, rule in before.bundle.client_accounts.items()
+        if after[n] is rule
+    ]
+    assert len(same) > 590
--- a/caroblug/entry/_door.py
+++ b/caroblug/entry/_door.py
@@ -29,7 +29,7 @@
 
     def enter(self, request: falcon.Request) -> tuple[Head, str] | Refused:
         """Returns the head and the client account, or a refusal."""
-        head = self._bundles.head
+        head = self._bundles.newest_head()
         if head is None or self._lifetime.leaving:
             return _NOT_READY
         account = authenticate(head.bundle, request.get_header("Authorization"))
--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -5,7 +5,7 @@
 
 from caroblug.core.limits import Admission
 from caroblug.core.routing import ShortestWaitChooser
-from caroblug.core.state import BundleFold, Head
+from caroblug.core.state import Head
 from caroblug.entry._api import make_app
 from caroblug.entry._directory import Directory
 from caroblug.entry._door import Door
@@ -14,17 +14,17 @@
 from caroblug.entry._streams import EntryStreams
 from caroblug.gen.wire import ttypes as wire
 from caroblug.node import (
-    BundleFollower,
     Lifetime,
     NodeHttp,
     add_node_routes,
+    add_status_route,
+    make_fleet,
 )
 from caroblug.transport import (
     InstancesUnavailable,
     PeerAddress,
     PeerHandler,
     make_instance_list,
-    make_log_service,
     make_peer_network,
 )
 from caroblug.utils import (
@@ -51,19 +51,22 @@
         self.lifetime = Lifetime(self._clock, settings.drain_ms)
         self.network = make_peer_network(
             wire.Hello(settings.instance, "entry", settings.data_centre),
-            settings.shared_key.encode(),
+            settings.shared_keys[0].encode(),
             self,
             self._clock,
             self.metrics,
             settings.heartbeat_ms,
             settings.silence_ms,
         )
-        self.bundles = BundleFollower(
-            make_log_service(settings.log.host, settings.log.port),
-            BundleFold(settings.operators, settings.signatures),
+        self.fleet = make_fleet(
+            settings,
+            "entry",
+            self.network,
+            self._clock,
             self.metrics,
             self._on_head,
         )
+        self.bundles = self.fleet.bundles
         self.directory = Directory(self._clock, settings.report_age_ms)
         self.streams = EntryStreams(
             wire.StageRef(
@@ -94,7 +97,7 @@
         self.network.start(settings.host, settings.peer_port)
         http = NodeHttp(settings.host, settings.http_port, self._make_app())
         http.start()
-        gevent.spawn(self.bundles.run)
+        self.fleet.start(self.lifetime.leave)
         gevent.spawn(self._follow_instances)
         log_state("program.started", port=settings.http_port)
         self.lifetime.wait(lambda: None, self._busy)
@@ -103,7 +106,7 @@
 
     def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
         """Takes a frame from a side process."""
-        del peer
+        self.fleet.on_frame(peer, frame)
         for report in frame.reports or ():
             self.directory.on_report(report)
             self.metrics.gauge("known_sides", len(self.directory))
@@ -116,10 +119,12 @@
 
     def on_peer_up(self, peer: PeerAddress) -> None:
         """Waits for the peer's first report."""
+        self.fleet.on_peer_up(peer)
 
     def on_peer_lost(self, peer: PeerAddress, reason: str) -> None:
         """Recovers what ran at the peer."""
         del reason
+        self.fleet.on_peer_lost(peer)
         self.directory.forget(peer.instance)
         self.streams.on_peer_lost(peer.instance)
         self.plain.on_peer_lost(peer.instance)
@@ -134,6 +139,12 @@
             self.metrics,
         )
         add_node_routes(app, self.metrics, lambda: self.ready)
+        add_status_route(
+            app,
+            lambda: self.fleet.status(
+                self.ready, len(self.streams) + len(self.plain)
+            ),
+        )
         return app
 
     def _busy(self) -> bool:
--- a/caroblug/entry/_settings.py
+++ b/caroblug/entry/_settings.py
@@ -13,11 +13,9 @@
     Attributes:
         streams: Streams open at once.
         attempts: Attempts for one request, the first included.
-        instances_ms: Time between reads of the instance list.
         report_age_ms: Age at which a side's load report no longer counts.
     """
 
     streams: int = count(1, 100_000, "Streams open at once.", 2000)
     attempts: int = count(1, 16, "Attempts for one request.", 6)
-    instances_ms: int = duration_ms("Time between instance list reads.", 500)
     report_age_ms: int = duration_ms("Age at which a report is too old.", 2000)
--- a/caroblug/gen/wire/ttypes.py
+++ b/caroblug/gen/wire/ttypes.py
@@ -1784,6 +1784,330 @@
         return not (self == other)
 
 
+class BundleAdvert(object):
+    """
+    What a process says about its bundle in force; version 0 is none.
+
+    Attributes:
+     - version
+     - digest
+     - offset: Where in the log this version was accepted.
+     - log_age_ms: How long ago the log's end was reached, as far as the sender knows.
+
+    """
+
+    __slots__ = (
+        'version',
+        'digest',
+        'offset',
+        'log_age_ms',
+    )
+
+
+    def __init__(self, version=None, digest=None, offset=None, log_age_ms=None,):
+        self.version = version
+        self.digest = digest
+        self.offset = offset
+        self.log_age_ms = log_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.version = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.log_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BundleAdvert')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I32, 1)
+            oprot.writeI32(self.version)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 2)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 3)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.log_age_ms is not None:
+            oprot.writeFieldBegin('log_age_ms', TType.I64, 4)
+            oprot.writeI64(self.log_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BundleFetch(object):
+    """
+    Asks a peer for its head, or just for some sections.
+
+    Attributes:
+     - digest
+     - base: Digest of the head that the asker has; its sections are left out.
+     - hashes: Content hashes; if any, only these sections are sent.
+
+    """
+
+    __slots__ = (
+        'digest',
+        'base',
+        'hashes',
+    )
+
+
+    def __init__(self, digest=None, base=None, hashes=None,):
+        self.digest = digest
+        self.base = base
+        self.hashes = hashes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.base = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.hashes = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.hashes.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BundleFetch')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.STRING, 2)
+            oprot.writeString(self.base.encode('utf-8') if sys.version_info[0] == 2 else self.base)
+            oprot.writeFieldEnd()
+        if self.hashes is not None:
+            oprot.writeFieldBegin('hashes', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.hashes))
+            for iter41 in self.hashes:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BundleSections(object):
+    """
+    A head's record, and sections by content hash; both may be partial.
+
+    Attributes:
+     - digest
+     - offset
+     - record: The record without sections; empty if only sections were asked for.
+     - sections
+
+    """
+
+    __slots__ = (
+        'digest',
+        'offset',
+        'record',
+        'sections',
+    )
+
+
+    def __init__(self, digest=None, offset=None, record=None, sections=None,):
+        self.digest = digest
+        self.offset = offset
+        self.record = record
+        self.sections = sections
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.record = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.sections = {}
+                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
+                    for _i46 in range(_size42):
+                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val48 = iprot.readBinary()
+                        self.sections[_key47] = _val48
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BundleSections')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 2)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.record is not None:
+            oprot.writeFieldBegin('record', TType.STRING, 3)
+            oprot.writeBinary(self.record)
+            oprot.writeFieldEnd()
+        if self.sections is not None:
+            oprot.writeFieldBegin('sections', TType.MAP, 4)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.sections))
+            for kiter49, viter50 in self.sections.items():
+                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
+                oprot.writeBinary(viter50)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -1797,6 +2121,9 @@
      - calls
      - replies
      - heartbeats
+     - bundle_adverts
+     - bundle_fetches
+     - bundle_sections
 
     """
 
@@ -1811,10 +2138,13 @@
         'calls',
         'replies',
         'heartbeats',
+        'bundle_adverts',
+        'bundle_fetches',
+        'bundle_sections',
     )
 
 
-    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None,):
+    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None, bundle_adverts=None, bundle_fetches=None, bundle_sections=None,):
         self.opens = opens
         self.needs = needs
         self.steps = steps
@@ -1825,6 +2155,9 @@
         self.calls = calls
         self.replies = replies
         self.heartbeats = heartbeats
+        self.bundle_adverts = bundle_adverts
+        self.bundle_fetches = bundle_fetches
+        self.bundle_sections = bundle_sections
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1838,110 +2171,143 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.opens = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = OpenStream()
-                        _elem40.read(iprot)
-                        self.opens.append(_elem40)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = OpenStream()
+                        _elem56.read(iprot)
+                        self.opens.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.needs = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = Need()
-                        _elem46.read(iprot)
-                        self.needs.append(_elem46)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = Need()
+                        _elem62.read(iprot)
+                        self.needs.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = Step()
-                        _elem52.read(iprot)
-                        self.steps.append(_elem52)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Step()
+                        _elem68.read(iprot)
+                        self.steps.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = Token()
-                        _elem58.read(iprot)
-                        self.tokens.append(_elem58)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = Token()
+                        _elem74.read(iprot)
+                        self.tokens.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.cancels = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = Cancel()
-                        _elem64.read(iprot)
-                        self.cancels.append(_elem64)
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = Cancel()
+                        _elem80.read(iprot)
+                        self.cancels.append(_elem80)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = StageRefusal()
-                        _elem70.read(iprot)
-                        self.refusals.append(_elem70)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = StageRefusal()
+                        _elem86.read(iprot)
+                        self.refusals.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = LoadReport()
-                        _elem76.read(iprot)
-                        self.reports.append(_elem76)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = LoadReport()
+                        _elem92.read(iprot)
+                        self.reports.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.calls = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = PlainCall()
-                        _elem82.read(iprot)
-                        self.calls.append(_elem82)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = PlainCall()
+                        _elem98.read(iprot)
+                        self.calls.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.replies = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = PlainReply()
-                        _elem88.read(iprot)
-                        self.replies.append(_elem88)
+                    (_etype102, _size99) = iprot.readListBegin()
+                    for _i103 in range(_size99):
+                        _elem104 = PlainReply()
+                        _elem104.read(iprot)
+                        self.replies.append(_elem104)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.heartbeats = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = Heartbeat()
-                        _elem94.read(iprot)
-                        self.heartbeats.append(_elem94)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = Heartbeat()
+                        _elem110.read(iprot)
+                        self.heartbeats.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 40:
+                if ftype == TType.LIST:
+                    self.bundle_adverts = []
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = BundleAdvert()
+                        _elem116.read(iprot)
+                        self.bundle_adverts.append(_elem116)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 41:
+                if ftype == TType.LIST:
+                    self.bundle_fetches = []
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = BundleFetch()
+                        _elem122.read(iprot)
+                        self.bundle_fetches.append(_elem122)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 42:
+                if ftype == TType.LIST:
+                    self.bundle_sections = []
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = BundleSections()
+                        _elem128.read(iprot)
+                        self.bundle_sections.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1958,71 +2324,92 @@
         if self.opens is not None:
             oprot.writeFieldBegin('opens', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.opens))
-            for iter95 in self.opens:
-                iter95.write(oprot)
+            for iter129 in self.opens:
+                iter129.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.needs is not None:
             oprot.writeFieldBegin('needs', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.needs))
-            for iter96 in self.needs:
-                iter96.write(oprot)
+            for iter130 in self.needs:
+                iter130.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter97 in self.steps:
-                iter97.write(oprot)
+            for iter131 in self.steps:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.tokens))
-            for iter98 in self.tokens:
-                iter98.write(oprot)
+            for iter132 in self.tokens:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cancels is not None:
             oprot.writeFieldBegin('cancels', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.cancels))
-            for iter99 in self.cancels:
-                iter99.write(oprot)
+            for iter133 in self.cancels:
+                iter133.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter100 in self.refusals:
-                iter100.write(oprot)
+            for iter134 in self.refusals:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter101 in self.reports:
-                iter101.write(oprot)
+            for iter135 in self.reports:
+                iter135.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter102 in self.calls:
-                iter102.write(oprot)
+            for iter136 in self.calls:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.replies is not None:
             oprot.writeFieldBegin('replies', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.replies))
-            for iter103 in self.replies:
-                iter103.write(oprot)
+            for iter137 in self.replies:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.heartbeats))
-            for iter104 in self.heartbeats:
-                iter104.write(oprot)
+            for iter138 in self.heartbeats:
+                iter138.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bundle_adverts is not None:
+            oprot.writeFieldBegin('bundle_adverts', TType.LIST, 40)
+            oprot.writeListBegin(TType.STRUCT, len(self.bundle_adverts))
+            for iter139 in self.bundle_adverts:
+                iter139.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bundle_fetches is not None:
+            oprot.writeFieldBegin('bundle_fetches', TType.LIST, 41)
+            oprot.writeListBegin(TType.STRUCT, len(self.bundle_fetches))
+            for iter140 in self.bundle_fetches:
+                iter140.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bundle_sections is not None:
+            oprot.writeFieldBegin('bundle_sections', TType.LIST, 42)
+            oprot.writeListBegin(TType.STRUCT, len(self.bundle_sections))
+            for iter141 in self.bundle_sections:
+                iter141.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2181,6 +2568,29 @@
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
 )
+all_structs.append(BundleAdvert)
+BundleAdvert.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'version', None, None, ),  # 1
+    (2, TType.STRING, 'digest', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'offset', None, None, ),  # 3
+    (4, TType.I64, 'log_age_ms', None, None, ),  # 4
+)
+all_structs.append(BundleFetch)
+BundleFetch.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'base', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'hashes', (TType.STRING, 'UTF8', False), None, ),  # 3
+)
+all_structs.append(BundleSections)
+BundleSections.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'offset', None, None, ),  # 2
+    (3, TType.STRING, 'record', 'BINARY', None, ),  # 3
+    (4, TType.MAP, 'sections', (TType.STRING, 'UTF8', TType.STRING, 'BINARY', False), None, ),  # 4
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2194,6 +2604,38 @@
     (8, TType.LIST, 'calls', (TType.STRUCT, [PlainCall, None], False), None, ),  # 8
     (9, TType.LIST, 'replies', (TType.STRUCT, [PlainReply, None], False), None, ),  # 9
     (10, TType.LIST, 'heartbeats', (TType.STRUCT, [Heartbeat, None], False), None, ),  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    (40, TType.LIST, 'bundle_adverts', (TType.STRUCT, [BundleAdvert, None], False), None, ),  # 40
+    (41, TType.LIST, 'bundle_fetches', (TType.STRUCT, [BundleFetch, None], False), None, ),  # 41
+    (42, TType.LIST, 'bundle_sections', (TType.STRUCT, [BundleSections, None], False), None, ),  # 42
 )
 fix_spec(all_structs)
 del all_structs
--- a/caroblug/node/__init__.py
+++ b/caroblug/node/__init__.py
@@ -1,7 +1,14 @@
 """What entry and side have in common: settings, bundles, lifetime."""
 
 from caroblug.node._bundles import BUNDLE_STREAM, BundleFollower
-from caroblug.node._http import NodeHttp, add_node_routes, listen
+from caroblug.node._fleet import Fleet, make_fleet
+from caroblug.node._http import (
+    NodeHttp,
+    NodeStatus,
+    add_node_routes,
+    add_status_route,
+    listen,
+)
 from caroblug.node._lifetime import Lifetime, run_program
 from caroblug.node._settings import Address, NodeSettings
 
@@ -9,10 +16,14 @@
     "BUNDLE_STREAM",
     "Address",
     "BundleFollower",
+    "Fleet",
     "Lifetime",
     "NodeHttp",
     "NodeSettings",
+    "NodeStatus",
     "add_node_routes",
+    "add_status_route",
     "listen",
+    "make_fleet",
     "run_program",
 ]
--- a/caroblug/node/_http.py
+++ b/caroblug/node/_http.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import attrs
 import falcon
 from gevent import pywsgi, socket
 
@@ -11,6 +12,31 @@
 _METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
+@attrs.frozen
+class NodeStatus:
+    """What an instance says of itself.
+
+    Attributes:
+        instance: Its name.
+        version: Version of the bundle in force; 0 if none.
+        digest: Its digest.
+        in_force_ms: For how long it has been in force.
+        reader: Whether this instance reads the log.
+        members: How many members it knows.
+        ready: Whether it takes new work.
+        running: Requests that run here.
+    """
+
+    instance: str
+    version: int
+    digest: str
+    in_force_ms: int
+    reader: bool
+    members: int
+    ready: bool
+    running: int
+
+
 class _Health:
     def on_get(self, request: falcon.Request, response: falcon.Response):
         del request
@@ -49,6 +75,20 @@
     app.add_route("/metrics", _MetricsText(metrics))
 
 
+class _Status:
+    def __init__(self, status: Callable[[], NodeStatus]) -> None:
+        self._status = status
+
+    def on_get(self, request: falcon.Request, response: falcon.Response):
+        del request
+        response.media = attrs.asdict(self._status())
+
+
+def add_status_route(app: falcon.App, status: Callable[[], NodeStatus]) -> None:
+    """Adds `/status`, which `caroblug-bundle` reads."""
+    app.add_route("/status", _Status(status))
+
+
 class NodeHttp:
     """A WSGI server of one program.
 
--- a/caroblug/node/_lifetime.py
+++ b/caroblug/node/_lifetime.py
@@ -10,6 +10,7 @@
 from gevent import event
 
 import caroblug
+from caroblug.node._settings import check_shared_keys
 from caroblug.utils import (
     Clock,
     SettingsRejected,
@@ -105,6 +106,10 @@
         for problem in settings.problems:
             print(problem, file=sys.stderr)
         return EXIT_USAGE
+    problem = check_shared_keys(settings, options.config)
+    if problem is not None:
+        print(problem, file=sys.stderr)
+        return EXIT_USAGE
     if options.check_config:
         print(f"{options.config}: ok")
         return EXIT_OK
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -4,13 +4,14 @@
 import gevent
 
 from caroblug.core.recovery import StageFailure
-from caroblug.core.state import BundleFold, Head
+from caroblug.core.state import Head
 from caroblug.gen.wire import ttypes as wire
 from caroblug.node import (
-    BundleFollower,
     Lifetime,
     NodeHttp,
     add_node_routes,
+    add_status_route,
+    make_fleet,
 )
 from caroblug.side._plain import DirectCaller, PlainCalls
 from caroblug.side._pump import EnginePump
@@ -23,7 +24,6 @@
     PeerAddress,
     PeerHandler,
     make_engine_client,
-    make_log_service,
     make_peer_network,
 )
 from caroblug.utils import (
@@ -53,19 +53,22 @@
         hello = wire.Hello(settings.instance, "side", settings.data_centre)
         self.network = make_peer_network(
             hello,
-            settings.shared_key.encode(),
+            settings.shared_keys[0].encode(),
             self,
             self._clock,
             self.metrics,
             settings.heartbeat_ms,
             settings.silence_ms,
         )
-        self.bundles = BundleFollower(
-            make_log_service(settings.log.host, settings.log.port),
-            BundleFold(settings.operators, settings.signatures),
+        self.fleet = make_fleet(
+            settings,
+            "side",
+            self.network,
+            self._clock,
             self.metrics,
             self._on_head,
         )
+        self.bundles = self.fleet.bundles
         self._description: EngineDescription | None = None
         self._engine: EngineClient | None = None
         self._pump: EnginePump | None = None
@@ -86,9 +89,12 @@
         self.network.start(settings.host, settings.peer_port)
         app = falcon.App()
         add_node_routes(app, self.metrics, lambda: self.ready)
+        add_status_route(
+            app, lambda: self.fleet.status(self.ready, self._running())
+        )
         http = NodeHttp(settings.host, settings.http_port, app)
         http.start()
-        gevent.spawn(self.bundles.run)
+        self.fleet.start(self.lifetime.leave)
         if self._engine is not None:
             gevent.spawn(self._watch_engine)
         gevent.spawn(self._report_forever)
@@ -99,6 +105,7 @@
 
     def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
         """Takes a frame from a peer."""
+        self.fleet.on_frame(peer, frame)
         if self._streams is not None:
             self._on_stream_messages(self._streams, frame)
         if self._calls is not None:
@@ -107,11 +114,14 @@
 
     def on_peer_up(self, peer: PeerAddress) -> None:
         """Tells a new entry about this process."""
+        self.fleet.on_peer_up(peer)
         if peer.role == _ENTRY_ROLE and self._is_up():
             self.network.send(peer, self._make_report())
 
     def on_peer_lost(self, peer: PeerAddress, reason: str) -> None:
-        """Does nothing: the entry decides about its streams."""
+        """Leaves the streams alone: the entry decides about them."""
+        del reason
+        self.fleet.on_peer_lost(peer)
 
     def _make_backend(self) -> None:
         settings = self.settings
@@ -167,10 +177,12 @@
     def _is_up(self) -> bool:
         return self._calls is not None or self._description is not None
 
+    def _running(self) -> int:
+        work = self._streams if self._calls is None else self._calls
+        return len(work)
+
     def _busy(self) -> bool:
-        if self._calls is not None:
-            return len(self._calls) > 0
-        return len(self._streams) > 0
+        return self._running() > 0
 
     def _on_head(self, head: Head) -> None:
         del head
--- a/caroblug/transport/_instances.py
+++ b/caroblug/transport/_instances.py
@@ -8,6 +8,7 @@
 from caroblug.transport._http import HttpFailed, JsonHttp
 
 _OK = 200
+_LEAVING = "leaving"
 
 
 @attrs.frozen
@@ -21,6 +22,7 @@
         port: Port for caroblug's own processes.
         data_centre: Where it runs.
         leaving: Whether the platform is taking it away.
+        http_port: Port for HTTP; 0 if the list does not show it.
     """
 
     instance: str
@@ -29,6 +31,7 @@
     port: int
     data_centre: str
     leaving: bool
+    http_port: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +48,10 @@
     def fetch(self) -> tuple[InstanceRecord, ...] | InstancesUnavailable:
         """Returns every listed instance."""
 
+    @abc.abstractmethod
+    def withdraw(self, instance: str) -> InstancesUnavailable | None:
+        """Lists an instance as leaving; returns what went wrong, or None."""
+
 
 class HttpInstanceList(InstanceList):
     """The instance list over HTTP and JSON."""
@@ -67,13 +74,24 @@
                     str(i["host"]),
                     int(i["port"]),
                     str(i["data_centre"]),
-                    i["state"] == "leaving",
+                    i["state"] == _LEAVING,
+                    int(i.get("http_port", 0)),
                 )
                 for i in answer.json()["instances"]
             )
         except (KeyError, TypeError, ValueError):
             return InstancesUnavailable("answer does not parse")
 
+    def withdraw(self, instance: str) -> InstancesUnavailable | None:
+        """Lists an instance as leaving."""
+        body = {"instance": instance, "state": _LEAVING}
+        answer = self._client.request("POST", "/instances", body)
+        if isinstance(answer, HttpFailed):
+            return InstancesUnavailable(answer.message)
+        if answer.status != _OK:
+            return InstancesUnavailable(f"status {answer.status}")
+        return None
+
 
 def make_instance_list(
     host: str, port: int, timeout_ms: int = 1000
--- a/caroblug/transport/_peers.py
+++ b/caroblug/transport/_peers.py
@@ -33,6 +33,9 @@
     wire.PlainCall: "calls",
     wire.PlainReply: "replies",
     wire.Heartbeat: "heartbeats",
+    wire.BundleAdvert: "bundle_adverts",
+    wire.BundleFetch: "bundle_fetches",
+    wire.BundleSections: "bundle_sections",
 }
 
 
--- a/caroblug/utils/__init__.py
+++ b/caroblug/utils/__init__.py
@@ -17,6 +17,7 @@
     name,
     number,
     port,
+    secret,
     text,
 )
 
@@ -39,6 +40,7 @@
     "name",
     "number",
     "port",
+    "secret",
     "start_logging",
     "structure_table",
     "text",
--- a/caroblug/utils/_settings.py
+++ b/caroblug/utils/_settings.py
@@ -99,15 +99,28 @@
     problems = []
     for error in group.exceptions:
         inner = path
+        secret = False
         for note in getattr(error, "__notes__", ()):
             if hasattr(note, "name"):
                 inner = (*path, str(note.name))
+                secret = _is_secret(group, note.name)
             elif hasattr(note, "index"):
                 inner = (*path, str(note.index))
+        if secret and isinstance(error, TypeError):
+            error = TypeError("must be text")
         problems.extend(_walk(error, file, inner))
     return problems
 
 
+def _is_secret(group: BaseException, name: str) -> bool:
+    """Tells whether a field's value must not show in messages."""
+    cls = getattr(group, "cl", None)
+    if cls is None or not attrs.has(cls):
+        return False
+    field = getattr(attrs.fields(cls), name, None)
+    return field is not None and field.metadata.get("secret", False)
+
+
 def structure_table(
     table: dict[str, Any], cls: type[_T], file: str
 ) -> _T | SettingsRejected:
--- a/caroblug/utils/_validation.py
+++ b/caroblug/utils/_validation.py
@@ -87,6 +87,26 @@
     )
 
 
+def secret(doc: str, low: int, high: int = 4096) -> Any:
+    """Returns a field for a secret, empty if it is given another way.
+
+    It is shown neither in a class's representation nor in messages.
+    """
+    allowed = f"text of {low} to {high} characters"
+
+    def _validate(instance: Any, attribute: Any, value: Any) -> None:
+        del instance
+        if value and not low <= len(value) <= high:
+            raise ValueError(f"{attribute.name} must be {allowed}")
+
+    return attrs.field(
+        default="",
+        validator=_validate,
+        repr=False,
+        metadata={"allowed": allowed, "doc": doc, "secret": True},
+    )
+
+
 def choice(
     options: tuple[str, ...], doc: str, default: Any = attrs.NOTHING
 ) -> Any:
--- a/standins/instances.py
+++ b/standins/instances.py
@@ -27,7 +27,10 @@
         self._shown: dict[str, dict[str, Any]] = {}
 
     def change(self, name: str, record: dict[str, Any] | None) -> None:
-        """Lists an instance, changes it, or takes it off with None."""
+        """Lists an instance, changes it, or takes it off with None.
+
+        A change may hold just the fields that differ.
+        """
         due = time.monotonic() + self.lag_ms / 1000
         self._changes.append((due, name, record))
 
@@ -40,8 +43,8 @@
             if record is None:
                 self._shown.pop(name, None)
             else:
-                self._shown[name] = record
-        return list(self._shown.values())
+                self._shown[name] = self._shown.get(name, {}) | record
+        return [r for r in self._shown.values() if "host" in r]
 
 
 class _List:
--- a/standins/site.py
+++ b/standins/site.py
@@ -226,6 +226,7 @@
             "role": process.role,
             "host": HOST,
             "port": process.peer_port,
+            "http_port": process.http_port,
             "data_centre": process.data_centre,
             "state": state,
         }
--- a/thrift/caroblug.thrift
+++ b/thrift/caroblug.thrift
@@ -140,6 +140,36 @@
   1: i64 sequence
 }
 
+// Bundles.
+
+/** What a process says about its bundle in force; version 0 is none. */
+struct BundleAdvert {
+  1: i32 version
+  2: string digest
+  /** Where in the log this version was accepted. */
+  3: i64 offset
+  /** How long ago the log's end was reached, as far as the sender knows. */
+  4: i64 log_age_ms
+}
+
+/** Asks a peer for its head, or just for some sections. */
+struct BundleFetch {
+  1: string digest
+  /** Digest of the head that the asker has; its sections are left out. */
+  2: string base
+  /** Content hashes; if any, only these sections are sent. */
+  3: list<string> hashes
+}
+
+/** A head's record, and sections by content hash; both may be partial. */
+struct BundleSections {
+  1: string digest
+  2: i64 offset
+  /** The record without sections; empty if only sections were asked for. */
+  3: binary record
+  4: map<string, binary> sections
+}
+
 struct Frame {
   1: list<OpenStream> opens
   2: list<Need> needs
@@ -151,4 +181,7 @@
   8: list<PlainCall> calls
   9: list<PlainReply> replies
   10: list<Heartbeat> heartbeats
+  40: list<BundleAdvert> bundle_adverts
+  41: list<BundleFetch> bundle_fetches
+  42: list<BundleSections> bundle_sections
 }
