--- a/caroblug/transport/_peers.py
+++ b/caroblug/transport/_peers.py
@@ -34,6 +34,9 @@
     wire.PlainReply: "replies",
     wire.Heartbeat: "heartbeats",
     wire.LinkProbe: "probes",
+    wire.BundleAdvert: "bundle_adverts",
+    wire.BundleFetch: "bundle_fetches",
+    wire.BundleSections: "bundle_sections",
 }
 
 
