--- /dev/null
+++ b/caroblug/entry/_limits.py
@@ -0,0 +1,105 @@
+"""Shares, load and quarantine of one entry, wired together."""
+
+import random
+from collections.abc import Sequence
+
+import gevent
+
+from caroblug.core.limits import AccountRule, Admission, Homes, RetryAfter
+from caroblug.core.state import Quarantine
+from caroblug.entry._admission import StreamAdmission, rule_of
+from caroblug.entry._loads import EngineLoads
+from caroblug.entry._settings import EntrySettings
+from caroblug.entry._shares import ShareClient
+from caroblug.entry._suspects import SuspectClient
+from caroblug.gen.wire import ttypes as wire
+from caroblug.node import BundleFollower
+from caroblug.transport import InstanceRecord, PeerAddress, PeerNetwork
+from caroblug.utils import Clock, Metrics
+
+_ENTRY_ROLE = "entry"
+_SETTLED_MS = 60_000
+
+
+class EntryLimits:
+    """What decides whether a request runs, and what other entries hear.
+
+    Args:
+        settings: The entry's settings.
+        network: Where messages are sent.
+        bundles: The bundle in force.
+        clock: Source of time.
+        metrics: Where refusals and reports are counted.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        network: PeerNetwork,
+        bundles: BundleFollower,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._bundles = bundles
+        homes = Homes(settings.instance, _SETTLED_MS)
+        self.loads = EngineLoads(clock, settings.report_age_ms)
+        self.shares = ShareClient(
+            network, homes, self._account_rule, clock, metrics
+        )
+        self.suspects = SuspectClient(
+            network, homes, self._quarantine, clock, metrics
+        )
+        self.admission = StreamAdmission(
+            Admission(settings.streams),
+            self.shares,
+            self.suspects,
+            self.loads,
+            RetryAfter(random.Random()),
+        )
+
+    def start(self) -> None:
+        """Starts reporting to the accounts' homes."""
+        gevent.spawn(self.shares.run)
+        gevent.spawn(self.suspects.run)
+
+    def on_listed(self, listed: Sequence[InstanceRecord]) -> None:
+        """Takes what the instance list shows."""
+        entries = [
+            PeerAddress(r.instance, r.host, r.port)
+            for r in listed
+            if r.role == _ENTRY_ROLE and not r.leaving
+        ]
+        self.shares.on_listed(entries)
+        self.suspects.on_listed(entries)
+
+    def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
+        """Takes what a frame says of loads, shares and suspects."""
+        for report in frame.reports or ():
+            self.loads.on_report(report)
+        for demand in frame.demands or ():
+            self.shares.on_demand(peer, demand)
+        for grant in frame.grants or ():
+            self.shares.on_grant(grant)
+        for suspicion in frame.suspicions or ():
+            self.suspects.on_suspicion(suspicion)
+        for wanted in frame.run_requests or ():
+            self.suspects.on_run_request(peer, wanted)
+        for admitted in frame.run_admitted or ():
+            self.suspects.on_run_admitted(admitted)
+
+    def on_peer_lost(self, instance: str) -> None:
+        """Takes it that an instance can't be reached."""
+        self.loads.forget(instance)
+        self.shares.on_peer_lost(instance)
+        self.suspects.on_peer_lost(instance)
+
+    def _account_rule(self, client_account: str) -> AccountRule | None:
+        head = self._bundles.head
+        if head is None:
+            return None
+        account = head.bundle.client_accounts.get(client_account)
+        return rule_of(account) if account is not None else None
+
+    def _quarantine(self) -> Quarantine:
+        head = self._bundles.head
+        return head.bundle.quarantine if head is not None else Quarantine()
--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -6,25 +6,24 @@
 import falcon
 import gevent
 
-from caroblug.core.limits import AccountRule, Admission, Homes, RetryAfter
-from caroblug.core.routing import ShortestWaitChooser
-from caroblug.core.state import BundleFold, Head, Quarantine
-from caroblug.entry._admission import StreamAdmission, rule_of
+from caroblug.core.routing import LatencyTable, make_chooser
+from caroblug.core.state import Head
 from caroblug.entry._api import make_app
 from caroblug.entry._directory import Directory
 from caroblug.entry._door import Door
-from caroblug.entry._loads import EngineLoads
+from caroblug.entry._limits import EntryLimits
+from caroblug.entry._links import LinkProber
 from caroblug.entry._plain import PlainClient
 from caroblug.entry._settings import EntrySettings
-from caroblug.entry._shares import ShareClient
 from caroblug.entry._streams import EntryStreams
-from caroblug.entry._suspects import SuspectClient
+from caroblug.entry._subset import Subset
 from caroblug.gen.wire import ttypes as wire
 from caroblug.node import (
-    BundleFollower,
     Lifetime,
     NodeHttp,
     add_node_routes,
+    add_status_route,
+    make_fleet,
 )
 from caroblug.transport import (
     InstanceRecord,
@@ -32,7 +31,6 @@
     PeerAddress,
     PeerHandler,
     make_instance_list,
-    make_log_service,
     make_peer_network,
 )
 from caroblug.utils import (
@@ -42,9 +40,7 @@
     make_metrics,
 )
 
-_ENTRY_ROLE = "entry"
 _SIDE_ROLE = "side"
-_SETTLED_MS = 60_000
 
 
 class EntryServer(PeerHandler):
@@ -61,34 +57,44 @@
         self.lifetime = Lifetime(self._clock, settings.drain_ms)
         self.network = make_peer_network(
             wire.Hello(settings.instance, "entry", settings.data_centre),
-            settings.shared_key.encode(),
+            settings.shared_keys[0].encode(),
             self,
             self._clock,
             self.metrics,
             settings.heartbeat_ms,
             settings.silence_ms,
         )
-        self.bundles = BundleFollower(
-            make_log_service(settings.log.host, settings.log.port),
-            BundleFold(settings.operators, settings.signatures),
+        self.fleet = make_fleet(
+            settings,
+            "entry",
+            self.network,
+            self._clock,
             self.metrics,
             self._on_head,
         )
+        self.latencies = LatencyTable()
+        self.prober = LinkProber(
+            settings.data_centre, self.network, self.latencies, self._clock
+        )
+        self.subset = Subset(settings.instance, settings.subset)
+        self.bundles = self.fleet.bundles
         self.directory = Directory(self._clock, settings.report_age_ms)
-        self.loads = EngineLoads(self._clock, settings.report_age_ms)
-        self._make_limits()
+        self.limits = EntryLimits(
+            settings, self.network, self.bundles, self._clock, self.metrics
+        )
         self.streams = EntryStreams(
             wire.StageRef(
                 settings.instance, settings.host, settings.peer_port, 0, 0
             ),
             self.network,
             self.directory,
-            ShortestWaitChooser(),
+            make_chooser(settings.chooser, random.Random(), self.latencies),
             self._clock,
             self.metrics,
             settings.data_centre,
             settings.attempts,
-            self.suspects,
+            self.latencies,
+            self.limits.suspects,
         )
         self.plain = PlainClient(self.network, self.directory, self.metrics)
         self._instances = make_instance_list(
@@ -107,10 +113,10 @@
         self.network.start(settings.host, settings.peer_port)
         http = NodeHttp(settings.host, settings.http_port, self._make_app())
         http.start()
-        gevent.spawn(self.bundles.run)
+        self.fleet.start(self.lifetime.leave)
         gevent.spawn(self._follow_instances)
-        gevent.spawn(self.shares.run)
-        gevent.spawn(self.suspects.run)
+        gevent.spawn(self._probe_links)
+        self.limits.start()
         log_state("program.started", port=settings.http_port)
         self.lifetime.wait(lambda: None, self._busy)
         http.stop()
@@ -118,11 +124,14 @@
 
     def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
         """Takes a frame from a side process or another entry."""
-        self._on_limits_messages(peer, frame)
+        self.fleet.on_frame(peer, frame)
+        self.limits.on_frame(peer, frame)
         for report in frame.reports or ():
             self.directory.on_report(report)
-            self.loads.on_report(report)
+            self.subset.on_report(report)
             self.metrics.gauge("known_sides", len(self.directory))
+        for probe in frame.probes or ():
+            self.prober.on_probe(peer, probe)
         for token in frame.tokens or ():
             self.streams.on_token(token)
         for refusal in frame.refusals or ():
@@ -132,65 +141,33 @@
 
     def on_peer_up(self, peer: PeerAddress) -> None:
         """Waits for the peer's first report."""
+        self.fleet.on_peer_up(peer)
 
     def on_peer_lost(self, peer: PeerAddress, reason: str) -> None:
         """Recovers what ran at the peer."""
         del reason
+        self.fleet.on_peer_lost(peer)
         self.directory.forget(peer.instance)
-        self.loads.forget(peer.instance)
-        self.shares.on_peer_lost(peer.instance)
-        self.suspects.on_peer_lost(peer.instance)
+        self.limits.on_peer_lost(peer.instance)
         self.streams.on_peer_lost(peer.instance)
         self.plain.on_peer_lost(peer.instance)
 
-    def _make_limits(self) -> None:
-        homes = Homes(self.settings.instance, _SETTLED_MS)
-        self.shares = ShareClient(
-            self.network, homes, self._account_rule, self._clock, self.metrics
-        )
-        self.suspects = SuspectClient(
-            self.network, homes, self._quarantine, self._clock, self.metrics
-        )
-
-    def _account_rule(self, client_account: str) -> AccountRule | None:
-        head = self.bundles.head
-        if head is None:
-            return None
-        account = head.bundle.client_accounts.get(client_account)
-        return rule_of(account) if account is not None else None
-
-    def _quarantine(self) -> Quarantine:
-        head = self.bundles.head
-        return head.bundle.quarantine if head is not None else Quarantine()
-
-    def _on_limits_messages(self, peer: PeerAddress, frame: wire.Frame) -> None:
-        for demand in frame.demands or ():
-            self.shares.on_demand(peer, demand)
-        for grant in frame.grants or ():
-            self.shares.on_grant(grant)
-        for suspicion in frame.suspicions or ():
-            self.suspects.on_suspicion(suspicion)
-        for wanted in frame.run_requests or ():
-            self.suspects.on_run_request(peer, wanted)
-        for admitted in frame.run_admitted or ():
-            self.suspects.on_run_admitted(admitted)
-
     def _make_app(self) -> falcon.App:
         app = make_app(
             Door(self.bundles, self.lifetime),
             self.streams,
             self.plain,
-            StreamAdmission(
-                Admission(self.settings.streams),
-                self.shares,
-                self.suspects,
-                self.loads,
-                RetryAfter(random.Random()),
-            ),
+            self.limits.admission,
             self._clock,
             self.metrics,
         )
         add_node_routes(app, self.metrics, lambda: self.ready)
+        add_status_route(
+            app,
+            lambda: self.fleet.status(
+                self.ready, len(self.streams) + len(self.plain)
+            ),
+        )
         return app
 
     def _busy(self) -> bool:
@@ -205,28 +182,31 @@
             if isinstance(listed, InstancesUnavailable):
                 self.metrics.count("instance_list_failures")
             else:
-                self._on_entries(listed)
-                for record in listed:
-                    if record.role == _SIDE_ROLE and not record.leaving:
-                        self._connect(
-                            PeerAddress(
-                                record.instance, record.host, record.port
-                            )
-                        )
+                self.limits.on_listed(listed)
+                self._connect_subset(listed)
             gevent.sleep(self.settings.instances_ms / 1000)
 
-    def _on_entries(self, listed: Sequence[InstanceRecord]) -> None:
-        entries = [
-            PeerAddress(r.instance, r.host, r.port)
-            for r in listed
-            if r.role == _ENTRY_ROLE and not r.leaving
-        ]
-        self.shares.on_listed(entries)
-        self.suspects.on_listed(entries)
-
-    def _connect(self, peer: PeerAddress) -> None:
-        if not self.network.is_connected(peer.instance):
-            self.network.send(peer)
+    def _connect_subset(self, listed: Sequence[InstanceRecord]) -> None:
+        live = {
+            record.instance: record
+            for record in listed
+            if record.role == _SIDE_ROLE and not record.leaving
+        }
+        wanted = self.subset.wanted(live)
+        for instance in sorted(wanted):
+            record = live[instance]
+            if not self.network.is_connected(instance):
+                self.network.send(
+                    PeerAddress(instance, record.host, record.port)
+                )
+        for instance in live.keys() - wanted:
+            if not self.directory.own_streams(instance):
+                self.network.disconnect(instance)
+
+    def _probe_links(self) -> None:
+        while True:
+            gevent.sleep(self.settings.probe_ms / 1000)
+            self.prober.probe()
 
 
 def serve(settings: EntrySettings) -> None:
--- a/caroblug/gen/wire/ttypes.py
+++ b/caroblug/gen/wire/ttypes.py
@@ -1089,6 +1089,7 @@
      - host
      - port
      - streams: Streams open at this engine, from every entry.
+     - backlog: Positions that wait or run.
      - client_accounts: Client accounts with streams open here.
 
     """
@@ -1108,11 +1109,12 @@
         'host',
         'port',
         'streams',
+        'backlog',
         'client_accounts',
     )
 
 
-    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None, streams=None, client_accounts=None,):
+    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None, streams=None, backlog=None, client_accounts=None,):
         self.instance = instance
         self.role = role
         self.data_centre = data_centre
@@ -1127,6 +1129,7 @@
         self.host = host
         self.port = port
         self.streams = streams
+        self.backlog = backlog
         self.client_accounts = client_accounts
 
     def read(self, iprot):
@@ -1208,6 +1211,11 @@
                     self.streams = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I32:
+                    self.backlog = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             elif fid == 60:
                 if ftype == TType.I32:
                     self.client_accounts = iprot.readI32()
@@ -1279,6 +1287,10 @@
             oprot.writeFieldBegin('streams', TType.I32, 20)
             oprot.writeI32(self.streams)
             oprot.writeFieldEnd()
+        if self.backlog is not None:
+            oprot.writeFieldBegin('backlog', TType.I32, 21)
+            oprot.writeI32(self.backlog)
+            oprot.writeFieldEnd()
         if self.client_accounts is not None:
             oprot.writeFieldBegin('client_accounts', TType.I32, 60)
             oprot.writeI32(self.client_accounts)
@@ -1820,6 +1832,412 @@
         return not (self == other)
 
 
+class LinkProbe(object):
+    """
+    Measures a link: sent back by the peer with `answer` set.
+
+    Attributes:
+     - sent_ms: The asker's own clock; of no meaning to the peer.
+     - answer
+
+    """
+
+    __slots__ = (
+        'sent_ms',
+        'answer',
+    )
+
+
+    def __init__(self, sent_ms=None, answer=None,):
+        self.sent_ms = sent_ms
+        self.answer = answer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sent_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.answer = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LinkProbe')
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I64, 1)
+            oprot.writeI64(self.sent_ms)
+            oprot.writeFieldEnd()
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.BOOL, 2)
+            oprot.writeBool(self.answer)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BundleAdvert(object):
+    """
+    What a process says about its bundle in force; version 0 is none.
+
+    Attributes:
+     - version
+     - digest
+     - offset: Where in the log this version was accepted.
+     - log_age_ms: How long ago the log's end was reached, as far as the sender knows.
+
+    """
+
+    __slots__ = (
+        'version',
+        'digest',
+        'offset',
+        'log_age_ms',
+    )
+
+
+    def __init__(self, version=None, digest=None, offset=None, log_age_ms=None,):
+        self.version = version
+        self.digest = digest
+        self.offset = offset
+        self.log_age_ms = log_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.version = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.log_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BundleAdvert')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I32, 1)
+            oprot.writeI32(self.version)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 2)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 3)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.log_age_ms is not None:
+            oprot.writeFieldBegin('log_age_ms', TType.I64, 4)
+            oprot.writeI64(self.log_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BundleFetch(object):
+    """
+    Asks a peer for its head, or just for some sections.
+
+    Attributes:
+     - digest
+     - base: Digest of the head that the asker has; its sections are left out.
+     - hashes: Content hashes; if any, only these sections are sent.
+
+    """
+
+    __slots__ = (
+        'digest',
+        'base',
+        'hashes',
+    )
+
+
+    def __init__(self, digest=None, base=None, hashes=None,):
+        self.digest = digest
+        self.base = base
+        self.hashes = hashes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.base = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.hashes = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.hashes.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BundleFetch')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.STRING, 2)
+            oprot.writeString(self.base.encode('utf-8') if sys.version_info[0] == 2 else self.base)
+            oprot.writeFieldEnd()
+        if self.hashes is not None:
+            oprot.writeFieldBegin('hashes', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.hashes))
+            for iter41 in self.hashes:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BundleSections(object):
+    """
+    A head's record, and sections by content hash; both may be partial.
+
+    Attributes:
+     - digest
+     - offset
+     - record: The record without sections; empty if only sections were asked for.
+     - sections
+
+    """
+
+    __slots__ = (
+        'digest',
+        'offset',
+        'record',
+        'sections',
+    )
+
+
+    def __init__(self, digest=None, offset=None, record=None, sections=None,):
+        self.digest = digest
+        self.offset = offset
+        self.record = record
+        self.sections = sections
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.record = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.sections = {}
+                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
+                    for _i46 in range(_size42):
+                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val48 = iprot.readBinary()
+                        self.sections[_key47] = _val48
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BundleSections')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 2)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.record is not None:
+            oprot.writeFieldBegin('record', TType.STRING, 3)
+            oprot.writeBinary(self.record)
+            oprot.writeFieldEnd()
+        if self.sections is not None:
+            oprot.writeFieldBegin('sections', TType.MAP, 4)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.sections))
+            for kiter49, viter50 in self.sections.items():
+                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
+                oprot.writeBinary(viter50)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ShareDemand(object):
     """
     What an entry reports of an account to the account's home.
@@ -2313,11 +2731,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.known = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Suspicion()
-                        _elem40.read(iprot)
-                        self.known.append(_elem40)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = Suspicion()
+                        _elem56.read(iprot)
+                        self.known.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2342,8 +2760,8 @@
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.known))
-            for iter41 in self.known:
-                iter41.write(oprot)
+            for iter57 in self.known:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2384,6 +2802,10 @@
      - calls
      - replies
      - heartbeats
+     - probes
+     - bundle_adverts
+     - bundle_fetches
+     - bundle_sections
      - demands
      - grants
      - suspicions
@@ -2403,6 +2825,10 @@
         'calls',
         'replies',
         'heartbeats',
+        'probes',
+        'bundle_adverts',
+        'bundle_fetches',
+        'bundle_sections',
         'demands',
         'grants',
         'suspicions',
@@ -2411,7 +2837,7 @@
     )
 
 
-    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None, demands=None, grants=None, suspicions=None, run_requests=None, run_admitted=None,):
+    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None, probes=None, bundle_adverts=None, bundle_fetches=None, bundle_sections=None, demands=None, grants=None, suspicions=None, run_requests=None, run_admitted=None,):
         self.opens = opens
         self.needs = needs
         self.steps = steps
@@ -2422,6 +2848,10 @@
         self.calls = calls
         self.replies = replies
         self.heartbeats = heartbeats
+        self.probes = probes
+        self.bundle_adverts = bundle_adverts
+        self.bundle_fetches = bundle_fetches
+        self.bundle_sections = bundle_sections
         self.demands = demands
         self.grants = grants
         self.suspicions = suspicions
@@ -2440,165 +2870,209 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.opens = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = OpenStream()
-                        _elem47.read(iprot)
-                        self.opens.append(_elem47)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = OpenStream()
+                        _elem63.read(iprot)
+                        self.opens.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.needs = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = Need()
-                        _elem53.read(iprot)
-                        self.needs.append(_elem53)
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = Need()
+                        _elem69.read(iprot)
+                        self.needs.append(_elem69)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.steps = []
-                    (_etype57, _size54) = iprot.readListBegin()
-                    for _i58 in range(_size54):
-                        _elem59 = Step()
-                        _elem59.read(iprot)
-                        self.steps.append(_elem59)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Step()
+                        _elem75.read(iprot)
+                        self.steps.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = Token()
-                        _elem65.read(iprot)
-                        self.tokens.append(_elem65)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = Token()
+                        _elem81.read(iprot)
+                        self.tokens.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.cancels = []
-                    (_etype69, _size66) = iprot.readListBegin()
-                    for _i70 in range(_size66):
-                        _elem71 = Cancel()
-                        _elem71.read(iprot)
-                        self.cancels.append(_elem71)
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = Cancel()
+                        _elem87.read(iprot)
+                        self.cancels.append(_elem87)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.refusals = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = StageRefusal()
-                        _elem77.read(iprot)
-                        self.refusals.append(_elem77)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = StageRefusal()
+                        _elem93.read(iprot)
+                        self.refusals.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype81, _size78) = iprot.readListBegin()
-                    for _i82 in range(_size78):
-                        _elem83 = LoadReport()
-                        _elem83.read(iprot)
-                        self.reports.append(_elem83)
+                    (_etype97, _size94) = iprot.readListBegin()
+                    for _i98 in range(_size94):
+                        _elem99 = LoadReport()
+                        _elem99.read(iprot)
+                        self.reports.append(_elem99)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.calls = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = PlainCall()
-                        _elem89.read(iprot)
-                        self.calls.append(_elem89)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = PlainCall()
+                        _elem105.read(iprot)
+                        self.calls.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.replies = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = PlainReply()
-                        _elem95.read(iprot)
-                        self.replies.append(_elem95)
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = PlainReply()
+                        _elem111.read(iprot)
+                        self.replies.append(_elem111)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.heartbeats = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = Heartbeat()
-                        _elem101.read(iprot)
-                        self.heartbeats.append(_elem101)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = Heartbeat()
+                        _elem117.read(iprot)
+                        self.heartbeats.append(_elem117)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.probes = []
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = LinkProbe()
+                        _elem123.read(iprot)
+                        self.probes.append(_elem123)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 40:
+                if ftype == TType.LIST:
+                    self.bundle_adverts = []
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = BundleAdvert()
+                        _elem129.read(iprot)
+                        self.bundle_adverts.append(_elem129)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 41:
+                if ftype == TType.LIST:
+                    self.bundle_fetches = []
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = BundleFetch()
+                        _elem135.read(iprot)
+                        self.bundle_fetches.append(_elem135)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 42:
+                if ftype == TType.LIST:
+                    self.bundle_sections = []
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = BundleSections()
+                        _elem141.read(iprot)
+                        self.bundle_sections.append(_elem141)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 60:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = ShareDemand()
-                        _elem107.read(iprot)
-                        self.demands.append(_elem107)
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = ShareDemand()
+                        _elem147.read(iprot)
+                        self.demands.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 61:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype111, _size108) = iprot.readListBegin()
-                    for _i112 in range(_size108):
-                        _elem113 = ShareGrant()
-                        _elem113.read(iprot)
-                        self.grants.append(_elem113)
+                    (_etype151, _size148) = iprot.readListBegin()
+                    for _i152 in range(_size148):
+                        _elem153 = ShareGrant()
+                        _elem153.read(iprot)
+                        self.grants.append(_elem153)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 62:
                 if ftype == TType.LIST:
                     self.suspicions = []
-                    (_etype117, _size114) = iprot.readListBegin()
-                    for _i118 in range(_size114):
-                        _elem119 = Suspicion()
-                        _elem119.read(iprot)
-                        self.suspicions.append(_elem119)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = Suspicion()
+                        _elem159.read(iprot)
+                        self.suspicions.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 63:
                 if ftype == TType.LIST:
                     self.run_requests = []
-                    (_etype123, _size120) = iprot.readListBegin()
-                    for _i124 in range(_size120):
-                        _elem125 = RunRequest()
-                        _elem125.read(iprot)
-                        self.run_requests.append(_elem125)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = RunRequest()
+                        _elem165.read(iprot)
+                        self.run_requests.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 64:
                 if ftype == TType.LIST:
                     self.run_admitted = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = RunAdmitted()
-                        _elem131.read(iprot)
-                        self.run_admitted.append(_elem131)
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = RunAdmitted()
+                        _elem171.read(iprot)
+                        self.run_admitted.append(_elem171)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2615,106 +3089,134 @@
         if self.opens is not None:
             oprot.writeFieldBegin('opens', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.opens))
-            for iter132 in self.opens:
-                iter132.write(oprot)
+            for iter172 in self.opens:
+                iter172.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.needs is not None:
             oprot.writeFieldBegin('needs', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.needs))
-            for iter133 in self.needs:
-                iter133.write(oprot)
+            for iter173 in self.needs:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter134 in self.steps:
-                iter134.write(oprot)
+            for iter174 in self.steps:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.tokens))
-            for iter135 in self.tokens:
-                iter135.write(oprot)
+            for iter175 in self.tokens:
+                iter175.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cancels is not None:
             oprot.writeFieldBegin('cancels', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.cancels))
-            for iter136 in self.cancels:
-                iter136.write(oprot)
+            for iter176 in self.cancels:
+                iter176.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter137 in self.refusals:
-                iter137.write(oprot)
+            for iter177 in self.refusals:
+                iter177.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter138 in self.reports:
-                iter138.write(oprot)
+            for iter178 in self.reports:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter139 in self.calls:
-                iter139.write(oprot)
+            for iter179 in self.calls:
+                iter179.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.replies is not None:
             oprot.writeFieldBegin('replies', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.replies))
-            for iter140 in self.replies:
-                iter140.write(oprot)
+            for iter180 in self.replies:
+                iter180.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.heartbeats))
-            for iter141 in self.heartbeats:
-                iter141.write(oprot)
+            for iter181 in self.heartbeats:
+                iter181.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.probes is not None:
+            oprot.writeFieldBegin('probes', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.probes))
+            for iter182 in self.probes:
+                iter182.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bundle_adverts is not None:
+            oprot.writeFieldBegin('bundle_adverts', TType.LIST, 40)
+            oprot.writeListBegin(TType.STRUCT, len(self.bundle_adverts))
+            for iter183 in self.bundle_adverts:
+                iter183.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bundle_fetches is not None:
+            oprot.writeFieldBegin('bundle_fetches', TType.LIST, 41)
+            oprot.writeListBegin(TType.STRUCT, len(self.bundle_fetches))
+            for iter184 in self.bundle_fetches:
+                iter184.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bundle_sections is not None:
+            oprot.writeFieldBegin('bundle_sections', TType.LIST, 42)
+            oprot.writeListBegin(TType.STRUCT, len(self.bundle_sections))
+            for iter185 in self.bundle_sections:
+                iter185.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 60)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter142 in self.demands:
-                iter142.write(oprot)
+            for iter186 in self.demands:
+                iter186.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 61)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter143 in self.grants:
-                iter143.write(oprot)
+            for iter187 in self.grants:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspicions is not None:
             oprot.writeFieldBegin('suspicions', TType.LIST, 62)
             oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
-            for iter144 in self.suspicions:
-                iter144.write(oprot)
+            for iter188 in self.suspicions:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.run_requests is not None:
             oprot.writeFieldBegin('run_requests', TType.LIST, 63)
             oprot.writeListBegin(TType.STRUCT, len(self.run_requests))
-            for iter145 in self.run_requests:
-                iter145.write(oprot)
+            for iter189 in self.run_requests:
+                iter189.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.run_admitted is not None:
             oprot.writeFieldBegin('run_admitted', TType.LIST, 64)
             oprot.writeListBegin(TType.STRUCT, len(self.run_admitted))
-            for iter146 in self.run_admitted:
-                iter146.write(oprot)
+            for iter190 in self.run_admitted:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2886,7 +3388,7 @@
     None,  # 18
     None,  # 19
     (20, TType.I32, 'streams', None, None, ),  # 20
-    None,  # 21
+    (21, TType.I32, 'backlog', None, None, ),  # 21
     None,  # 22
     None,  # 23
     None,  # 24
@@ -2965,6 +3467,35 @@
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
 )
+all_structs.append(LinkProbe)
+LinkProbe.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sent_ms', None, None, ),  # 1
+    (2, TType.BOOL, 'answer', None, None, ),  # 2
+)
+all_structs.append(BundleAdvert)
+BundleAdvert.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'version', None, None, ),  # 1
+    (2, TType.STRING, 'digest', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'offset', None, None, ),  # 3
+    (4, TType.I64, 'log_age_ms', None, None, ),  # 4
+)
+all_structs.append(BundleFetch)
+BundleFetch.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'base', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'hashes', (TType.STRING, 'UTF8', False), None, ),  # 3
+)
+all_structs.append(BundleSections)
+BundleSections.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'offset', None, None, ),  # 2
+    (3, TType.STRING, 'record', 'BINARY', None, ),  # 3
+    (4, TType.MAP, 'sections', (TType.STRING, 'UTF8', TType.STRING, 'BINARY', False), None, ),  # 4
+)
 all_structs.append(ShareDemand)
 ShareDemand.thrift_spec = (
     None,  # 0
@@ -3028,7 +3559,7 @@
     None,  # 17
     None,  # 18
     None,  # 19
-    None,  # 20
+    (20, TType.LIST, 'probes', (TType.STRUCT, [LinkProbe, None], False), None, ),  # 20
     None,  # 21
     None,  # 22
     None,  # 23
@@ -3048,9 +3579,9 @@
     None,  # 37
     None,  # 38
     None,  # 39
-    None,  # 40
-    None,  # 41
-    None,  # 42
+    (40, TType.LIST, 'bundle_adverts', (TType.STRUCT, [BundleAdvert, None], False), None, ),  # 40
+    (41, TType.LIST, 'bundle_fetches', (TType.STRUCT, [BundleFetch, None], False), None, ),  # 41
+    (42, TType.LIST, 'bundle_sections', (TType.STRUCT, [BundleSections, None], False), None, ),  # 42
     None,  # 43
     None,  # 44
     None,  # 45
--- a/thrift/caroblug.thrift
+++ b/thrift/caroblug.thrift
@@ -105,6 +105,8 @@
   13: i32 port
   /** Streams open at this engine, from every entry. */
   20: i32 streams
+  /** Positions that wait or run. */
+  21: i32 backlog
   /** Client accounts with streams open here. */
   60: i32 client_accounts
 }
@@ -146,6 +148,45 @@
   1: i64 sequence
 }
 
+// Area: routing.
+
+/** Measures a link: sent back by the peer with `answer` set. */
+struct LinkProbe {
+  /** The asker's own clock; of no meaning to the peer. */
+  1: i64 sent_ms
+  2: bool answer
+}
+
+// Bundles.
+
+/** What a process says about its bundle in force; version 0 is none. */
+struct BundleAdvert {
+  1: i32 version
+  2: string digest
+  /** Where in the log this version was accepted. */
+  3: i64 offset
+  /** How long ago the log's end was reached, as far as the sender knows. */
+  4: i64 log_age_ms
+}
+
+/** Asks a peer for its head, or just for some sections. */
+struct BundleFetch {
+  1: string digest
+  /** Digest of the head that the asker has; its sections are left out. */
+  2: string base
+  /** Content hashes; if any, only these sections are sent. */
+  3: list<string> hashes
+}
+
+/** A head's record, and sections by content hash; both may be partial. */
+struct BundleSections {
+  1: string digest
+  2: i64 offset
+  /** The record without sections; empty if only sections were asked for. */
+  3: binary record
+  4: map<string, binary> sections
+}
+
 // Limits.
 
 /** What an entry reports of an account to the account's home. */
@@ -203,6 +244,10 @@
   8: list<PlainCall> calls
   9: list<PlainReply> replies
   10: list<Heartbeat> heartbeats
+  20: list<LinkProbe> probes
+  40: list<BundleAdvert> bundle_adverts
+  41: list<BundleFetch> bundle_fetches
+  42: list<BundleSections> bundle_sections
   60: list<ShareDemand> demands
   61: list<ShareGrant> grants
   62: list<Suspicion> suspicions
