Queue by account weight at the sides; report crashes and suspects

Cause: the sides' queue took every account as equal on every side, ran work past its deadline, and nobody heard which requests were in an engine as it crashed. Ruled out: a new home that starts an unknown account at nothing (the first request of a fresh fleet was refused: test_streamed_and_whole_answers_are_ right failed) - it starts with what the time it has been home allows. Change: AccountWeights adds up the account's streams here; FIFO as a setting for measurements; expired items are dropped; suspects take turns alone in the engine; Crashes names each crash, tells entries before the refusals, and refuses quarantined requests at the side too.

--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -1,5 +1,6 @@
 """Shares, queues, admission, retry budgets and quarantine."""
 
+from caroblug.core.limits._account_weights import AccountWeights
 from caroblug.core.limits._admission import Admission
 from caroblug.core.limits._fair_queue import (
     QUEUE_KINDS,
@@ -23,11 +24,13 @@
     Grant,
     HomeShares,
 )
+from caroblug.core.limits._solo import SoloQueue, Turn
 from caroblug.core.limits._suspicions import Suspicion, Suspicions, Verdict
 
 __all__ = [
     "QUEUE_KINDS",
     "AccountRule",
+    "AccountWeights",
     "Admission",
     "Demand",
     "EngineLoad",
@@ -41,9 +44,11 @@
     "OpenedSince",
     "RetryAfter",
     "RunGate",
+    "SoloQueue",
     "Suspicion",
     "Suspicions",
     "Ticket",
+    "Turn",
     "Verdict",
     "estimate_wait_ms",
     "make_queue",
--- a/caroblug/core/limits/_homes.py
+++ b/caroblug/core/limits/_homes.py
@@ -56,21 +56,20 @@
         """Returns the account's home."""
         return _home(client_account, self._homes)
 
-    def is_settled(self, client_account: str, now_ms: int) -> bool:
-        """Tells whether this entry has long been the account's home.
+    def held_ms(self, client_account: str, now_ms: int) -> int:
+        """Returns how long this entry has been the account's home.
 
         Guards against a successor that takes an account it has not heard of
         for one that was idle, and hands it a full minute's tokens again:
         use that the former home added up is gone with it.
         """
         if self._changed_ms is None:
-            return False
-        if now_ms - self._changed_ms >= self.settled_ms:
-            return True
-        if not self._before:
-            return False
-        return _home(client_account, self._before) == self.own
+            return 0
+        if _home(client_account, self._before) == self.own:
+            return self.settled_ms
+        return min(self.settled_ms, now_ms - self._changed_ms)
 
 
 def _home(client_account: str, homes: tuple[str, ...]) -> str:
-    return max(homes, key=lambda name: _rank(client_account, name))
+    """Returns the home among some entries; empty if there are none."""
+    return max(homes, key=lambda name: _rank(client_account, name), default="")
--- a/caroblug/core/limits/_shares.py
+++ b/caroblug/core/limits/_shares.py
@@ -99,7 +99,7 @@
         rule: AccountRule,
         now_ms: int,
         *,
-        settled: bool = True,
+        held_ms: int = _MS_PER_MINUTE,
     ) -> Grant:
         """Takes an entry's report and returns its next grant.
 
@@ -109,12 +109,12 @@
             demand: What the entry reports.
             rule: What the account may use in all.
             now_ms: Time now.
-            settled: Whether an account not heard of was surely idle.
+            held_ms: How long an account not heard of was surely idle.
         """
         account = self._accounts.get(client_account)
         if account is None:
-            level = rule.tokens_per_minute if settled else 0.0
-            account = self._accounts[client_account] = _Account(level, now_ms)
+            account = _Account(0.0, now_ms - held_ms)
+            self._accounts[client_account] = account
         _refill(account, rule, now_ms)
         account.entries.pop(entry, None)
         account.level -= demand.used
--- a/caroblug/entry/_shares.py
+++ b/caroblug/entry/_shares.py
@@ -208,7 +208,7 @@
             demand,
             rule,
             now_ms,
-            settled=self._homes.is_settled(client_account, now_ms),
+            held_ms=self._homes.held_ms(client_account, now_ms),
         )
 
     def _take_grant(self, client_account: str, grant: Grant) -> None:
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -1,10 +1,12 @@
 """The side program: wires its parts together."""
 
+from collections.abc import Mapping
+
 import falcon
 import gevent
 
 from caroblug.core.recovery import StageFailure
-from caroblug.core.state import Head
+from caroblug.core.state import Head, Quarantine, Sharing
 from caroblug.gen.wire import ttypes as wire
 from caroblug.node import (
     Lifetime,
@@ -13,10 +15,11 @@
     add_status_route,
     make_fleet,
 )
+from caroblug.side._crashes import Crashes
 from caroblug.side._plain import DirectCaller, PlainCalls
 from caroblug.side._pump import EnginePump
 from caroblug.side._settings import SideSettings
-from caroblug.side._streams import StageStreams
+from caroblug.side._streams import StageStreams, address_of
 from caroblug.transport import (
     EngineClient,
     EngineDescription,
@@ -69,6 +72,13 @@
             self._on_head,
         )
         self.bundles = self.fleet.bundles
+        self._crashes = Crashes(
+            settings.instance,
+            self.network,
+            self._quarantine,
+            self._clock,
+            self.metrics,
+        )
         self._description: EngineDescription | None = None
         self._engine: EngineClient | None = None
         self._pump: EnginePump | None = None
@@ -109,6 +119,8 @@
             if not probe.answer:
                 self.network.send(peer, wire.LinkProbe(probe.sent_ms, True))
         self.fleet.on_frame(peer, frame)
+        for suspicion in frame.suspicions or ():
+            self._crashes.on_suspicion(suspicion)
         if self._streams is not None:
             self._on_stream_messages(self._streams, frame)
         if self._calls is not None:
@@ -118,6 +130,8 @@
     def on_peer_up(self, peer: PeerAddress) -> None:
         """Tells a new entry about this process."""
         self.fleet.on_peer_up(peer)
+        if peer.role == _ENTRY_ROLE:
+            self._crashes.on_entry_up(peer)
         if peer.role == _ENTRY_ROLE and self._is_up():
             self.network.send(peer, self._make_report())
 
@@ -144,9 +158,10 @@
             self._clock,
             self.metrics,
             lambda results: self._streams.on_results(results),
-            lambda sessions, message: self._on_engine_lost(message),
+            self._on_engine_lost,
             batch=1,
             batches=settings.batches,
+            queue=settings.queue,
         )
         self._streams = StageStreams(
             settings.instance,
@@ -155,6 +170,7 @@
             self._clock,
             self.metrics,
             settings.journal_positions,
+            self._sharing,
         )
         self._pump.start()
 
@@ -162,7 +178,7 @@
         self, streams: StageStreams, frame: wire.Frame
     ) -> None:
         for opened in frame.opens or ():
-            streams.on_open(opened, self._refusal())
+            streams.on_open(opened, self._refusal(opened))
         for need in frame.needs or ():
             streams.on_need(need)
         for step in frame.steps or ():
@@ -172,9 +188,13 @@
         for cancel in frame.cancels or ():
             streams.on_cancel(cancel)
 
-    def _refusal(self) -> str:
+    def _refusal(self, opened: wire.OpenStream) -> str:
         if self.lifetime.leaving:
             return StageFailure.LEAVING
+        fingerprint = opened.fingerprint or ""
+        if self._crashes.is_quarantined(fingerprint):
+            self._crashes.tell(address_of(opened.entry), fingerprint)
+            return StageFailure.QUARANTINED
         return "" if self._is_up() else StageFailure.ENGINE_FAILED
 
     def _is_up(self) -> bool:
@@ -191,7 +211,26 @@
         del head
         self._report()
 
-    def _on_engine_lost(self, message: str) -> None:
+    def _sharing(self) -> Sharing:
+        head = self.bundles.head
+        return head.bundle.sharing if head is not None else Sharing()
+
+    def _quarantine(self) -> Quarantine:
+        head = self.bundles.head
+        return head.bundle.quarantine if head is not None else Quarantine()
+
+    def _on_engine_lost(
+        self, in_engine: Mapping[str, int], failed: EngineFailed
+    ) -> None:
+        """Tells entries, of suspects first: they retry what they hear of."""
+        if failed.crashed:
+            requests = self._streams.requests_of(in_engine)
+            self._crashes.on_crash(
+                (opened.fingerprint, opened.client_account, position)
+                for opened, position in requests
+                if opened.fingerprint
+            )
+        message = failed.message
         if self._description is not None:
             log_state("engine.lost", message=message)
             self.metrics.count("engine_lost")
@@ -204,9 +243,10 @@
             description = self._engine.describe()
             if isinstance(description, EngineFailed):
                 if self._description is not None:
-                    self._on_engine_lost(description.message)
+                    self._on_engine_lost(self._pump.in_engine, description)
             elif self._description is None:
                 log_state("engine.up", model=description.model)
+                self._crashes.on_up()
                 self._pump.batch = description.batch
                 self._description = description
                 self._report()
@@ -245,6 +285,7 @@
             report.waiting = self._pump.waiting
             report.running = self._pump.running
             report.streams = len(self._streams)
+            report.client_accounts = self._pump.client_accounts
             report.backlog = self._pump.backlog
         return report
 
--- a/caroblug/side/_settings.py
+++ b/caroblug/side/_settings.py
@@ -2,8 +2,9 @@
 
 import attrs
 
+from caroblug.core.limits import QUEUE_KINDS
 from caroblug.node import Address, NodeSettings
-from caroblug.utils import count, duration_ms, name, port, text
+from caroblug.utils import choice, count, duration_ms, name, port, text
 
 
 @attrs.frozen(kw_only=True)
@@ -25,6 +26,7 @@
         batches: Batches in the engine at once.
         engine_timeout_ms: How long one batch may take.
         report_ms: Time between load reports.
+        queue: Order of waiting work; `fifo` is a baseline for measurements.
         journal_positions: Outputs kept per stream for a new next stage.
     """
 
@@ -33,6 +35,7 @@
     batches: int = count(1, 16, "Batches in the engine at once.", 2)
     engine_timeout_ms: int = duration_ms("How long a batch may take.", 10_000)
     report_ms: int = duration_ms("Time between load reports.", 200)
+    queue: str = choice(QUEUE_KINDS, "Order of waiting work.", "fair")
     journal_positions: int = count(
         1, 1_000_000, "Outputs kept per stream for a new next stage.", 8192
     )
--- a/caroblug/side/_streams.py
+++ b/caroblug/side/_streams.py
@@ -1,11 +1,12 @@
 """The streams at one side process: messages in, effects out."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 
 from caroblug.core import recovery
 from caroblug.core.recovery import StageFailure, StageStream
+from caroblug.core.state import Sharing
 from caroblug.gen.wire import ttypes as wire
 from caroblug.side._pump import EnginePump
 from caroblug.transport import (
@@ -18,6 +19,7 @@
 
 _RETRY_AFTER_MS = 200
 _DEADLINE_SLACK_MS = 5000
+_LEAST_COST = 0.001
 
 
 def address_of(ref: wire.StageRef) -> PeerAddress:
@@ -69,6 +71,7 @@
         clock: Source of time.
         metrics: Where streams are counted.
         journal_positions: Outputs kept per stream.
+        sharing: Returns the weights of prompt and generated tokens.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         clock: Clock,
         metrics: Metrics,
         journal_positions: int,
+        sharing: Callable[[], Sharing],
     ) -> None:
         self._instance = instance
         self._network = network
@@ -86,6 +90,7 @@
         self._clock = clock
         self._metrics = metrics
         self._journal_positions = journal_positions
+        self._sharing = sharing
         self._streams: dict[str, _Entry] = {}
         self._by_session: dict[str, str] = {}
 
@@ -167,6 +172,16 @@
             if name is not None:
                 self._on_result(name, self._streams[name], result)
 
+    def requests_of(
+        self, sessions: Mapping[str, int]
+    ) -> list[tuple[wire.OpenStream, int]]:
+        """Returns the open messages of sessions, with their positions."""
+        return [
+            (self._streams[name].opened, position)
+            for session, position in sessions.items()
+            if (name := self._by_session.get(session)) is not None
+        ]
+
     def on_engine_lost(self, message: str) -> None:
         """Gives up every stream: the engine's caches are gone."""
         for name, known in list(self._streams.items()):
@@ -285,13 +300,26 @@
             effect.inputs,
             known.opened.seed,
         )
+        opened = known.opened
         self._pump.submit(
-            known.opened.client_account,
+            opened.client_account,
             item,
-            float(len(effect.inputs)),
-            known.opened.weight,
+            self._cost(opened, effect),
+            opened.weight,
+            known.end_ms - _DEADLINE_SLACK_MS,
+            alone=effect.position < (opened.alone_until or 0),
         )
 
+    def _cost(self, opened: wire.OpenStream, effect: recovery.RunUnit) -> float:
+        """Returns the weighted tokens of a unit."""
+        sharing = self._sharing()
+        positions = len(effect.inputs)
+        prompt = opened.prompt_length - effect.position
+        prompt = min(max(prompt, 0), positions)
+        cost = sharing.prompt_weight * prompt
+        cost += sharing.generated_weight * (positions - prompt)
+        return max(cost, _LEAST_COST)
+
 
 def _same_layers(known: _Entry, opened: wire.OpenStream) -> bool:
     """Tells whether the kept outputs and cache fit the new chain."""
--- a/caroblug/transport/_engine.py
+++ b/caroblug/transport/_engine.py
@@ -83,8 +83,7 @@
 
     Attributes:
         message: What was seen.
-        crashed: Whether it went away while it had the batch, rather than
-            stayed silent or refused.
+        crashed: Whether it is gone, rather than silent or unwilling.
     """
 
     message: str
@@ -120,7 +119,7 @@
         """Returns what the engine says of itself."""
         answer = self._client.request("GET", "/v1/engine")
         if isinstance(answer, HttpFailed):
-            return EngineFailed(answer.message)
+            return EngineFailed(answer.message, not answer.timed_out)
         try:
             body = answer.json()
             return EngineDescription(
