--- a/standins/engine.py
+++ b/standins/engine.py
@@ -52,6 +52,7 @@
     def __init__(self, options: argparse.Namespace) -> None:
         self.options = options
         self.step_ms = options.step_ms
+        self._poison_state = bytes.fromhex(options.poison_state)
         self.hung = False
         self.layers_run = 0
         self.repeated = 0
@@ -136,7 +137,10 @@
 
     def _input(self, value: int | str, position: int) -> bytes:
         if isinstance(value, str):
-            return base64.b64decode(value)
+            state = base64.b64decode(value)
+            if state == self._poison_state:
+                os.kill(os.getpid(), signal.SIGKILL)
+            return state
         options = self.options
         # A generated token may be equal to the poison; only a prompt strikes.
         if (
@@ -236,6 +240,7 @@
     parser.add_argument("--step-ms", type=float, default=2.0)
     parser.add_argument("--position-ms", type=float, default=0.05)
     parser.add_argument("--poison-token", type=int, default=-1)
+    parser.add_argument("--poison-state", default="")
     parser.add_argument("--poison-position", type=int, default=1)
     options = parser.parse_args()
     engine = Engine(options)
