Report every value out of range, with its own key

Cause: attrs stops at the first value that a class refuses, and cattrs builds no class that has an unknown key, so a file with both named only one mistake. The test of one value now expects the whole key (`inner.size`), which is stricter than before. Conclusion: `--check-config` and `check` name all mistakes in one go.

--- a/caroblug/utils/__init__.py
+++ b/caroblug/utils/__init__.py
@@ -4,12 +4,8 @@
 from caroblug.utils._logging import log_state, start_logging
 from caroblug.utils._metrics import Metrics, make_metrics
 from caroblug.utils._outcomes import Ran, RefusalType, Refused
-from caroblug.utils._settings import (
-    SettingProblem,
-    SettingsRejected,
-    load_settings,
-    structure_table,
-)
+from caroblug.utils._settings import load_settings, structure_table
+from caroblug.utils._settings_problems import SettingProblem, SettingsRejected
 from caroblug.utils._validation import (
     choice,
     count,
--- /dev/null
+++ b/caroblug/utils/_ranges.py
@@ -0,0 +1,82 @@
+"""Finds every value out of its range in a parsed TOML table.
+
+attrs stops at the first value that a class refuses; whoever writes settings
+wants to hear of all of them at once.
+"""
+
+import types
+import typing
+from typing import Any
+
+import attrs
+
+from caroblug.utils._settings_problems import SettingProblem
+
+
+class OutOfRangeError(ValueError):
+    """A value that its field does not allow."""
+
+
+def out_of_range(
+    table: dict[str, Any], cls: type, file: str, path: tuple[str, ...] = ()
+) -> list[SettingProblem]:
+    """Returns a problem for each value that its field does not allow.
+
+    Args:
+        table: The parsed table.
+        cls: The attrs class that it is to become.
+        file: Name to give in messages.
+        path: Keys that lead to the table.
+    """
+    problems = []
+    hints = typing.get_type_hints(cls)
+    for field in attrs.fields(cls):
+        if field.name not in table:
+            continue
+        value = table[field.name]
+        where = (*path, field.name)
+        check = field.metadata.get("check")
+        if check is not None and not check(value):
+            problems.append(_problem(field, value, file, where))
+        problems += _inside(hints[field.name], value, file, where)
+    return problems
+
+
+def _problem(
+    field: attrs.Attribute, value: Any, file: str, path: tuple[str, ...]
+) -> SettingProblem:
+    message = f"must be {field.metadata['allowed']}"
+    if not field.metadata.get("secret"):
+        message += f", got {value!r}"
+    return SettingProblem(file, ".".join(path), message)
+
+
+def _inside(
+    hint: Any, value: Any, file: str, path: tuple[str, ...]
+) -> list[SettingProblem]:
+    """Looks into nested tables, tables of tables and lists of tables."""
+    arguments = typing.get_args(hint)
+    origin = typing.get_origin(hint)
+    if origin in (types.UnionType, typing.Union):
+        return _inside(arguments[0], value, file, path)
+    if origin is dict and isinstance(value, dict):
+        items = [(str(key), item) for key, item in value.items()]
+        return _each(arguments[1], items, file, path)
+    if origin is list and isinstance(value, list):
+        items = [(str(index), item) for index, item in enumerate(value)]
+        return _each(arguments[0], items, file, path)
+    if attrs.has(hint) and isinstance(value, dict):
+        return out_of_range(value, hint, file, path)
+    return []
+
+
+def _each(
+    hint: Any,
+    items: list[tuple[str, Any]],
+    file: str,
+    path: tuple[str, ...],
+) -> list[SettingProblem]:
+    problems = []
+    for key, item in items:
+        problems += _inside(hint, item, file, (*path, key))
+    return problems
--- a/caroblug/utils/_settings.py
+++ b/caroblug/utils/_settings.py
@@ -1,6 +1,5 @@
 """TOML tables structured into attrs classes, reporting every mistake."""
 
-import dataclasses
 import pathlib
 import tomllib
 from typing import Any, TypeVar
@@ -13,36 +12,10 @@
     IterableValidationError,
 )
 
-_T = TypeVar("_T")
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SettingProblem:
-    """One mistake in a TOML file.
-
-    Attributes:
-        file: Name of the file.
-        key: Dotted path of the key.
-        message: The value found and what is allowed.
-    """
-
-    file: str
-    key: str
-    message: str
+from caroblug.utils._ranges import OutOfRangeError, out_of_range
+from caroblug.utils._settings_problems import SettingProblem, SettingsRejected
 
-    def __str__(self) -> str:
-        return f"{self.file}: {self.key}: {self.message}"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SettingsRejected:
-    """A TOML file with mistakes.
-
-    Attributes:
-        problems: Every mistake found, in the file's order.
-    """
-
-    problems: tuple[SettingProblem, ...]
+_T = TypeVar("_T")
 
 
 def _strict(kind: type) -> Any:
@@ -87,6 +60,8 @@
         ]
     if isinstance(error, (ClassValidationError, IterableValidationError)):
         return _walk_group(error, file, path)
+    if isinstance(error, OutOfRangeError):
+        return []  # `out_of_range` names it with its own key.
     where = ".".join(path) or "(top)"
     return [SettingProblem(file, where, _message_of(error))]
 
@@ -137,7 +112,14 @@
     try:
         return _CONVERTER.structure(table, cls)
     except (ClassValidationError, IterableValidationError) as error:
-        return SettingsRejected(tuple(_walk(error, file, ())))
+        problems = _walk(error, file, ())
+    named = {problem.key for problem in problems}
+    problems += [
+        problem
+        for problem in out_of_range(table, cls, file)
+        if problem.key not in named
+    ]
+    return SettingsRejected(tuple(problems))
 
 
 def load_settings(path: str, cls: type[_T]) -> _T | SettingsRejected:
--- a/caroblug/utils/_validation.py
+++ b/caroblug/utils/_validation.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from caroblug.utils._ranges import OutOfRangeError
+
 _NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}")
 _MAX_PORT = 65535
 _MAX_DURATION_MS = 7 * 24 * 3600 * 1000
@@ -20,14 +22,14 @@
     def _validate(instance: Any, attribute: Any, value: Any) -> None:
         del instance
         if not check(value):
-            raise ValueError(
+            raise OutOfRangeError(
                 f"{attribute.name} must be {allowed}, got {value!r}"
             )
 
     return attrs.field(
         default=default,
         validator=_validate,
-        metadata={"allowed": allowed, "doc": doc},
+        metadata={"allowed": allowed, "doc": doc, "check": check},
     )
 
 
--- a/caroblug/utils/tests/test_settings.py
+++ b/caroblug/utils/tests/test_settings.py
@@ -33,13 +33,16 @@
     text = "\n".join(str(p) for p in loaded.problems)
     assert "site.toml: extra: is unknown; allowed here: label" in text
     assert "site.toml: inner.size: must be of type int, got 'x'" in text
+    assert "site.toml: label: must be 1 to 63 of a-z" in text
 
 
 def test_value_out_of_range(tmp_path):
     loaded = _load(tmp_path, 'label = "a"\n[inner]\nsize = 12\n')
     assert isinstance(loaded, SettingsRejected)
     (problem,) = loaded.problems
-    assert "size must be a whole number from 1 to 9, got 12" in str(problem)
+    assert "inner.size: must be a whole number from 1 to 9, got 12" in str(
+        problem
+    )
 
 
 def test_missing_file():
