--- a/thrift/caroblug.thrift
+++ b/thrift/caroblug.thrift
@@ -45,6 +45,8 @@
   13: i64 seed
   14: StageRef entry
   15: double weight
+  /** Positions before this one run with nothing else in the engine. */
+  60: i32 alone_until
 }
 
 /** Hidden states for consecutive positions, starting at `position`. */
@@ -105,6 +107,8 @@
   20: i32 streams
   /** Positions that wait or run. */
   21: i32 backlog
+  /** Client accounts with streams open here. */
+  60: i32 client_accounts
 }
 
 struct Header {
@@ -183,6 +187,52 @@
   4: map<string, binary> sections
 }
 
+// Limits.
+
+/** What an entry reports of an account to the account's home. */
+struct ShareDemand {
+  1: string client_account
+  2: i32 streams
+  3: double used
+}
+
+/** What an entry may use of an account until the term ends. */
+struct ShareGrant {
+  1: string client_account
+  2: i32 streams
+  3: double tokens
+  4: i32 total
+  5: i32 term_ms
+}
+
+/** A request that was in an engine, or a plain service, as it crashed. */
+struct Suspicion {
+  1: string fingerprint
+  2: string client_account
+  3: string crash
+  /** Whether the request has since run on past that place. */
+  4: bool cleared
+  5: i64 remaining_ms
+  /** One past the last position that was in the engine; 0 for a call. */
+  6: i32 position
+}
+
+/** Asks an account's home whether a request may run now, or leaves. */
+struct RunRequest {
+  1: string fingerprint
+  2: i64 number
+  3: bool leave
+  /** Whether it has run its whole prompt; said when it leaves. */
+  4: bool proved
+}
+
+/** Lets a request run, with what is known against it. */
+struct RunAdmitted {
+  1: string fingerprint
+  2: i64 number
+  3: list<Suspicion> known
+}
+
 struct Frame {
   1: list<OpenStream> opens
   2: list<Need> needs
@@ -198,4 +248,9 @@
   40: list<BundleAdvert> bundle_adverts
   41: list<BundleFetch> bundle_fetches
   42: list<BundleSections> bundle_sections
+  60: list<ShareDemand> demands
+  61: list<ShareGrant> grants
+  62: list<Suspicion> suspicions
+  63: list<RunRequest> run_requests
+  64: list<RunAdmitted> run_admitted
 }
