Count refusals at the door and the worst accounts in the report

Cause: a request refused at the door had no service label, so that an entry that refused everything showed no burn; the worst accounts had no counter. Ruled out: a counter for each client account (18,000 lines a page). Change: such requests count under their model; a bounded top counter of accounts; the tally takes its total from the outcome counters. Conclusion: burn now counts what callers were refused, but for their own mistakes and limits.

--- a/caroblug/entry/_completions.py
+++ b/caroblug/entry/_completions.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+import attrs
 import falcon
 import orjson
 
@@ -24,12 +25,20 @@
 )
 from caroblug.entry._streams import EntryStreams, RunningStream
 from caroblug.entry._tokenizer import Tokenizer, make_tokenizer
-from caroblug.utils import Clock, Metrics, Refused
+from caroblug.utils import CALLERS_OWN, Clock, Metrics, Refused
 
 _SSE_TYPE = "text/event-stream"
 _SSE_DONE = b"data: [DONE]\n\n"
 
 
+@attrs.frozen
+class _Asked:
+    """A request body that was read and parsed."""
+
+    completion: Completion
+    body_bytes: int
+
+
 class Completions:
     """`POST /v1/chat/completions` and `POST /v1/completions`."""
 
@@ -61,11 +70,17 @@
             return
         head, account = entered
         group = head.bundle.client_accounts[account].group
-        begun = self._begin(request, head.bundle, account)
+        asked = self._read(request, head.bundle)
+        if isinstance(asked, Refused):
+            self._refuse(response, asked, group)
+            return
+        completion = asked.completion
+        begun = self._begin(asked, head.bundle, account)
         if isinstance(begun, Refused):
             self._refuse(response, begun, group)
+            self._count_refused(completion, head.bundle, account, begun)
             return
-        completion, stream, permit = begun
+        stream, permit = begun
         tokenizer = make_tokenizer(
             head.bundle.models[completion.model].vocabulary
         )
@@ -77,16 +92,23 @@
             return
         self._answer_whole(response, feed, tokenizer, group)
 
-    def _begin(
-        self, request: falcon.Request, bundle: Bundle, account: str
-    ) -> tuple[Completion, RunningStream, Permit] | Refused:
+    def _read(
+        self, request: falcon.Request, bundle: Bundle
+    ) -> _Asked | Refused:
         body = self._door.read_body(request, bundle.limits.body_bytes)
         if isinstance(body, Refused):
             return body
         completion = parse_completion(body)
         if isinstance(completion, Refused):
             return completion
-        wanted = make_stream_request(completion, bundle, account, len(body))
+        return _Asked(completion, len(body))
+
+    def _begin(
+        self, asked: _Asked, bundle: Bundle, account: str
+    ) -> tuple[RunningStream, Permit] | Refused:
+        wanted = make_stream_request(
+            asked.completion, bundle, account, asked.body_bytes
+        )
         if isinstance(wanted, Refused):
             return wanted
         permit = self._admission.admit(wanted, bundle)
@@ -98,7 +120,7 @@
             return stream
         stream.on_end = lambda: permit.close(stream.tokens.generated)
         self._admission.on_open(stream.chain.instances)
-        return completion, stream, permit
+        return stream, permit
 
     def _answer_whole(
         self,
@@ -115,6 +137,25 @@
             tokens.extend(part)
         response.media = self._shape.whole(feed.stream, tokenizer, tokens)
 
+    def _count_refused(
+        self,
+        completion: Completion,
+        bundle: Bundle,
+        account: str,
+        refused: Refused,
+    ) -> None:
+        """Counts a request refused at the door under its model."""
+        if completion.model not in bundle.models:
+            return
+        self._metrics.count(
+            "requests",
+            service=completion.model,
+            group=bundle.client_accounts[account].group,
+            outcome=refused.type.value,
+        )
+        if refused.type not in CALLERS_OWN:
+            self._metrics.count_bad(account)
+
     def _refuse(
         self, response: falcon.Response, refused: Refused, group: str
     ) -> None:
--- a/caroblug/entry/_feed.py
+++ b/caroblug/entry/_feed.py
@@ -6,9 +6,17 @@
 
 from caroblug.entry._admission import Permit
 from caroblug.entry._streams import EntryStreams, RunningStream
-from caroblug.utils import Clock, Metrics, Ran, RefusalType, Refused
+from caroblug.utils import (
+    CALLERS_OWN,
+    Clock,
+    Metrics,
+    Ran,
+    RefusalType,
+    Refused,
+)
 
 _MS_PER_S = 1000
+_NOT_BAD = {"answered", "cancelled", *CALLERS_OWN}
 _RETRY_AFTER_MS = 1000
 _DEADLINE = Refused(
     RefusalType.DEADLINE_EXCEEDED,
@@ -98,3 +106,5 @@
             group=self._group,
             outcome=outcome,
         )
+        if outcome not in _NOT_BAD:
+            self._metrics.count_bad(self.stream.request.client_account)
--- a/caroblug/report/_burn.py
+++ b/caroblug/report/_burn.py
@@ -16,6 +16,7 @@
 from caroblug.core.state import Objective
 from caroblug.report._pages import Counts, Page, Series
 from caroblug.report._snapshots import Snapshot, difference
+from caroblug.utils import CALLERS_OWN
 
 _US_PER_MS = 1000
 _PERIOD_S = 30 * 24 * 3600
@@ -25,19 +26,8 @@
     "request": "requests",
     "call": "calls",
 }
-_NOT_BAD = frozenset(
-    {
-        "answered",
-        "cancelled",
-        "bad_request",
-        "key_conflict",
-        "limit_reached",
-        "quarantined",
-        "body_too_large",
-        "unknown_service",
-        "unknown_model",
-    }
-)
+_ANSWERED = "answered"
+_NOT_COUNTED = {"cancelled", *(refusal.value for refusal in CALLERS_OWN)}
 
 
 @attrs.frozen
@@ -130,10 +120,13 @@
     """
     series = Series(objective.measure, objective.service, group)
     counts = page.latencies.get(series, {})
-    total = float(sum(counts.values()))
     slow = _slow(counts, objective.within_ms)
-    failed = _failed(page, objective, group)
-    total = max(total, failed)
+    counter = _COUNTER_OF_MEASURE[objective.measure]
+    if not counter:
+        return Tally(float(sum(counts.values())), slow)
+    outcomes = _outcomes(page, objective, group, counter)
+    total = sum(outcomes.values())
+    failed = total - outcomes.get(_ANSWERED, 0.0)
     return Tally(total, min(total, slow + failed))
 
 
@@ -143,16 +136,17 @@
     return float(sum(n for us, n in counts.items() if us > bound_us))
 
 
-def _failed(page: Page, objective: Objective, group: str) -> float:
-    counter = _COUNTER_OF_MEASURE[objective.measure]
-    return sum(
-        value
+def _outcomes(
+    page: Page, objective: Objective, group: str, counter: str
+) -> dict[str, float]:
+    return {
+        series.outcome: value
         for series, value in page.counters.items()
         if series.measure == counter
         and series.service == objective.service
         and series.group == group
-        and series.outcome not in _NOT_BAD
-    )
+        and series.outcome not in _NOT_COUNTED
+    }
 
 
 def compute_burn(
@@ -217,12 +211,13 @@
 
 
 def _groups(pages: Mapping[str, Page], objective: Objective) -> list[str]:
+    measures = {objective.measure, _COUNTER_OF_MEASURE[objective.measure]}
     return sorted(
         {
             series.group
             for page in pages.values()
-            for series in page.latencies
-            if series.measure == objective.measure
+            for series in (*page.latencies, *page.counters)
+            if series.measure in measures
             and series.service == objective.service
         }
     )
--- a/caroblug/report/tests/test_burn.py
+++ b/caroblug/report/tests/test_burn.py
@@ -97,6 +97,22 @@
         assert "BURNING" in output
 
 
+def test_failures_without_a_latency_count():
+    """The report shows no burn while every request is refused at the door."""
+    metrics = make_metrics()
+    for outcome, times in (("answered", 6), ("overloaded", 3), ("bad", 1)):
+        name = "bad_request" if outcome == "bad" else outcome
+        for _ in range(times):
+            metrics.count(
+                "calls", service="booking", group="schools", outcome=name
+            )
+    metrics.count_bad("school-7")
+    snapshot = _snapshot(0, a=metrics)
+    (burn,) = compute_burn([snapshot], [_OBJECTIVE])
+    assert (burn.total, burn.bad) == (9, 3)
+    assert snapshot.pages()["a"].accounts == {"school-7": 1}
+
+
 def test_bad_input_is_named(tmp_path, capsys):
     assert run([]) == 2
     assert run(["nowhere"]) == 2
--- a/caroblug/utils/__init__.py
+++ b/caroblug/utils/__init__.py
@@ -3,9 +3,15 @@
 from caroblug.utils._clock import Clock, ManualClock, MonotonicClock
 from caroblug.utils._logging import log_state, start_logging
 from caroblug.utils._metrics import Metrics, make_metrics
-from caroblug.utils._outcomes import Ran, RefusalType, Refused
+from caroblug.utils._outcomes import (
+    CALLERS_OWN,
+    Ran,
+    RefusalType,
+    Refused,
+)
 from caroblug.utils._settings import load_settings, structure_table
 from caroblug.utils._settings_problems import SettingProblem, SettingsRejected
+from caroblug.utils._top import TopCounter
 from caroblug.utils._validation import (
     choice,
     count,
@@ -18,6 +24,7 @@
 )
 
 __all__ = [
+    "CALLERS_OWN",
     "Clock",
     "ManualClock",
     "Metrics",
@@ -27,6 +34,7 @@
     "Refused",
     "SettingProblem",
     "SettingsRejected",
+    "TopCounter",
     "choice",
     "count",
     "duration_ms",
--- a/caroblug/utils/_metrics.py
+++ b/caroblug/utils/_metrics.py
@@ -5,12 +5,15 @@
 import prometheus_client
 from hdrh.histogram import HdrHistogram
 
+from caroblug.utils._top import TopCounter
+
 _LOWEST_US = 1
 _HIGHEST_US = 3_600_000_000
 _DIGITS = 3
 _QUANTILES = (50.0, 95.0, 99.0, 100.0)
 _US_PER_MS = 1000
 _HDR_COMMENT = "# HDR"
+_WORST_ACCOUNTS = 100
 
 Labels = tuple[tuple[str, str], ...]
 
@@ -28,6 +31,7 @@
         self._gauges: dict[str, prometheus_client.Gauge] = {}
         self._children: dict[tuple[str, Labels], object] = {}
         self._histograms: dict[tuple[str, Labels], HdrHistogram] = {}
+        self._bad_by_account = TopCounter(_WORST_ACCOUNTS)
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Adds `amount` to the counter `caroblug_<name>_total`."""
@@ -67,6 +71,14 @@
 
         return _record
 
+    def count_bad(self, client_account: str) -> None:
+        """Counts a request of an account that failed.
+
+        Only the accounts with the most are kept: a counter for each of
+        18,000 accounts would be most of the page.
+        """
+        self._bad_by_account.add(client_account)
+
     def value(self, name: str, **labels: str) -> float:
         """Returns a counter's value, 0 if it was never counted."""
         found = self._registry.get_sample_value(
@@ -82,7 +94,7 @@
         can merge instances without loss.
         """
         text = prometheus_client.generate_latest(self._registry)
-        lines = []
+        lines = _account_lines(self._bad_by_account.counts)
         typed = set()
         for (name, labels), histogram in sorted(self._histograms.items()):
             if name not in typed:
@@ -103,6 +115,16 @@
         return counter.labels(**labels) if labels else counter
 
 
+def _account_lines(counts: dict[str, int]) -> list[str]:
+    if not counts:
+        return []
+    lines = ["# TYPE caroblug_account_bad_total counter"]
+    for account, count in sorted(counts.items()):
+        label = _label_text((("client_account", account),))
+        lines.append(f"caroblug_account_bad_total{label} {count}")
+    return lines
+
+
 def _summary_lines(
     name: str, labels: Labels, histogram: HdrHistogram
 ) -> list[str]:
--- a/caroblug/utils/_outcomes.py
+++ b/caroblug/utils/_outcomes.py
@@ -48,3 +48,19 @@
     message: str
     ran: Ran = Ran.NO
     retry_after_ms: int = 0
+
+
+CALLERS_OWN = frozenset(
+    {
+        RefusalType.BAD_REQUEST,
+        RefusalType.UNAUTHENTICATED,
+        RefusalType.UNKNOWN_MODEL,
+        RefusalType.UNKNOWN_SERVICE,
+        RefusalType.BODY_TOO_LARGE,
+        RefusalType.KEY_CONFLICT,
+        RefusalType.LIMIT_REACHED,
+        RefusalType.QUARANTINED,
+        RefusalType.NOT_FOUND,
+    }
+)
+"""Refusals that the caller brought about; they spend no budget."""
