--- a/caroblug/gen/wire/ttypes.py
+++ b/caroblug/gen/wire/ttypes.py
@@ -1076,6 +1076,8 @@
      - bundle_version
      - host
      - port
+     - streams: Streams open at this engine, from every entry.
+     - backlog: Positions that wait or run.
 
     """
 
@@ -1093,10 +1095,12 @@
         'bundle_version',
         'host',
         'port',
+        'streams',
+        'backlog',
     )
 
 
-    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None,):
+    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None, streams=None, backlog=None,):
         self.instance = instance
         self.role = role
         self.data_centre = data_centre
@@ -1110,6 +1114,8 @@
         self.bundle_version = bundle_version
         self.host = host
         self.port = port
+        self.streams = streams
+        self.backlog = backlog
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1185,6 +1191,16 @@
                     self.port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I32:
+                    self.streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I32:
+                    self.backlog = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1247,6 +1263,14 @@
             oprot.writeFieldBegin('port', TType.I32, 13)
             oprot.writeI32(self.port)
             oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 20)
+            oprot.writeI32(self.streams)
+            oprot.writeFieldEnd()
+        if self.backlog is not None:
+            oprot.writeFieldBegin('backlog', TType.I32, 21)
+            oprot.writeI32(self.backlog)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1784,6 +1808,88 @@
         return not (self == other)
 
 
+class LinkProbe(object):
+    """
+    Measures a link: sent back by the peer with `answer` set.
+
+    Attributes:
+     - sent_ms: The asker's own clock; of no meaning to the peer.
+     - answer
+
+    """
+
+    __slots__ = (
+        'sent_ms',
+        'answer',
+    )
+
+
+    def __init__(self, sent_ms=None, answer=None,):
+        self.sent_ms = sent_ms
+        self.answer = answer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sent_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.answer = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LinkProbe')
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I64, 1)
+            oprot.writeI64(self.sent_ms)
+            oprot.writeFieldEnd()
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.BOOL, 2)
+            oprot.writeBool(self.answer)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class BundleAdvert(object):
     """
     What a process says about its bundle in force; version 0 is none.
@@ -2121,6 +2227,7 @@
      - calls
      - replies
      - heartbeats
+     - probes
      - bundle_adverts
      - bundle_fetches
      - bundle_sections
@@ -2138,13 +2245,14 @@
         'calls',
         'replies',
         'heartbeats',
+        'probes',
         'bundle_adverts',
         'bundle_fetches',
         'bundle_sections',
     )
 
 
-    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None, bundle_adverts=None, bundle_fetches=None, bundle_sections=None,):
+    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None, probes=None, bundle_adverts=None, bundle_fetches=None, bundle_sections=None,):
         self.opens = opens
         self.needs = needs
         self.steps = steps
@@ -2155,6 +2263,7 @@
         self.calls = calls
         self.replies = replies
         self.heartbeats = heartbeats
+        self.probes = probes
         self.bundle_adverts = bundle_adverts
         self.bundle_fetches = bundle_fetches
         self.bundle_sections = bundle_sections
@@ -2278,36 +2387,47 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 40:
+            elif fid == 20:
                 if ftype == TType.LIST:
-                    self.bundle_adverts = []
+                    self.probes = []
                     (_etype114, _size111) = iprot.readListBegin()
                     for _i115 in range(_size111):
-                        _elem116 = BundleAdvert()
+                        _elem116 = LinkProbe()
                         _elem116.read(iprot)
-                        self.bundle_adverts.append(_elem116)
+                        self.probes.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 41:
+            elif fid == 40:
                 if ftype == TType.LIST:
-                    self.bundle_fetches = []
+                    self.bundle_adverts = []
                     (_etype120, _size117) = iprot.readListBegin()
                     for _i121 in range(_size117):
-                        _elem122 = BundleFetch()
+                        _elem122 = BundleAdvert()
                         _elem122.read(iprot)
-                        self.bundle_fetches.append(_elem122)
+                        self.bundle_adverts.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 42:
+            elif fid == 41:
                 if ftype == TType.LIST:
-                    self.bundle_sections = []
+                    self.bundle_fetches = []
                     (_etype126, _size123) = iprot.readListBegin()
                     for _i127 in range(_size123):
-                        _elem128 = BundleSections()
+                        _elem128 = BundleFetch()
                         _elem128.read(iprot)
-                        self.bundle_sections.append(_elem128)
+                        self.bundle_fetches.append(_elem128)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 42:
+                if ftype == TType.LIST:
+                    self.bundle_sections = []
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = BundleSections()
+                        _elem134.read(iprot)
+                        self.bundle_sections.append(_elem134)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2324,92 +2444,99 @@
         if self.opens is not None:
             oprot.writeFieldBegin('opens', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.opens))
-            for iter129 in self.opens:
-                iter129.write(oprot)
+            for iter135 in self.opens:
+                iter135.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.needs is not None:
             oprot.writeFieldBegin('needs', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.needs))
-            for iter130 in self.needs:
-                iter130.write(oprot)
+            for iter136 in self.needs:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.steps is not None:
             oprot.writeFieldBegin('steps', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter131 in self.steps:
-                iter131.write(oprot)
+            for iter137 in self.steps:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.tokens))
-            for iter132 in self.tokens:
-                iter132.write(oprot)
+            for iter138 in self.tokens:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cancels is not None:
             oprot.writeFieldBegin('cancels', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.cancels))
-            for iter133 in self.cancels:
-                iter133.write(oprot)
+            for iter139 in self.cancels:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter134 in self.refusals:
-                iter134.write(oprot)
+            for iter140 in self.refusals:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter135 in self.reports:
-                iter135.write(oprot)
+            for iter141 in self.reports:
+                iter141.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.calls is not None:
             oprot.writeFieldBegin('calls', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter136 in self.calls:
-                iter136.write(oprot)
+            for iter142 in self.calls:
+                iter142.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.replies is not None:
             oprot.writeFieldBegin('replies', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.replies))
-            for iter137 in self.replies:
-                iter137.write(oprot)
+            for iter143 in self.replies:
+                iter143.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.heartbeats))
-            for iter138 in self.heartbeats:
-                iter138.write(oprot)
+            for iter144 in self.heartbeats:
+                iter144.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.probes is not None:
+            oprot.writeFieldBegin('probes', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.probes))
+            for iter145 in self.probes:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.bundle_adverts is not None:
             oprot.writeFieldBegin('bundle_adverts', TType.LIST, 40)
             oprot.writeListBegin(TType.STRUCT, len(self.bundle_adverts))
-            for iter139 in self.bundle_adverts:
-                iter139.write(oprot)
+            for iter146 in self.bundle_adverts:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.bundle_fetches is not None:
             oprot.writeFieldBegin('bundle_fetches', TType.LIST, 41)
             oprot.writeListBegin(TType.STRUCT, len(self.bundle_fetches))
-            for iter140 in self.bundle_fetches:
-                iter140.write(oprot)
+            for iter147 in self.bundle_fetches:
+                iter147.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.bundle_sections is not None:
             oprot.writeFieldBegin('bundle_sections', TType.LIST, 42)
             oprot.writeListBegin(TType.STRUCT, len(self.bundle_sections))
-            for iter141 in self.bundle_sections:
-                iter141.write(oprot)
+            for iter148 in self.bundle_sections:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2529,6 +2656,14 @@
     (11, TType.I32, 'bundle_version', None, None, ),  # 11
     (12, TType.STRING, 'host', 'UTF8', None, ),  # 12
     (13, TType.I32, 'port', None, None, ),  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.I32, 'streams', None, None, ),  # 20
+    (21, TType.I32, 'backlog', None, None, ),  # 21
 )
 all_structs.append(Header)
 Header.thrift_spec = (
@@ -2568,6 +2703,12 @@
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
 )
+all_structs.append(LinkProbe)
+LinkProbe.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sent_ms', None, None, ),  # 1
+    (2, TType.BOOL, 'answer', None, None, ),  # 2
+)
 all_structs.append(BundleAdvert)
 BundleAdvert.thrift_spec = (
     None,  # 0
@@ -2613,7 +2754,7 @@
     None,  # 17
     None,  # 18
     None,  # 19
-    None,  # 20
+    (20, TType.LIST, 'probes', (TType.STRUCT, [LinkProbe, None], False), None, ),  # 20
     None,  # 21
     None,  # 22
     None,  # 23
--- a/caroblug/node/__init__.py
+++ b/caroblug/node/__init__.py
@@ -10,6 +10,7 @@
     listen,
 )
 from caroblug.node._lifetime import Lifetime, run_program
+from caroblug.node._reference import describe_settings
 from caroblug.node._settings import Address, NodeSettings
 
 __all__ = [
@@ -22,6 +23,7 @@
     "NodeSettings",
     "NodeStatus",
     "add_node_routes",
+    "describe_settings",
     "add_status_route",
     "listen",
     "make_fleet",
