--- a/caroblug/gen/wire/ttypes.py
+++ b/caroblug/gen/wire/ttypes.py
@@ -296,6 +296,7 @@
      - seed
      - entry
      - weight
+     - alone_until: Positions before this one run with nothing else in the engine.
 
     """
 
@@ -315,10 +316,11 @@
         'seed',
         'entry',
         'weight',
+        'alone_until',
     )
 
 
-    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None,):
+    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None, alone_until=None,):
         self.stream = stream
         self.attempt = attempt
         self.client_account = client_account
@@ -334,6 +336,7 @@
         self.seed = seed
         self.entry = entry
         self.weight = weight
+        self.alone_until = alone_until
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -431,6 +434,11 @@
                     self.weight = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.I32:
+                    self.alone_until = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -507,6 +515,10 @@
             oprot.writeFieldBegin('weight', TType.DOUBLE, 15)
             oprot.writeDouble(self.weight)
             oprot.writeFieldEnd()
+        if self.alone_until is not None:
+            oprot.writeFieldBegin('alone_until', TType.I32, 60)
+            oprot.writeI32(self.alone_until)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1078,6 +1090,7 @@
      - port
      - streams: Streams open at this engine, from every entry.
      - backlog: Positions that wait or run.
+     - client_accounts: Client accounts with streams open here.
 
     """
 
@@ -1097,10 +1110,11 @@
         'port',
         'streams',
         'backlog',
+        'client_accounts',
     )
 
 
-    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None, streams=None, backlog=None,):
+    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None, streams=None, backlog=None, client_accounts=None,):
         self.instance = instance
         self.role = role
         self.data_centre = data_centre
@@ -1116,6 +1130,7 @@
         self.port = port
         self.streams = streams
         self.backlog = backlog
+        self.client_accounts = client_accounts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1201,6 +1216,11 @@
                     self.backlog = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.I32:
+                    self.client_accounts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1271,6 +1291,10 @@
             oprot.writeFieldBegin('backlog', TType.I32, 21)
             oprot.writeI32(self.backlog)
             oprot.writeFieldEnd()
+        if self.client_accounts is not None:
+            oprot.writeFieldBegin('client_accounts', TType.I32, 60)
+            oprot.writeI32(self.client_accounts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2214,59 +2238,28 @@
         return not (self == other)
 
 
-class Frame(object):
+class ShareDemand(object):
     """
+    What an entry reports of an account to the account's home.
+
     Attributes:
-     - opens
-     - needs
-     - steps
-     - tokens
-     - cancels
-     - refusals
-     - reports
-     - calls
-     - replies
-     - heartbeats
-     - probes
-     - bundle_adverts
-     - bundle_fetches
-     - bundle_sections
+     - client_account
+     - streams
+     - used
 
     """
 
     __slots__ = (
-        'opens',
-        'needs',
-        'steps',
-        'tokens',
-        'cancels',
-        'refusals',
-        'reports',
-        'calls',
-        'replies',
-        'heartbeats',
-        'probes',
-        'bundle_adverts',
-        'bundle_fetches',
-        'bundle_sections',
+        'client_account',
+        'streams',
+        'used',
     )
 
 
-    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None, probes=None, bundle_adverts=None, bundle_fetches=None, bundle_sections=None,):
-        self.opens = opens
-        self.needs = needs
-        self.steps = steps
-        self.tokens = tokens
-        self.cancels = cancels
-        self.refusals = refusals
-        self.reports = reports
-        self.calls = calls
-        self.replies = replies
-        self.heartbeats = heartbeats
-        self.probes = probes
-        self.bundle_adverts = bundle_adverts
-        self.bundle_fetches = bundle_fetches
-        self.bundle_sections = bundle_sections
+    def __init__(self, client_account=None, streams=None, used=None,):
+        self.client_account = client_account
+        self.streams = streams
+        self.used = used
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2278,157 +2271,18 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.LIST:
-                    self.opens = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = OpenStream()
-                        _elem56.read(iprot)
-                        self.opens.append(_elem56)
-                    iprot.readListEnd()
+                if ftype == TType.STRING:
+                    self.client_account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.LIST:
-                    self.needs = []
-                    (_etype60, _size57) = iprot.readListBegin()
-                    for _i61 in range(_size57):
-                        _elem62 = Need()
-                        _elem62.read(iprot)
-                        self.needs.append(_elem62)
-                    iprot.readListEnd()
+                if ftype == TType.I32:
+                    self.streams = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.LIST:
-                    self.steps = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = Step()
-                        _elem68.read(iprot)
-                        self.steps.append(_elem68)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.LIST:
-                    self.tokens = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = Token()
-                        _elem74.read(iprot)
-                        self.tokens.append(_elem74)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.LIST:
-                    self.cancels = []
-                    (_etype78, _size75) = iprot.readListBegin()
-                    for _i79 in range(_size75):
-                        _elem80 = Cancel()
-                        _elem80.read(iprot)
-                        self.cancels.append(_elem80)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.LIST:
-                    self.refusals = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = StageRefusal()
-                        _elem86.read(iprot)
-                        self.refusals.append(_elem86)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.LIST:
-                    self.reports = []
-                    (_etype90, _size87) = iprot.readListBegin()
-                    for _i91 in range(_size87):
-                        _elem92 = LoadReport()
-                        _elem92.read(iprot)
-                        self.reports.append(_elem92)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.LIST:
-                    self.calls = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = PlainCall()
-                        _elem98.read(iprot)
-                        self.calls.append(_elem98)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.LIST:
-                    self.replies = []
-                    (_etype102, _size99) = iprot.readListBegin()
-                    for _i103 in range(_size99):
-                        _elem104 = PlainReply()
-                        _elem104.read(iprot)
-                        self.replies.append(_elem104)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.LIST:
-                    self.heartbeats = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = Heartbeat()
-                        _elem110.read(iprot)
-                        self.heartbeats.append(_elem110)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 20:
-                if ftype == TType.LIST:
-                    self.probes = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = LinkProbe()
-                        _elem116.read(iprot)
-                        self.probes.append(_elem116)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 40:
-                if ftype == TType.LIST:
-                    self.bundle_adverts = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = BundleAdvert()
-                        _elem122.read(iprot)
-                        self.bundle_adverts.append(_elem122)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 41:
-                if ftype == TType.LIST:
-                    self.bundle_fetches = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = BundleFetch()
-                        _elem128.read(iprot)
-                        self.bundle_fetches.append(_elem128)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 42:
-                if ftype == TType.LIST:
-                    self.bundle_sections = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = BundleSections()
-                        _elem134.read(iprot)
-                        self.bundle_sections.append(_elem134)
-                    iprot.readListEnd()
+                if ftype == TType.DOUBLE:
+                    self.used = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2440,104 +2294,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Frame')
-        if self.opens is not None:
-            oprot.writeFieldBegin('opens', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.opens))
-            for iter135 in self.opens:
-                iter135.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.needs is not None:
-            oprot.writeFieldBegin('needs', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.needs))
-            for iter136 in self.needs:
-                iter136.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.steps is not None:
-            oprot.writeFieldBegin('steps', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter137 in self.steps:
-                iter137.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.tokens is not None:
-            oprot.writeFieldBegin('tokens', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.tokens))
-            for iter138 in self.tokens:
-                iter138.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.cancels is not None:
-            oprot.writeFieldBegin('cancels', TType.LIST, 5)
-            oprot.writeListBegin(TType.STRUCT, len(self.cancels))
-            for iter139 in self.cancels:
-                iter139.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.refusals is not None:
-            oprot.writeFieldBegin('refusals', TType.LIST, 6)
-            oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter140 in self.refusals:
-                iter140.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.reports is not None:
-            oprot.writeFieldBegin('reports', TType.LIST, 7)
-            oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter141 in self.reports:
-                iter141.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.calls is not None:
-            oprot.writeFieldBegin('calls', TType.LIST, 8)
-            oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter142 in self.calls:
-                iter142.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.replies is not None:
-            oprot.writeFieldBegin('replies', TType.LIST, 9)
-            oprot.writeListBegin(TType.STRUCT, len(self.replies))
-            for iter143 in self.replies:
-                iter143.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.heartbeats is not None:
-            oprot.writeFieldBegin('heartbeats', TType.LIST, 10)
-            oprot.writeListBegin(TType.STRUCT, len(self.heartbeats))
-            for iter144 in self.heartbeats:
-                iter144.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.probes is not None:
-            oprot.writeFieldBegin('probes', TType.LIST, 20)
-            oprot.writeListBegin(TType.STRUCT, len(self.probes))
-            for iter145 in self.probes:
-                iter145.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.bundle_adverts is not None:
-            oprot.writeFieldBegin('bundle_adverts', TType.LIST, 40)
-            oprot.writeListBegin(TType.STRUCT, len(self.bundle_adverts))
-            for iter146 in self.bundle_adverts:
-                iter146.write(oprot)
-            oprot.writeListEnd()
+        oprot.writeStructBegin('ShareDemand')
+        if self.client_account is not None:
+            oprot.writeFieldBegin('client_account', TType.STRING, 1)
+            oprot.writeString(self.client_account.encode('utf-8') if sys.version_info[0] == 2 else self.client_account)
             oprot.writeFieldEnd()
-        if self.bundle_fetches is not None:
-            oprot.writeFieldBegin('bundle_fetches', TType.LIST, 41)
-            oprot.writeListBegin(TType.STRUCT, len(self.bundle_fetches))
-            for iter147 in self.bundle_fetches:
-                iter147.write(oprot)
-            oprot.writeListEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 2)
+            oprot.writeI32(self.streams)
             oprot.writeFieldEnd()
-        if self.bundle_sections is not None:
-            oprot.writeFieldBegin('bundle_sections', TType.LIST, 42)
-            oprot.writeListBegin(TType.STRUCT, len(self.bundle_sections))
-            for iter148 in self.bundle_sections:
-                iter148.write(oprot)
-            oprot.writeListEnd()
+        if self.used is not None:
+            oprot.writeFieldBegin('used', TType.DOUBLE, 3)
+            oprot.writeDouble(self.used)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2562,50 +2330,1007 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(Hello)
-Hello.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'role', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'data_centre', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'nonce', 'BINARY', None, ),  # 4
-    (5, TType.I32, 'protocol', None, None, ),  # 5
-    (6, TType.STRING, 'host', 'UTF8', None, ),  # 6
-    (7, TType.I32, 'port', None, None, ),  # 7
-)
-all_structs.append(StageRef)
-StageRef.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'port', None, None, ),  # 3
-    (4, TType.I32, 'first_layer', None, None, ),  # 4
-    (5, TType.I32, 'end_layer', None, None, ),  # 5
-)
-all_structs.append(OpenStream)
-OpenStream.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'attempt', None, None, ),  # 2
-    (3, TType.STRING, 'client_account', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'model', 'UTF8', None, ),  # 4
-    (5, TType.LIST, 'chain', (TType.STRUCT, [StageRef, None], False), None, ),  # 5
-    (6, TType.I32, 'stage', None, None, ),  # 6
-    (7, TType.LIST, 'tokens', (TType.I32, None, False), None, ),  # 7
-    (8, TType.I32, 'prompt_length', None, None, ),  # 8
-    (9, TType.I32, 'known_length', None, None, ),  # 9
-    (10, TType.I32, 'max_length', None, None, ),  # 10
-    (11, TType.I64, 'deadline_ms', None, None, ),  # 11
-    (12, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 12
-    (13, TType.I64, 'seed', None, None, ),  # 13
-    (14, TType.STRUCT, 'entry', [StageRef, None], None, ),  # 14
-    (15, TType.DOUBLE, 'weight', None, None, ),  # 15
-)
-all_structs.append(Step)
-Step.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'attempt', None, None, ),  # 2
+
+
+class ShareGrant(object):
+    """
+    What an entry may use of an account until the term ends.
+
+    Attributes:
+     - client_account
+     - streams
+     - tokens
+     - total
+     - term_ms
+
+    """
+
+    __slots__ = (
+        'client_account',
+        'streams',
+        'tokens',
+        'total',
+        'term_ms',
+    )
+
+
+    def __init__(self, client_account=None, streams=None, tokens=None, total=None, term_ms=None,):
+        self.client_account = client_account
+        self.streams = streams
+        self.tokens = tokens
+        self.total = total
+        self.term_ms = term_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.client_account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.tokens = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.total = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.term_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ShareGrant')
+        if self.client_account is not None:
+            oprot.writeFieldBegin('client_account', TType.STRING, 1)
+            oprot.writeString(self.client_account.encode('utf-8') if sys.version_info[0] == 2 else self.client_account)
+            oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 2)
+            oprot.writeI32(self.streams)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.DOUBLE, 3)
+            oprot.writeDouble(self.tokens)
+            oprot.writeFieldEnd()
+        if self.total is not None:
+            oprot.writeFieldBegin('total', TType.I32, 4)
+            oprot.writeI32(self.total)
+            oprot.writeFieldEnd()
+        if self.term_ms is not None:
+            oprot.writeFieldBegin('term_ms', TType.I32, 5)
+            oprot.writeI32(self.term_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Suspicion(object):
+    """
+    A request that was in an engine, or a plain service, as it crashed.
+
+    Attributes:
+     - fingerprint
+     - client_account
+     - crash
+     - cleared: Whether the request has since run on past that place.
+     - remaining_ms
+     - position: One past the last position that was in the engine; 0 for a call.
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'client_account',
+        'crash',
+        'cleared',
+        'remaining_ms',
+        'position',
+    )
+
+
+    def __init__(self, fingerprint=None, client_account=None, crash=None, cleared=None, remaining_ms=None, position=None,):
+        self.fingerprint = fingerprint
+        self.client_account = client_account
+        self.crash = crash
+        self.cleared = cleared
+        self.remaining_ms = remaining_ms
+        self.position = position
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.client_account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.crash = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.cleared = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.position = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Suspicion')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.client_account is not None:
+            oprot.writeFieldBegin('client_account', TType.STRING, 2)
+            oprot.writeString(self.client_account.encode('utf-8') if sys.version_info[0] == 2 else self.client_account)
+            oprot.writeFieldEnd()
+        if self.crash is not None:
+            oprot.writeFieldBegin('crash', TType.STRING, 3)
+            oprot.writeString(self.crash.encode('utf-8') if sys.version_info[0] == 2 else self.crash)
+            oprot.writeFieldEnd()
+        if self.cleared is not None:
+            oprot.writeFieldBegin('cleared', TType.BOOL, 4)
+            oprot.writeBool(self.cleared)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 5)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.I32, 6)
+            oprot.writeI32(self.position)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunRequest(object):
+    """
+    Asks an account's home whether a request may run now, or leaves.
+
+    Attributes:
+     - fingerprint
+     - number
+     - leave
+     - proved: Whether it has run its whole prompt; said when it leaves.
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'number',
+        'leave',
+        'proved',
+    )
+
+
+    def __init__(self, fingerprint=None, number=None, leave=None, proved=None,):
+        self.fingerprint = fingerprint
+        self.number = number
+        self.leave = leave
+        self.proved = proved
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.leave = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.proved = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunRequest')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.leave is not None:
+            oprot.writeFieldBegin('leave', TType.BOOL, 3)
+            oprot.writeBool(self.leave)
+            oprot.writeFieldEnd()
+        if self.proved is not None:
+            oprot.writeFieldBegin('proved', TType.BOOL, 4)
+            oprot.writeBool(self.proved)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunAdmitted(object):
+    """
+    Lets a request run, with what is known against it.
+
+    Attributes:
+     - fingerprint
+     - number
+     - known
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'number',
+        'known',
+    )
+
+
+    def __init__(self, fingerprint=None, number=None, known=None,):
+        self.fingerprint = fingerprint
+        self.number = number
+        self.known = known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.known = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = Suspicion()
+                        _elem56.read(iprot)
+                        self.known.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunAdmitted')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.known))
+            for iter57 in self.known:
+                iter57.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Frame(object):
+    """
+    Attributes:
+     - opens
+     - needs
+     - steps
+     - tokens
+     - cancels
+     - refusals
+     - reports
+     - calls
+     - replies
+     - heartbeats
+     - probes
+     - bundle_adverts
+     - bundle_fetches
+     - bundle_sections
+     - demands
+     - grants
+     - suspicions
+     - run_requests
+     - run_admitted
+
+    """
+
+    __slots__ = (
+        'opens',
+        'needs',
+        'steps',
+        'tokens',
+        'cancels',
+        'refusals',
+        'reports',
+        'calls',
+        'replies',
+        'heartbeats',
+        'probes',
+        'bundle_adverts',
+        'bundle_fetches',
+        'bundle_sections',
+        'demands',
+        'grants',
+        'suspicions',
+        'run_requests',
+        'run_admitted',
+    )
+
+
+    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None, probes=None, bundle_adverts=None, bundle_fetches=None, bundle_sections=None, demands=None, grants=None, suspicions=None, run_requests=None, run_admitted=None,):
+        self.opens = opens
+        self.needs = needs
+        self.steps = steps
+        self.tokens = tokens
+        self.cancels = cancels
+        self.refusals = refusals
+        self.reports = reports
+        self.calls = calls
+        self.replies = replies
+        self.heartbeats = heartbeats
+        self.probes = probes
+        self.bundle_adverts = bundle_adverts
+        self.bundle_fetches = bundle_fetches
+        self.bundle_sections = bundle_sections
+        self.demands = demands
+        self.grants = grants
+        self.suspicions = suspicions
+        self.run_requests = run_requests
+        self.run_admitted = run_admitted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.opens = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = OpenStream()
+                        _elem63.read(iprot)
+                        self.opens.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.needs = []
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = Need()
+                        _elem69.read(iprot)
+                        self.needs.append(_elem69)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.steps = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Step()
+                        _elem75.read(iprot)
+                        self.steps.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.tokens = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = Token()
+                        _elem81.read(iprot)
+                        self.tokens.append(_elem81)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.cancels = []
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = Cancel()
+                        _elem87.read(iprot)
+                        self.cancels.append(_elem87)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.refusals = []
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = StageRefusal()
+                        _elem93.read(iprot)
+                        self.refusals.append(_elem93)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.reports = []
+                    (_etype97, _size94) = iprot.readListBegin()
+                    for _i98 in range(_size94):
+                        _elem99 = LoadReport()
+                        _elem99.read(iprot)
+                        self.reports.append(_elem99)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.calls = []
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = PlainCall()
+                        _elem105.read(iprot)
+                        self.calls.append(_elem105)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.replies = []
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = PlainReply()
+                        _elem111.read(iprot)
+                        self.replies.append(_elem111)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.heartbeats = []
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = Heartbeat()
+                        _elem117.read(iprot)
+                        self.heartbeats.append(_elem117)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.probes = []
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = LinkProbe()
+                        _elem123.read(iprot)
+                        self.probes.append(_elem123)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 40:
+                if ftype == TType.LIST:
+                    self.bundle_adverts = []
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = BundleAdvert()
+                        _elem129.read(iprot)
+                        self.bundle_adverts.append(_elem129)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 41:
+                if ftype == TType.LIST:
+                    self.bundle_fetches = []
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = BundleFetch()
+                        _elem135.read(iprot)
+                        self.bundle_fetches.append(_elem135)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 42:
+                if ftype == TType.LIST:
+                    self.bundle_sections = []
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = BundleSections()
+                        _elem141.read(iprot)
+                        self.bundle_sections.append(_elem141)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = ShareDemand()
+                        _elem147.read(iprot)
+                        self.demands.append(_elem147)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 61:
+                if ftype == TType.LIST:
+                    self.grants = []
+                    (_etype151, _size148) = iprot.readListBegin()
+                    for _i152 in range(_size148):
+                        _elem153 = ShareGrant()
+                        _elem153.read(iprot)
+                        self.grants.append(_elem153)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 62:
+                if ftype == TType.LIST:
+                    self.suspicions = []
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = Suspicion()
+                        _elem159.read(iprot)
+                        self.suspicions.append(_elem159)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 63:
+                if ftype == TType.LIST:
+                    self.run_requests = []
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = RunRequest()
+                        _elem165.read(iprot)
+                        self.run_requests.append(_elem165)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 64:
+                if ftype == TType.LIST:
+                    self.run_admitted = []
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = RunAdmitted()
+                        _elem171.read(iprot)
+                        self.run_admitted.append(_elem171)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Frame')
+        if self.opens is not None:
+            oprot.writeFieldBegin('opens', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.opens))
+            for iter172 in self.opens:
+                iter172.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.needs is not None:
+            oprot.writeFieldBegin('needs', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.needs))
+            for iter173 in self.needs:
+                iter173.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.steps is not None:
+            oprot.writeFieldBegin('steps', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.steps))
+            for iter174 in self.steps:
+                iter174.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.tokens))
+            for iter175 in self.tokens:
+                iter175.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cancels is not None:
+            oprot.writeFieldBegin('cancels', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.cancels))
+            for iter176 in self.cancels:
+                iter176.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.refusals is not None:
+            oprot.writeFieldBegin('refusals', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.refusals))
+            for iter177 in self.refusals:
+                iter177.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.reports is not None:
+            oprot.writeFieldBegin('reports', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.reports))
+            for iter178 in self.reports:
+                iter178.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.calls is not None:
+            oprot.writeFieldBegin('calls', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.calls))
+            for iter179 in self.calls:
+                iter179.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.replies is not None:
+            oprot.writeFieldBegin('replies', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.replies))
+            for iter180 in self.replies:
+                iter180.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.heartbeats is not None:
+            oprot.writeFieldBegin('heartbeats', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.heartbeats))
+            for iter181 in self.heartbeats:
+                iter181.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.probes is not None:
+            oprot.writeFieldBegin('probes', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.probes))
+            for iter182 in self.probes:
+                iter182.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bundle_adverts is not None:
+            oprot.writeFieldBegin('bundle_adverts', TType.LIST, 40)
+            oprot.writeListBegin(TType.STRUCT, len(self.bundle_adverts))
+            for iter183 in self.bundle_adverts:
+                iter183.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bundle_fetches is not None:
+            oprot.writeFieldBegin('bundle_fetches', TType.LIST, 41)
+            oprot.writeListBegin(TType.STRUCT, len(self.bundle_fetches))
+            for iter184 in self.bundle_fetches:
+                iter184.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bundle_sections is not None:
+            oprot.writeFieldBegin('bundle_sections', TType.LIST, 42)
+            oprot.writeListBegin(TType.STRUCT, len(self.bundle_sections))
+            for iter185 in self.bundle_sections:
+                iter185.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 60)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter186 in self.demands:
+                iter186.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.grants is not None:
+            oprot.writeFieldBegin('grants', TType.LIST, 61)
+            oprot.writeListBegin(TType.STRUCT, len(self.grants))
+            for iter187 in self.grants:
+                iter187.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspicions is not None:
+            oprot.writeFieldBegin('suspicions', TType.LIST, 62)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
+            for iter188 in self.suspicions:
+                iter188.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.run_requests is not None:
+            oprot.writeFieldBegin('run_requests', TType.LIST, 63)
+            oprot.writeListBegin(TType.STRUCT, len(self.run_requests))
+            for iter189 in self.run_requests:
+                iter189.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.run_admitted is not None:
+            oprot.writeFieldBegin('run_admitted', TType.LIST, 64)
+            oprot.writeListBegin(TType.STRUCT, len(self.run_admitted))
+            for iter190 in self.run_admitted:
+                iter190.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(Hello)
+Hello.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'role', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'data_centre', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'nonce', 'BINARY', None, ),  # 4
+    (5, TType.I32, 'protocol', None, None, ),  # 5
+    (6, TType.STRING, 'host', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'port', None, None, ),  # 7
+)
+all_structs.append(StageRef)
+StageRef.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'port', None, None, ),  # 3
+    (4, TType.I32, 'first_layer', None, None, ),  # 4
+    (5, TType.I32, 'end_layer', None, None, ),  # 5
+)
+all_structs.append(OpenStream)
+OpenStream.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.STRING, 'client_account', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'model', 'UTF8', None, ),  # 4
+    (5, TType.LIST, 'chain', (TType.STRUCT, [StageRef, None], False), None, ),  # 5
+    (6, TType.I32, 'stage', None, None, ),  # 6
+    (7, TType.LIST, 'tokens', (TType.I32, None, False), None, ),  # 7
+    (8, TType.I32, 'prompt_length', None, None, ),  # 8
+    (9, TType.I32, 'known_length', None, None, ),  # 9
+    (10, TType.I32, 'max_length', None, None, ),  # 10
+    (11, TType.I64, 'deadline_ms', None, None, ),  # 11
+    (12, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 12
+    (13, TType.I64, 'seed', None, None, ),  # 13
+    (14, TType.STRUCT, 'entry', [StageRef, None], None, ),  # 14
+    (15, TType.DOUBLE, 'weight', None, None, ),  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    (60, TType.I32, 'alone_until', None, None, ),  # 60
+)
+all_structs.append(Step)
+Step.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
     (3, TType.I32, 'position', None, None, ),  # 3
     (4, TType.LIST, 'states', (TType.STRING, 'BINARY', False), None, ),  # 4
 )
@@ -2664,6 +3389,45 @@
     None,  # 19
     (20, TType.I32, 'streams', None, None, ),  # 20
     (21, TType.I32, 'backlog', None, None, ),  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    (60, TType.I32, 'client_accounts', None, None, ),  # 60
 )
 all_structs.append(Header)
 Header.thrift_spec = (
@@ -2732,6 +3496,47 @@
     (3, TType.STRING, 'record', 'BINARY', None, ),  # 3
     (4, TType.MAP, 'sections', (TType.STRING, 'UTF8', TType.STRING, 'BINARY', False), None, ),  # 4
 )
+all_structs.append(ShareDemand)
+ShareDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'client_account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'streams', None, None, ),  # 2
+    (3, TType.DOUBLE, 'used', None, None, ),  # 3
+)
+all_structs.append(ShareGrant)
+ShareGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'client_account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'streams', None, None, ),  # 2
+    (3, TType.DOUBLE, 'tokens', None, None, ),  # 3
+    (4, TType.I32, 'total', None, None, ),  # 4
+    (5, TType.I32, 'term_ms', None, None, ),  # 5
+)
+all_structs.append(Suspicion)
+Suspicion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'client_account', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'crash', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'cleared', None, None, ),  # 4
+    (5, TType.I64, 'remaining_ms', None, None, ),  # 5
+    (6, TType.I32, 'position', None, None, ),  # 6
+)
+all_structs.append(RunRequest)
+RunRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.BOOL, 'leave', None, None, ),  # 3
+    (4, TType.BOOL, 'proved', None, None, ),  # 4
+)
+all_structs.append(RunAdmitted)
+RunAdmitted.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.LIST, 'known', (TType.STRUCT, [Suspicion, None], False), None, ),  # 3
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2777,6 +3582,28 @@
     (40, TType.LIST, 'bundle_adverts', (TType.STRUCT, [BundleAdvert, None], False), None, ),  # 40
     (41, TType.LIST, 'bundle_fetches', (TType.STRUCT, [BundleFetch, None], False), None, ),  # 41
     (42, TType.LIST, 'bundle_sections', (TType.STRUCT, [BundleSections, None], False), None, ),  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    (60, TType.LIST, 'demands', (TType.STRUCT, [ShareDemand, None], False), None, ),  # 60
+    (61, TType.LIST, 'grants', (TType.STRUCT, [ShareGrant, None], False), None, ),  # 61
+    (62, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 62
+    (63, TType.LIST, 'run_requests', (TType.STRUCT, [RunRequest, None], False), None, ),  # 63
+    (64, TType.LIST, 'run_admitted', (TType.STRUCT, [RunAdmitted, None], False), None, ),  # 64
 )
 fix_spec(all_structs)
 del all_structs
--- a/caroblug/transport/_peers.py
+++ b/caroblug/transport/_peers.py
@@ -37,6 +37,11 @@
     wire.BundleAdvert: "bundle_adverts",
     wire.BundleFetch: "bundle_fetches",
     wire.BundleSections: "bundle_sections",
+    wire.ShareDemand: "demands",
+    wire.ShareGrant: "grants",
+    wire.Suspicion: "suspicions",
+    wire.RunRequest: "run_requests",
+    wire.RunAdmitted: "run_admitted",
 }
 
 
