--- a/caroblug/side/_settings.py
+++ b/caroblug/side/_settings.py
@@ -2,8 +2,9 @@
 
 import attrs
 
+from caroblug.core.limits import QUEUE_KINDS
 from caroblug.node import Address, NodeSettings
-from caroblug.utils import count, duration_ms, name, port, text
+from caroblug.utils import choice, count, duration_ms, name, port, text
 
 
 @attrs.frozen(kw_only=True)
@@ -26,6 +27,7 @@
         engine_timeout_ms: How long one batch may take.
         report_ms: Least time between load reports.
         report_bytes_per_s: Budget of all load reports.
+        queue: Order of waiting work; `fifo` is a baseline for measurements.
         journal_positions: Outputs kept per stream for a new next stage.
         positions: Positions of all open streams together, prompts and answers
             to come included; more streams are refused.
@@ -39,6 +41,7 @@
     report_bytes_per_s: int = count(
         100, 1_000_000, "Budget of all load reports, in bytes a second.", 2000
     )
+    queue: str = choice(QUEUE_KINDS, "Order of waiting work.", "fair")
     journal_positions: int = count(
         1, 1_000_000, "Outputs kept per stream for a new next stage.", 8192
     )
