--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -6,6 +6,7 @@
 import gevent
 
 from caroblug.core.recovery import StageFailure
+from caroblug.core.routing import report_interval_ms
 from caroblug.core.state import Head, Quarantine, Sharing
 from caroblug.gen.wire import ttypes as wire
 from caroblug.node import (
@@ -37,6 +38,7 @@
 )
 
 _ENTRY_ROLE = "entry"
+_REPORT_BYTES = 110
 _DESCRIBE_S = 0.2
 _PLAIN_TIMEOUT_MS = 5000
 
@@ -191,6 +193,8 @@
     def _refusal(self, opened: wire.OpenStream) -> str:
         if self.lifetime.leaving:
             return StageFailure.LEAVING
+        if self._streams.positions >= self.settings.positions:
+            return StageFailure.OVERLOADED
         fingerprint = opened.fingerprint or ""
         if self._crashes.is_quarantined(fingerprint):
             self._crashes.tell(address_of(opened.entry), fingerprint)
@@ -255,9 +259,18 @@
 
     def _report_forever(self) -> None:
         while True:
-            gevent.sleep(self.settings.report_ms / 1000)
+            gevent.sleep(self._report_interval_ms() / 1000)
             self._report()
 
+    def _report_interval_ms(self) -> int:
+        entries = sum(p.role == _ENTRY_ROLE for p in self.network.peers)
+        return report_interval_ms(
+            entries,
+            _REPORT_BYTES,
+            self.settings.report_ms,
+            self.settings.report_bytes_per_s,
+        )
+
     def _report(self) -> None:
         self.network.broadcast(_ENTRY_ROLE, self._make_report())
 
@@ -272,6 +285,7 @@
             bundle_version=head.version if head else 0,
             host=settings.host,
             port=settings.peer_port,
+            interval_ms=self._report_interval_ms(),
         )
         if settings.plain is not None:
             report.target = settings.plain.service
--- a/caroblug/utils/_metrics.py
+++ b/caroblug/utils/_metrics.py
@@ -1,14 +1,19 @@
 """Counters and gauges by prometheus_client, latencies by hdrhistogram."""
 
+from collections.abc import Callable
+
 import prometheus_client
 from hdrh.histogram import HdrHistogram
 
+from caroblug.utils._top import TopCounter
+
 _LOWEST_US = 1
 _HIGHEST_US = 3_600_000_000
 _DIGITS = 3
 _QUANTILES = (50.0, 95.0, 99.0, 100.0)
 _US_PER_MS = 1000
 _HDR_COMMENT = "# HDR"
+_WORST_ACCOUNTS = 100
 
 Labels = tuple[tuple[str, str], ...]
 
@@ -26,6 +31,7 @@
         self._gauges: dict[str, prometheus_client.Gauge] = {}
         self._children: dict[tuple[str, Labels], object] = {}
         self._histograms: dict[tuple[str, Labels], HdrHistogram] = {}
+        self._bad_by_account = TopCounter(_WORST_ACCOUNTS)
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Adds `amount` to the counter `caroblug_<name>_total`."""
@@ -48,13 +54,30 @@
 
     def record_ms(self, name: str, ms: float, **labels: str) -> None:
         """Records a latency under `caroblug_<name>_ms`."""
+        self.recorder(name, **labels)(ms)
+
+    def recorder(self, name: str, **labels: str) -> Callable[[float], None]:
+        """Returns what records one latency, for use again and again."""
         key = (name, tuple(labels.items()))
         histogram = self._histograms.get(key)
         if histogram is None:
             histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
             self._histograms[key] = histogram
-        us = min(max(int(ms * _US_PER_MS), _LOWEST_US), _HIGHEST_US)
-        histogram.record_value(us)
+        record_us = histogram.record_value
+
+        def _record(ms: float) -> None:
+            us = min(max(int(ms * _US_PER_MS), _LOWEST_US), _HIGHEST_US)
+            record_us(us)
+
+        return _record
+
+    def count_bad(self, client_account: str) -> None:
+        """Counts a request of an account that failed.
+
+        Only the accounts with the most are kept: a counter for each of
+        18,000 accounts would be most of the page.
+        """
+        self._bad_by_account.add(client_account)
 
     def value(self, name: str, **labels: str) -> float:
         """Returns a counter's value, 0 if it was never counted."""
@@ -71,7 +94,7 @@
         can merge instances without loss.
         """
         text = prometheus_client.generate_latest(self._registry)
-        lines = []
+        lines = _account_lines(self._bad_by_account.counts)
         typed = set()
         for (name, labels), histogram in sorted(self._histograms.items()):
             if name not in typed:
@@ -92,6 +115,16 @@
         return counter.labels(**labels) if labels else counter
 
 
+def _account_lines(counts: dict[str, int]) -> list[str]:
+    if not counts:
+        return []
+    lines = ["# TYPE caroblug_account_bad_total counter"]
+    for account, count in sorted(counts.items()):
+        label = _label_text((("client_account", account),))
+        lines.append(f"caroblug_account_bad_total{label} {count}")
+    return lines
+
+
 def _summary_lines(
     name: str, labels: Labels, histogram: HdrHistogram
 ) -> list[str]:
