Let light accounts' items overtake; refuse by load in all; benches

Change: overtaking calls with a better priority while an account has less than half of what the heaviest has in the engine; the account's own weight caps its streams at one engine; alone_until is passed on to later stages; admission also refuses when all streams together wait 1.5 times queue_ms (a cold start admitted 118 streams where 71 fit).

--- /dev/null
+++ b/benchmarks/_open_load.py
@@ -0,0 +1,91 @@
+"""Callers whose requests come at a rate, whatever becomes of them."""
+
+import time
+
+import attrs
+import gevent
+from gevent import socket
+
+from benchmarks._load import Callers
+from standins.site import HOST, MODEL
+
+_TIMEOUT_S = 60.0
+_STATUS_AT = 9
+_PEEK_BYTES = 64
+_OK = b"200"
+
+
+@attrs.define
+class Refusals:
+    """Requests that were refused.
+
+    Attributes:
+        times: Seconds that each refusal took, with when it came.
+        statuses: How often each HTTP status came.
+        served: Seconds that each whole answer took, with when it ended.
+    """
+
+    times: list[tuple[float, float]] = attrs.field(factory=list)
+    statuses: dict[str, int] = attrs.field(factory=dict)
+    served: list[tuple[float, float]] = attrs.field(factory=list)
+
+
+class OpenCallers(Callers):
+    """Callers that send at a rate, each request by the next entry."""
+
+    def __init__(self, *args, **options) -> None:
+        super().__init__(*args, **options)
+        self.refusals = Refusals()
+
+    def start_rate(self, per_s: float) -> None:
+        """Starts sending `per_s` requests a second, at random moments."""
+        self._running.append(gevent.spawn(self._arrive, per_s))
+
+    def _arrive(self, per_s: float) -> None:
+        number = 0
+        due = time.monotonic()
+        while not self._stopped:
+            due += self._random.expovariate(per_s)
+            gevent.sleep(max(0.0, due - time.monotonic()))
+            entry = self._entries[number % len(self._entries)]
+            number += 1
+            weights = [shape.share for shape in self._shapes]
+            shape = self._random.choices(self._shapes, weights)[0]
+            words = [
+                f"w{self._random.randrange(10_000)}" for _ in range(shape.words)
+            ]
+            call = gevent.spawn(
+                self._call, entry, " ".join(words), shape.tokens
+            )
+            self._running.append(call)
+            if number % 100 == 0:
+                self._running = [g for g in self._running if not g.dead]
+
+    def _call(self, entry: str, prompt: str, tokens: int) -> None:
+        port = self._site.processes[entry].http_port
+        body = {"model": MODEL, "prompt": prompt, "max_tokens": tokens}
+        body.update(stream=True, seed=1)
+        sent = time.monotonic()
+        try:
+            with socket.create_connection((HOST, port), _TIMEOUT_S) as sock:
+                sock.sendall(self._request(body))
+                head = sock.recv(_PEEK_BYTES, socket.MSG_PEEK)
+                status = head[_STATUS_AT : _STATUS_AT + 3]
+                if status != _OK:
+                    self._refused(status.decode(), sent)
+                    return
+                whole = self._read(sock, sent, tokens, len(prompt.split()))
+        except OSError:
+            whole = False
+        if whole:
+            self.tally.answered += 1
+            now = time.monotonic()
+            self.refusals.served.append((now, now - sent))
+        else:
+            self.tally.failed += 1
+
+    def _refused(self, status: str, sent: float) -> None:
+        now = time.monotonic()
+        self.refusals.times.append((now, now - sent))
+        counts = self.refusals.statuses
+        counts[status] = counts.get(status, 0) + 1
--- a/caroblug/core/limits/_account_weights.py
+++ b/caroblug/core/limits/_account_weights.py
@@ -26,7 +26,11 @@
         return len(self._accounts)
 
     def on_stream(
-        self, client_account: str, session: str, stream_weight: float
+        self,
+        client_account: str,
+        session: str,
+        stream_weight: float,
+        most: float,
     ) -> float:
         """Notes a stream, once, and returns its account's weight here.
 
@@ -34,13 +38,16 @@
             client_account: Whose stream it is.
             session: The stream.
             stream_weight: Weight that one of the account's streams has, > 0.
+            most: The account's own weight. Guards against a burst whose
+                streams were opened before their entries heard of each other:
+                each was given too much.
         """
         account = self._accounts.setdefault(client_account, _Account())
         if session not in self._sessions:
             self._sessions[session] = client_account
             account.sessions += 1
             account.stream_weight = stream_weight
-        return account.stream_weight * account.sessions
+        return min(most, account.stream_weight * account.sessions)
 
     def on_end(self, session: str) -> None:
         """Forgets a stream; one that is not known does nothing."""
--- a/caroblug/core/limits/_fair_queue.py
+++ b/caroblug/core/limits/_fair_queue.py
@@ -11,6 +11,7 @@
 import abc
 import collections
 import heapq
+from collections.abc import Callable
 from typing import Generic, TypeVar
 
 _T = TypeVar("_T")
@@ -43,6 +44,17 @@
     def get(self) -> _T:
         """Removes and returns the next item; the queue must not be empty."""
 
+    @abc.abstractmethod
+    def get_within(self, is_full: Callable[[str], bool]) -> _T | None:
+        """Removes and returns the next item of an account that is not full.
+
+        Args:
+            is_full: Tells whether an account is to be passed over.
+
+        Returns:
+            The item; None if there is none, or nobody is preferred.
+        """
+
 
 class FifoQueue(ItemQueue[_T]):
     """Serves items in the order they came: the baseline of measurements."""
@@ -64,6 +76,11 @@
         """Removes and returns the oldest item."""
         return self._items.popleft()
 
+    def get_within(self, is_full: Callable[[str], bool]) -> _T | None:
+        """Returns None: nobody is preferred."""
+        del is_full
+        return None
+
 
 class FairQueue(ItemQueue[_T]):
     """Serves the waiting account that has had the least weighted service.
@@ -105,12 +122,36 @@
     def get(self) -> _T:
         """Removes and returns the next item."""
         served, account = heapq.heappop(self._order)
+        self._advance(served)
+        return self._serve(account)
+
+    def get_within(self, is_full: Callable[[str], bool]) -> _T | None:
+        """Removes and returns the next item of an account that is not full.
+
+        Accounts that are passed over keep their counters and their places.
+        """
+        passed = []
+        item = None
+        while self._order and item is None:
+            served, account = heapq.heappop(self._order)
+            if is_full(account):
+                passed.append((served, account))
+                continue
+            self._advance(passed[0][0] if passed else served)
+            item = self._serve(account)
+        for entry in passed:
+            heapq.heappush(self._order, entry)
+        return item
+
+    def _advance(self, served: float) -> None:
         if served < self._floor:
-            raise AssertionError("the counter in service went back")
+            raise AssertionError("the least counter went back")
         self._floor = served
+
+    def _serve(self, account: str) -> _T:
         queue = self._waiting[account]
         item, cost = queue.popleft()
-        self._served[account] = served + cost / self._weights[account]
+        self._served[account] += cost / self._weights[account]
         self._length -= 1
         if queue:
             self._push(account)
--- a/caroblug/entry/_admission.py
+++ b/caroblug/entry/_admission.py
@@ -17,6 +17,8 @@
 
 _RETRY_AFTER_MS = 1000
 _RETRY_MINUTE_MS = 10_000
+_MANY = 1_000_000
+_SPARE = 1.5
 
 
 class Permit:
@@ -137,12 +139,16 @@
 
         Guards against collapse under overload: streams that are all too slow
         to be of use take the engines from those that could be finished, so
-        that the goodput falls as more is offered.
+        that the goodput falls as more is offered. An account with few
+        streams finds a spare part that those with many can't fill.
         """
         held = self._shares.total_streams(request.client_account)
         wait_ms = self._loads.wait_ms(request.model, request.layers, held)
         late = wait_ms * request.max_tokens > request.deadline_ms
-        if wait_ms <= bundle.limits.queue_ms and not late:
+        most_ms = bundle.limits.queue_ms
+        full_ms = self._loads.wait_ms(request.model, request.layers, _MANY)
+        full = wait_ms > most_ms or full_ms > _SPARE * most_ms
+        if not full and not late:
             return None
         return self._refuse(RefusalType.OVERLOADED, "the engines are full")
 
@@ -181,7 +187,9 @@
             request.fingerprint, name, request.deadline_ms
         )
         weight = self._shares.stream_weight(name, account.weight)
-        weighed = attrs.evolve(request, weight=weight)
+        weighed = attrs.evolve(
+            request, weight=weight, account_weight=account.weight
+        )
         if isinstance(ticket, Refused):
             unused = Permit(self, weighed, sharing, Ticket("", 0))
             unused.close(generated=0)
--- a/caroblug/entry/_streams.py
+++ b/caroblug/entry/_streams.py
@@ -42,7 +42,8 @@
 
     Attributes:
         client_account: Whose request it is.
-        weight: The account's share relative to others.
+        weight: The stream's weight: its part of the account's.
+        account_weight: The account's share relative to others.
         model: The model.
         layers: Its number of layers.
         prompt: The prompt's tokens.
@@ -63,6 +64,7 @@
     seed: int
     fingerprint: str = ""
     unread_tokens: int = 1024
+    account_weight: float = 1.0
 
 
 class RunningStream:
@@ -327,6 +329,7 @@
             seed=request.seed,
             entry=self._own,
             weight=request.weight,
+            account_weight=request.account_weight,
             fingerprint=request.fingerprint,
             alone_until=self._suspects.alone_until(request.fingerprint),
         )
--- a/caroblug/gen/wire/ttypes.py
+++ b/caroblug/gen/wire/ttypes.py
@@ -297,6 +297,7 @@
      - entry
      - weight
      - alone_until: Positions before this one run with nothing else in the engine.
+     - account_weight: The account's weight, which its streams at one engine never exceed.
 
     """
 
@@ -317,10 +318,11 @@
         'entry',
         'weight',
         'alone_until',
+        'account_weight',
     )
 
 
-    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None, alone_until=None,):
+    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None, alone_until=None, account_weight=None,):
         self.stream = stream
         self.attempt = attempt
         self.client_account = client_account
@@ -337,6 +339,7 @@
         self.entry = entry
         self.weight = weight
         self.alone_until = alone_until
+        self.account_weight = account_weight
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -439,6 +442,11 @@
                     self.alone_until = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 61:
+                if ftype == TType.DOUBLE:
+                    self.account_weight = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -519,6 +527,10 @@
             oprot.writeFieldBegin('alone_until', TType.I32, 60)
             oprot.writeI32(self.alone_until)
             oprot.writeFieldEnd()
+        if self.account_weight is not None:
+            oprot.writeFieldBegin('account_weight', TType.DOUBLE, 61)
+            oprot.writeDouble(self.account_weight)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3337,6 +3349,7 @@
     None,  # 58
     None,  # 59
     (60, TType.I32, 'alone_until', None, None, ),  # 60
+    (61, TType.DOUBLE, 'account_weight', None, None, ),  # 61
 )
 all_structs.append(Step)
 Step.thrift_spec = (
--- a/caroblug/side/_pump.py
+++ b/caroblug/side/_pump.py
@@ -27,6 +27,9 @@
 
 _CHUNKS_PER_BATCH = 4
 _BATCHES_AHEAD = 2
+_OVERTAKING_CALLS = 16
+_OVERTAKING = 0
+_NORMAL = 1
 
 
 @attrs.define
@@ -78,6 +81,10 @@
         self._suspects: SoloQueue[_Waiting] = SoloQueue()
         self._weights = AccountWeights()
         self._in_engine: dict[str, int] = {}
+        self._normal_running = 0
+        self._overtaking_running = 0
+        self._account_of: dict[str, str] = {}
+        self._by_account: collections.Counter[str] = collections.Counter()
         self._held: dict[str, collections.deque[_Waiting]] = {}
         self._ended: list[str] = []
         self._dropped: set[str] = set()
@@ -119,7 +126,7 @@
 
     def start(self) -> None:
         """Starts one greenlet for each call that may be under way."""
-        for _ in range(self.batches):
+        for _ in range(self.batches + _OVERTAKING_CALLS):
             gevent.spawn(self._work)
 
     def submit(
@@ -130,6 +137,7 @@
         weight: float,
         end_ms: int = NEVER_MS,
         *,
+        most_weight: float = 1.0,
         alone: bool = False,
     ) -> None:
         """Queues an item, a long one in chunks.
@@ -146,10 +154,11 @@
             cost: Its cost in weighted tokens, > 0.
             weight: Weight of one of the account's streams, > 0.
             end_ms: Time after which it is of no use.
+            most_weight: The account's own weight, > 0.
             alone: Whether nothing else may be in the engine with it.
         """
         account_weight = self._weights.on_stream(
-            client_account, item.session, weight
+            client_account, item.session, weight, most_weight
         )
         length = len(item.inputs)
         self._positions_waiting += length
@@ -210,10 +219,20 @@
         positions = sum(len(item.inputs) for item in items)
         self._running += len(items)
         self._positions_running += positions
+        overtaking = bool(items) and items[0].priority == _OVERTAKING
+        if overtaking:
+            self._overtaking_running += positions
+        else:
+            self._normal_running += positions
         for item in items:
             self._in_engine[item.session] = _end_of(item)
         outcome = self._engine.run(items, ended)
         self._running -= len(items)
+        self._count_out(items)
+        if overtaking:
+            self._overtaking_running -= positions
+        else:
+            self._normal_running -= positions
         self._positions_running -= positions
         self._metrics.count("engine_batches")
         self._metrics.count("engine_items", len(items))
@@ -241,17 +260,67 @@
 
         The last item may be over by less than a chunk.
         """
+        if self._normal_running:
+            room = self.batch * _BATCHES_AHEAD - self._overtaking_running
+            room = min(self.batch, room)
+            items = self._take_items(room, _OVERTAKING)
+            if items:
+                return items
+        left = self.batch * _BATCHES_AHEAD - self._normal_running
+        return self._take_items(min(self.batch, left), _NORMAL)
+
+    def _take_items(self, room: int, priority: int) -> list[EngineItem]:
+        """Takes items in fair order.
+
+        Guards against a light account that waits behind the batches which a
+        heavy one has in the engine already: while it has less than half of
+        what the heaviest has there, its items go in at once, in a call of their
+        own, and an engine that honours priorities runs them next. They are
+        not mixed with others in a call, which is answered as a whole.
+        """
         items: list[EngineItem] = []
-        ahead = self.batch * _BATCHES_AHEAD
-        room = min(self.batch, ahead - self._positions_running)
         while len(self._queue) and room > 0:
-            waiting = self._queue.get()
+            if priority == _OVERTAKING:
+                waiting = self._queue.get_within(self._has_its_part)
+            else:
+                waiting = self._queue.get()
+            if waiting is None:
+                break
             if not self._is_wanted(waiting):
                 continue
-            items.append(waiting.item)
-            room -= len(waiting.item.inputs)
+            item = attrs.evolve(waiting.item, priority=priority)
+            account = waiting.client_account
+            self._by_account[account] += len(item.inputs)
+            self._account_of[item.session] = account
+            items.append(item)
+            room -= len(item.inputs)
         return items
 
+    def _has_its_part(self, client_account: str) -> bool:
+        """Tells whether an account has half of what the heaviest has there."""
+        heaviest = max(self._by_account.values(), default=0)
+        return 2 * self._by_account[client_account] >= heaviest
+
+    def _count_out(self, items: Sequence[EngineItem]) -> None:
+        for item in items:
+            account = self._account_of.pop(item.session, None)
+            if account is None:
+                continue
+            self._by_account[account] -= len(item.inputs)
+            if not self._by_account[account]:
+                del self._by_account[account]
+
+    def _may_overtake(self) -> bool:
+        """Tells whether the next account has nothing in the engine yet.
+
+        Guards against a light account that waits behind the batches which a
+        heavy one has in the engine already: its first item goes in at once,
+        where an engine that honours priorities runs it next. An account's
+        priority falls with the positions that it has in the engine.
+        """
+        account = self._queue.next_account
+        return account is not None and not self._by_account[account]
+
     def _is_wanted(self, waiting: _Waiting) -> bool:
         """Tells whether an item still is to run; lets go of it if not.
 
--- a/caroblug/side/_streams.py
+++ b/caroblug/side/_streams.py
@@ -327,6 +327,7 @@
             self._cost(opened, effect),
             opened.weight,
             known.end_ms - _DEADLINE_SLACK_MS,
+            most_weight=opened.account_weight or opened.weight,
             alone=effect.position < (opened.alone_until or 0),
         )
 
@@ -367,4 +368,6 @@
         seed=opened.seed,
         entry=opened.entry,
         weight=opened.weight,
+        alone_until=opened.alone_until,
+        account_weight=opened.account_weight,
     )
--- a/caroblug/transport/_engine.py
+++ b/caroblug/transport/_engine.py
@@ -10,6 +10,7 @@
 from caroblug.transport._http import HttpFailed, JsonHttp
 
 _OK = 200
+_CONNECTIONS = 32
 
 
 @attrs.frozen
@@ -116,7 +117,9 @@
     """An engine over HTTP and JSON."""
 
     def __init__(self, host: str, port: int, timeout_ms: int) -> None:
-        self._client = JsonHttp(host, port, timeout_ms, connections=8)
+        self._client = JsonHttp(
+            host, port, timeout_ms, connections=_CONNECTIONS
+        )
 
     def describe(self) -> EngineDescription | EngineFailed:
         """Returns what the engine says of itself."""
--- a/thrift/caroblug.thrift
+++ b/thrift/caroblug.thrift
@@ -47,6 +47,8 @@
   15: double weight
   /** Positions before this one run with nothing else in the engine. */
   60: i32 alone_until
+  /** The account's weight, which its streams at one engine never exceed. */
+  61: double account_weight
 }
 
 /** Hidden states for consecutive positions, starting at `position`. */
