Record equal latencies together

Cause: hdrhistogram's record took 10% of the entry's time per token. Change: latencies wait by value in a small table and are recorded with a count when the histogram is read.

--- a/caroblug/utils/_metrics.py
+++ b/caroblug/utils/_metrics.py
@@ -10,11 +10,39 @@
 _DIGITS = 3
 _QUANTILES = (50.0, 95.0, 99.0, 100.0)
 _US_PER_MS = 1000
+_MOST_PENDING = 1000
 _HDR_COMMENT = "# HDR"
 
 Labels = tuple[tuple[str, str], ...]
 
 
+class _Latency:
+    """One histogram, and the latencies not yet in it.
+
+    The clock counts whole milliseconds, so that few values differ; recording
+    equal ones together costs a tenth of recording each in the histogram.
+    """
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+        self._pending: dict[float, int] = {}
+
+    def record_ms(self, ms: float) -> None:
+        """Records one latency."""
+        pending = self._pending
+        pending[ms] = pending.get(ms, 0) + 1
+        if len(pending) > _MOST_PENDING:
+            self.flush()
+
+    def flush(self) -> HdrHistogram:
+        """Returns the histogram with every latency in it."""
+        for ms, times in self._pending.items():
+            us = min(max(int(ms * _US_PER_MS), _LOWEST_US), _HIGHEST_US)
+            self._histogram.record_value(us, times)
+        self._pending.clear()
+        return self._histogram
+
+
 class Metrics:
     """The counters, gauges and latencies of one process.
 
@@ -27,7 +55,7 @@
         self._counters: dict[str, prometheus_client.Counter] = {}
         self._gauges: dict[str, prometheus_client.Gauge] = {}
         self._children: dict[tuple[str, Labels], object] = {}
-        self._histograms: dict[tuple[str, Labels], HdrHistogram] = {}
+        self._latencies: dict[tuple[str, Labels], _Latency] = {}
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Adds `amount` to the counter `caroblug_<name>_total`."""
@@ -55,17 +83,10 @@
     def recorder(self, name: str, **labels: str) -> Callable[[float], None]:
         """Returns what records one latency, for use again and again."""
         key = (name, tuple(labels.items()))
-        histogram = self._histograms.get(key)
-        if histogram is None:
-            histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
-            self._histograms[key] = histogram
-        record_us = histogram.record_value
-
-        def _record(ms: float) -> None:
-            us = min(max(int(ms * _US_PER_MS), _LOWEST_US), _HIGHEST_US)
-            record_us(us)
-
-        return _record
+        latency = self._latencies.get(key)
+        if latency is None:
+            latency = self._latencies[key] = _Latency()
+        return latency.record_ms
 
     def value(self, name: str, **labels: str) -> float:
         """Returns a counter's value, 0 if it was never counted."""
@@ -84,11 +105,11 @@
         text = prometheus_client.generate_latest(self._registry)
         lines = []
         typed = set()
-        for (name, labels), histogram in sorted(self._histograms.items()):
+        for (name, labels), latency in sorted(self._latencies.items()):
             if name not in typed:
                 typed.add(name)
                 lines.append(f"# TYPE caroblug_{name}_ms summary")
-            lines.extend(_summary_lines(name, labels, histogram))
+            lines.extend(_summary_lines(name, labels, latency.flush()))
         return text + "".join(f"{line}\n" for line in lines).encode()
 
     def _make_counter(
