--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -8,7 +8,7 @@
 
 from caroblug.core.limits import Admission
 from caroblug.core.routing import LatencyTable, make_chooser
-from caroblug.core.state import BundleFold, Head
+from caroblug.core.state import Head
 from caroblug.entry._api import make_app
 from caroblug.entry._directory import Directory
 from caroblug.entry._door import Door
@@ -19,10 +19,11 @@
 from caroblug.entry._subset import Subset
 from caroblug.gen.wire import ttypes as wire
 from caroblug.node import (
-    BundleFollower,
     Lifetime,
     NodeHttp,
     add_node_routes,
+    add_status_route,
+    make_fleet,
 )
 from caroblug.transport import (
     InstanceRecord,
@@ -30,7 +31,6 @@
     PeerAddress,
     PeerHandler,
     make_instance_list,
-    make_log_service,
     make_peer_network,
 )
 from caroblug.utils import (
@@ -57,16 +57,18 @@
         self.lifetime = Lifetime(self._clock, settings.drain_ms)
         self.network = make_peer_network(
             wire.Hello(settings.instance, "entry", settings.data_centre),
-            settings.shared_key.encode(),
+            settings.shared_keys[0].encode(),
             self,
             self._clock,
             self.metrics,
             settings.heartbeat_ms,
             settings.silence_ms,
         )
-        self.bundles = BundleFollower(
-            make_log_service(settings.log.host, settings.log.port),
-            BundleFold(settings.operators, settings.signatures),
+        self.fleet = make_fleet(
+            settings,
+            "entry",
+            self.network,
+            self._clock,
             self.metrics,
             self._on_head,
         )
@@ -75,6 +77,7 @@
             settings.data_centre, self.network, self.latencies, self._clock
         )
         self.subset = Subset(settings.instance, settings.subset)
+        self.bundles = self.fleet.bundles
         self.directory = Directory(self._clock, settings.report_age_ms)
         self.streams = EntryStreams(
             wire.StageRef(
@@ -106,7 +109,7 @@
         self.network.start(settings.host, settings.peer_port)
         http = NodeHttp(settings.host, settings.http_port, self._make_app())
         http.start()
-        gevent.spawn(self.bundles.run)
+        self.fleet.start(self.lifetime.leave)
         gevent.spawn(self._follow_instances)
         gevent.spawn(self._probe_links)
         log_state("program.started", port=settings.http_port)
@@ -116,6 +119,7 @@
 
     def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
         """Takes a frame from a side process."""
+        self.fleet.on_frame(peer, frame)
         for report in frame.reports or ():
             self.directory.on_report(report)
             self.subset.on_report(report)
@@ -131,10 +135,12 @@
 
     def on_peer_up(self, peer: PeerAddress) -> None:
         """Waits for the peer's first report."""
+        self.fleet.on_peer_up(peer)
 
     def on_peer_lost(self, peer: PeerAddress, reason: str) -> None:
         """Recovers what ran at the peer."""
         del reason
+        self.fleet.on_peer_lost(peer)
         self.directory.forget(peer.instance)
         self.streams.on_peer_lost(peer.instance)
         self.plain.on_peer_lost(peer.instance)
@@ -149,6 +155,12 @@
             self.metrics,
         )
         add_node_routes(app, self.metrics, lambda: self.ready)
+        add_status_route(
+            app,
+            lambda: self.fleet.status(
+                self.ready, len(self.streams) + len(self.plain)
+            ),
+        )
         return app
 
     def _busy(self) -> bool:
