--- a/benchmarks/_load.py
+++ b/benchmarks/_load.py
@@ -105,21 +105,35 @@
         return start, time.monotonic()
 
     def _loop(self, entry: str) -> None:
+        """Sends one request after the other.
+
+        The first is cut short at random, so that the loops don't run in step.
+        """
+        shape = self._draw()
+        self._request_once(
+            entry, shape.words, self._random.randint(1, shape.tokens)
+        )
         while not self._stopped:
-            weights = [shape.share for shape in self._shapes]
-            shape = self._random.choices(self._shapes, weights)[0]
-            words = [
-                f"w{self._random.randrange(10_000)}" for _ in range(shape.words)
-            ]
-            try:
-                whole = self._stream(entry, " ".join(words), shape.tokens)
-            except OSError:
-                whole = False
-            if whole:
-                self.tally.answered += 1
-            else:
-                self.tally.failed += 1
-                gevent.sleep(_PAUSE_S)
+            shape = self._draw()
+            self._request_once(entry, shape.words, shape.tokens)
+
+    def _draw(self) -> Shape:
+        weights = [shape.share for shape in self._shapes]
+        return self._random.choices(self._shapes, weights)[0]
+
+    def _request_once(self, entry: str, words: int, tokens: int) -> None:
+        prompt = " ".join(
+            f"w{self._random.randrange(10_000)}" for _ in range(words)
+        )
+        try:
+            whole = self._stream(entry, prompt, tokens)
+        except OSError:
+            whole = False
+        if whole:
+            self.tally.answered += 1
+        else:
+            self.tally.failed += 1
+            gevent.sleep(_PAUSE_S)
 
     def _stream(self, entry: str, prompt: str, tokens: int) -> bool:
         port = self._site.processes[entry].http_port
--- /dev/null
+++ b/standins/links.py
@@ -0,0 +1,108 @@
+"""Starts a program of caroblug over emulated links between data centres.
+
+What a process sends to a peer in another data centre is held back by a
+latency and paced to a number of bytes a second; inside a data centre nothing
+changes. Each end holds back its own direction.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse
+import importlib
+import json
+import sys
+import time
+from typing import Any
+
+import gevent
+from gevent import queue, socket
+
+from caroblug.transport import PeerNetwork
+
+_ROLES = ("entry", "side")
+
+
+class DelayedSocket:
+    """A socket whose sends arrive later; everything else is the socket's.
+
+    Args:
+        sock: The socket.
+        latency_ms: How much later.
+        bytes_per_s: How fast at most; 0 for no bound.
+    """
+
+    def __init__(
+        self, sock: socket.socket, latency_ms: float, bytes_per_s: float
+    ) -> None:
+        self._sock = sock
+        self._latency_s = latency_ms / 1000
+        self._bytes_per_s = bytes_per_s
+        self._free_at = 0.0
+        self._sent: queue.Queue = queue.Queue()
+        gevent.spawn(self._deliver)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+    def sendall(self, data: bytes) -> None:
+        """Takes bytes on their way."""
+        now = time.monotonic()
+        self._free_at = max(now, self._free_at)
+        if self._bytes_per_s:
+            self._free_at += len(data) / self._bytes_per_s
+        self._sent.put((self._free_at + self._latency_s, data))
+
+    def _deliver(self) -> None:
+        while True:
+            due, data = self._sent.get()
+            gevent.sleep(max(0.0, due - time.monotonic()))
+            try:
+                self._sock.sendall(data)
+            except OSError:
+                return
+
+
+class DelayedNetwork(PeerNetwork):
+    """A network whose links to other data centres are slow.
+
+    Attributes:
+        table: (latency in ms, bytes a second) by data centre; a link has the
+            slower values of its two ends.
+    """
+
+    table: dict[str, tuple[float, float]] = {}
+
+    def _shake(self, sock: socket.socket, *, dialled: bool) -> Any:
+        link = super()._shake(sock, dialled=dialled)
+        own, other = self._hello.data_centre, link.peer.data_centre
+        if own == other:
+            return link
+        ends = [self.table[own], self.table[other]]
+        bounds = [bound for _, bound in ends if bound]
+        link.sock = DelayedSocket(
+            link.sock,
+            max(latency_ms for latency_ms, _ in ends),
+            min(bounds, default=0.0),
+        )
+        return link
+
+
+def main() -> None:
+    """Parses the command line and runs the program."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--role", choices=_ROLES, required=True)
+    parser.add_argument("--config", required=True)
+    parser.add_argument("--links", type=json.loads, required=True)
+    options = parser.parse_args()
+    DelayedNetwork.table = {k: tuple(v) for k, v in options.links.items()}
+    server = importlib.import_module(f"caroblug.{options.role}._server")
+    server.make_peer_network = DelayedNetwork
+    program = importlib.import_module(f"caroblug.cli.{options.role}")
+    sys.argv = [sys.argv[0], "--config", options.config]
+    sys.exit(program.main())
+
+
+if __name__ == "__main__":
+    main()
