--- a/caroblug/core/routing/_estimate.py
+++ b/caroblug/core/routing/_estimate.py
@@ -81,10 +81,13 @@
 def round_ms(engines: Sequence[EngineView], table: LatencyTable) -> float:
     """Returns the expected time of a new stream's token round, in ms.
 
-    Each stage is charged with one position of every stream open there.
+    The stage with the longest queue counts whole, with one position of every
+    stream open there: streams gather at it, and while they wait there they
+    don't wait at the others, which only add their own step.
     """
-    queues = sum((1 + e.load) * position_ms(e) for e in engines)
-    return queues + links_ms(engines, table)
+    longest = max((1 + e.load) * position_ms(e) for e in engines)
+    steps = sum(position_ms(e) for e in engines)
+    return longest + steps + links_ms(engines, table)
 
 
 def check_deadline(
--- a/caroblug/side/_pump.py
+++ b/caroblug/side/_pump.py
@@ -16,8 +16,9 @@
 )
 from caroblug.utils import Clock, Metrics
 
-_CHUNKS_PER_BATCH = 4
+_CHUNKS_PER_BATCH = 2
 _BATCHES_AHEAD = 2
+_PAID_COST = 1e-9
 
 
 @attrs.define
@@ -175,7 +176,9 @@
     def _take(self) -> list[EngineItem]:
         """Takes what fits into one batch and into the engine.
 
-        The last item may be over by less than a chunk.
+        An item that does not fit whole is cut: were it sent whole, the engine
+        would run its end in another batch, and the call's other results would
+        wait for that.
         """
         items: list[EngineItem] = []
         ahead = self.batch * _BATCHES_AHEAD
@@ -188,11 +191,38 @@
             if item.session in self._dropped:
                 self._release(item.session)
                 continue
+            if len(item.inputs) > room:
+                item = self._cut(waiting, room)
             items.append(item)
             room -= len(item.inputs)
             self._record_wait_ms(now_ms - waiting.since_ms)
+        if room > 0:
+            self._extend(items, room)
         return items
 
+    def _extend(self, items: list[EngineItem], room: int) -> None:
+        """Adds held chunks to their streams' items: nobody else waits."""
+        for index, item in enumerate(items):
+            held = self._held[item.session]
+            while held and len(held[0].item.inputs) <= room:
+                more = held.popleft().item.inputs
+                room -= len(more)
+                self._positions_waiting -= len(more)
+                item = attrs.evolve(item, inputs=item.inputs + more)
+            items[index] = item
+
+    def _cut(self, waiting: _Waiting, room: int) -> EngineItem:
+        """Returns the part that fits; the rest is the stream's next unit."""
+        item = waiting.item
+        rest = attrs.evolve(
+            waiting,
+            item=_part_of(item, room, len(item.inputs)),
+            cost=_PAID_COST,
+        )
+        self._held[item.session].appendleft(rest)
+        self._positions_waiting += len(rest.item.inputs)
+        return _part_of(item, 0, room)
+
     def _finish(
         self,
         items: Sequence[EngineItem],
--- a/caroblug/transport/_engine.py
+++ b/caroblug/transport/_engine.py
@@ -10,6 +10,7 @@
 from caroblug.transport._http import HttpFailed, JsonHttp
 
 _OK = 200
+_CONNECTIONS = 16
 
 
 @attrs.frozen
@@ -113,8 +114,10 @@
 class HttpEngineClient(EngineClient):
     """An engine over HTTP and JSON."""
 
-    def __init__(self, host: str, port: int, timeout_ms: int) -> None:
-        self._client = JsonHttp(host, port, timeout_ms, connections=8)
+    def __init__(
+        self, host: str, port: int, timeout_ms: int, connections: int
+    ) -> None:
+        self._client = JsonHttp(host, port, timeout_ms, connections)
 
     def describe(self) -> EngineDescription | EngineFailed:
         """Returns what the engine says of itself."""
@@ -181,7 +184,10 @@
 
 
 def make_engine_client(
-    host: str, port: int, timeout_ms: int = 10_000
+    host: str,
+    port: int,
+    timeout_ms: int = 10_000,
+    connections: int = _CONNECTIONS,
 ) -> EngineClient:
     """Returns a client of the engine at an address."""
-    return HttpEngineClient(host, port, timeout_ms)
+    return HttpEngineClient(host, port, timeout_ms, connections)
