--- a/caroblug/entry/_feed.py
+++ b/caroblug/entry/_feed.py
@@ -4,11 +4,19 @@
 
 import gevent
 
-from caroblug.core.limits import Admission
+from caroblug.entry._admission import Permit
 from caroblug.entry._streams import EntryStreams, RunningStream
-from caroblug.utils import Clock, Metrics, Ran, RefusalType, Refused
+from caroblug.utils import (
+    CALLERS_OWN,
+    Clock,
+    Metrics,
+    Ran,
+    RefusalType,
+    Refused,
+)
 
 _MS_PER_S = 1000
+_NOT_BAD = {"answered", "cancelled", *CALLERS_OWN}
 _RETRY_AFTER_MS = 1000
 _DEADLINE = Refused(
     RefusalType.DEADLINE_EXCEEDED,
@@ -25,13 +33,13 @@
         self,
         stream: RunningStream,
         streams: EntryStreams,
-        admission: Admission,
+        permit: Permit,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self.stream = stream
         self._streams = streams
-        self._admission = admission
+        self._permit = permit
         self._clock = clock
         self._metrics = metrics
         self._since_ms = 0
@@ -59,6 +67,7 @@
                     outcome = part.type.value
                     yield part
                     break
+                self._permit.on_tokens()
                 now_ms = self._clock.now_ms()
                 record_ms(now_ms - last_ms)
                 record_ms, last_ms = record_next_ms, now_ms
@@ -76,7 +85,6 @@
             return
         self._closed = True
         self._streams.end(self.stream)
-        self._admission.release(self.stream.request.client_account)
 
     def _start_deadline(self) -> gevent.Greenlet:
         """Starts one timer for the whole stream: one a token costs 10 µs."""
@@ -98,3 +106,5 @@
             group=self._group,
             outcome=outcome,
         )
+        if outcome not in _NOT_BAD:
+            self._metrics.count_bad(self.stream.request.client_account)
--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -6,12 +6,12 @@
 import falcon
 import gevent
 
-from caroblug.core.limits import Admission
 from caroblug.core.routing import LatencyTable, make_chooser
 from caroblug.core.state import Head
 from caroblug.entry._api import make_app
 from caroblug.entry._directory import Directory
 from caroblug.entry._door import Door
+from caroblug.entry._limits import EntryLimits
 from caroblug.entry._links import LinkProber
 from caroblug.entry._plain import PlainClient
 from caroblug.entry._settings import EntrySettings
@@ -79,6 +79,9 @@
         self.subset = Subset(settings.instance, settings.subset)
         self.bundles = self.fleet.bundles
         self.directory = Directory(self._clock, settings.report_age_ms)
+        self.limits = EntryLimits(
+            settings, self.network, self.bundles, self._clock, self.metrics
+        )
         self.streams = EntryStreams(
             wire.StageRef(
                 settings.instance, settings.host, settings.peer_port, 0, 0
@@ -91,6 +94,7 @@
             settings.data_centre,
             settings.attempts,
             self.latencies,
+            self.limits.suspects,
         )
         self.plain = PlainClient(self.network, self.directory, self.metrics)
         self._instances = make_instance_list(
@@ -112,14 +116,16 @@
         self.fleet.start(self.lifetime.leave)
         gevent.spawn(self._follow_instances)
         gevent.spawn(self._probe_links)
+        self.limits.start()
         log_state("program.started", port=settings.http_port)
         self.lifetime.wait(lambda: None, self._busy)
         http.stop()
         self.network.stop()
 
     def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
-        """Takes a frame from a side process."""
+        """Takes a frame from a side process or another entry."""
         self.fleet.on_frame(peer, frame)
+        self.limits.on_frame(peer, frame)
         for report in frame.reports or ():
             self.directory.on_report(report)
             self.subset.on_report(report)
@@ -142,6 +148,7 @@
         del reason
         self.fleet.on_peer_lost(peer)
         self.directory.forget(peer.instance)
+        self.limits.on_peer_lost(peer.instance)
         self.streams.on_peer_lost(peer.instance)
         self.plain.on_peer_lost(peer.instance)
 
@@ -150,7 +157,7 @@
             Door(self.bundles, self.lifetime),
             self.streams,
             self.plain,
-            Admission(self.settings.streams),
+            self.limits.admission,
             self._clock,
             self.metrics,
         )
@@ -175,6 +182,7 @@
             if isinstance(listed, InstancesUnavailable):
                 self.metrics.count("instance_list_failures")
             else:
+                self.limits.on_listed(listed)
                 self._connect_subset(listed)
             gevent.sleep(self.settings.instances_ms / 1000)
 
--- a/caroblug/side/tests/test_pump.py
+++ b/caroblug/side/tests/test_pump.py
@@ -47,6 +47,7 @@
             lambda sessions, message: None,
             _BATCH,
             4,
+            "fair",
         )
         self.pump.start()
 
--- a/caroblug/transport/_engine.py
+++ b/caroblug/transport/_engine.py
@@ -87,9 +87,11 @@
 
     Attributes:
         message: What was seen.
+        crashed: Whether it is gone, rather than silent or unwilling.
     """
 
     message: str
+    crashed: bool = False
 
 
 class EngineClient(abc.ABC):
@@ -123,7 +125,7 @@
         """Returns what the engine says of itself."""
         answer = self._client.request("GET", "/v1/engine")
         if isinstance(answer, HttpFailed):
-            return EngineFailed(answer.message)
+            return EngineFailed(answer.message, not answer.timed_out)
         try:
             body = answer.json()
             return EngineDescription(
@@ -145,7 +147,8 @@
         }
         answer = self._client.request("POST", "/v1/run", body)
         if isinstance(answer, HttpFailed):
-            return EngineFailed(answer.message)
+            crashed = answer.sent and not answer.timed_out
+            return EngineFailed(answer.message, crashed)
         if answer.status != _OK:
             return EngineFailed(f"status {answer.status}")
         try:
