--- a/caroblug/entry/_subset.py
+++ b/caroblug/entry/_subset.py
@@ -26,6 +26,11 @@
         self._kinds: dict[str, Kind] = {}
         self._asked: collections.Counter[str] = collections.Counter()
 
+    @property
+    def known(self) -> frozenset[str]:
+        """Instances that have said what they serve."""
+        return frozenset(self._kinds)
+
     def on_report(self, report: wire.LoadReport) -> None:
         """Learns what an instance serves."""
         if report.target:
--- /dev/null
+++ b/standins/tests/test_deadline.py
@@ -0,0 +1,49 @@
+"""Deadlines at the door, over real processes."""
+
+import pytest
+
+from standins.site import (
+    MODEL,
+    EntrySpec,
+    make_site,
+    three_stages,
+)
+
+_SLOW = ("--batch=2", "--step-ms=50")
+_DEADLINE_MS = 2000
+
+
+@pytest.fixture(scope="module")
+def site():
+    with make_site() as running:
+        running.bundle["limits"]["deadline_ms"] = _DEADLINE_MS
+        running.start_platform()
+        running.add_account("school-1")
+        running.publish()
+        for spec in three_stages(options=_SLOW)[:3]:
+            running.start_engine(spec)
+        running.start_entry(EntrySpec(name="entry-a", data_centre="muscat-a"))
+        running.wait_ready()
+        yield running
+
+
+def _ask(site, max_tokens):
+    body = {"model": MODEL, "prompt": "two", "max_tokens": max_tokens}
+    return site.call("entry-a", "school-1", "POST", "/v1/completions", body)
+
+
+def test_request_that_cannot_be_in_time_is_refused_at_once(site):
+    """A producer waits until the deadline and then gets nothing.
+
+    A draft of 3000 tokens is asked of engines that run 40 a second: the end
+    of the time allowed could be known when the request came. It is refused
+    before any engine runs a layer of it, and a shorter one is still answered.
+    """
+    answer = _ask(site, 3000)
+    error = answer.json()["error"]
+    assert error["type"] == "deadline_exceeded"
+    assert error["ran"] == "no"
+    assert error["retry_after_ms"] > 0
+    engines = [p.name for p in site.processes.values() if p.role == "engine"]
+    assert sum(site.observe(e)["layers_run"] for e in engines) == 0
+    assert _ask(site, 4).status == 200
