Count the crashes of a poison request in the soak

Cause: the soak restarted engines that another fault had killed, and did not check the bound of three crashes.

--- a/standins/soak/_faults.py
+++ b/standins/soak/_faults.py
@@ -13,6 +13,8 @@
 
 _LEAVE_S = 2.0
 _STOP_S = 45.0
+_POISON_SENDS = 4
+_MOST_CRASHES = 3
 _OPENED = "caroblug_streams_opened_total"
 
 
@@ -241,18 +243,32 @@
 
     def __init__(self, send: Callable[[], None]) -> None:
         self._send = send
+        self._crashes = 0
+        self._running = False
 
     def run(self, bench: Bench) -> bool:
+        if self._running:
+            return False
+        self._running = True
         bench.record.event("fault", fault=self.kind)
-        for _ in range(4):
+        for _ in range(_POISON_SENDS):
             self._send()
             self._restart_engines(bench)
+        if self._crashes > _MOST_CRASHES:
+            bench.record.violate("poison crashed too often", n=self._crashes)
+        self._running = False
         return True
 
     def _restart_engines(self, bench: Bench) -> None:
         gevent.sleep(0.3)
         for process in list(bench.site.processes.values()):
-            if process.role == "engine" and process.popen.poll() is not None:
+            if (
+                process.role == "engine"
+                and process.name not in bench.stopped
+                and process.popen.poll() is not None
+            ):
+                self._crashes += 1
+                bench.record.event("crashed", name=process.name)
                 bench.site.restart(process.name)
         gevent.sleep(0.7)
 
