Run suspects alone at every stage, not only at the first

The open message for the next stage was built field by field and lacked `alone_until`, so that later stages ran suspects in one batch. Ruled out: connections kept from before a crash that make the restarted engine look crashed again (tried and reverted: the pool notices them, and the test failed as before); a call that only ends sessions and returned while a suspect ran (a real gap, closed here too, but not this failure's cause). Change: the message is copied whole; a call without items does not end a suspect's turn.

--- a/caroblug/side/_pump.py
+++ b/caroblug/side/_pump.py
@@ -307,7 +307,9 @@
         items: Sequence[EngineItem],
         outcome: tuple[EngineResult, ...] | EngineFailed,
     ) -> None:
-        self._suspects.on_done()
+        if items:
+            # A call that only ends sessions may return while a suspect runs.
+            self._suspects.on_done()
         if isinstance(outcome, EngineFailed):
             in_engine = self.in_engine
             for item in items:
--- a/caroblug/side/_streams.py
+++ b/caroblug/side/_streams.py
@@ -1,5 +1,6 @@
 """The streams at one side process: messages in, effects out."""
 
+import copy
 import functools
 from collections.abc import Callable, Mapping, Sequence
 
@@ -351,20 +352,12 @@
 
 
 def _next_open(opened: wire.OpenStream) -> wire.OpenStream:
-    return wire.OpenStream(
-        stream=opened.stream,
-        attempt=opened.attempt,
-        client_account=opened.client_account,
-        model=opened.model,
-        chain=opened.chain,
-        stage=opened.stage + 1,
-        tokens=[],
-        prompt_length=opened.prompt_length,
-        known_length=opened.known_length,
-        max_length=opened.max_length,
-        deadline_ms=opened.deadline_ms,
-        fingerprint=opened.fingerprint,
-        seed=opened.seed,
-        entry=opened.entry,
-        weight=opened.weight,
-    )
+    """Returns the open message for the next stage.
+
+    Guards against a field that the first stage knows and the others don't:
+    everything is copied but what belongs to the first stage alone.
+    """
+    following = copy.copy(opened)
+    following.stage = opened.stage + 1
+    following.tokens = []
+    return following
--- a/caroblug/side/tests/test_pump.py
+++ b/caroblug/side/tests/test_pump.py
@@ -51,10 +51,10 @@
         )
         self.pump.start()
 
-    def submit(self, session, position, length):
+    def submit(self, session, position, length, *, alone=False):
         inputs = tuple(range(position, position + length))
         item = EngineItem(session, 0, 4, position, inputs, 1)
-        self.pump.submit("account", item, float(length), 1.0)
+        self.pump.submit("account", item, float(length), 1.0, alone=alone)
 
     def settle(self):
         for _ in range(3):
@@ -128,3 +128,25 @@
         bench.end_call()
     assert bench.pump.backlog == 0
     assert {r.session for r in bench.results} == {"other"}
+
+
+def test_call_that_only_ends_sessions_lets_nobody_beside_a_suspect():
+    """A caller's request is refused as one that crashes engines, wrongly.
+
+    A suspect runs alone; a call that only frees caches returns meanwhile and
+    counted as the suspect's own, so that others joined it in the engine and
+    were suspected of its next crash.
+    """
+    bench = _Bench()
+    bench.submit("suspect", 0, 1, alone=True)
+    bench.settle()
+    bench.pump.end("forgotten")
+    bench.settle()
+    bench.submit("innocent", 0, 1)
+    bench.settle()
+    ((suspects, _), (ended, done)) = bench.engine.calls
+    assert [item.session for item in suspects] == ["suspect"]
+    assert ended == []
+    done.set()
+    bench.settle()
+    assert list(bench.pump.in_engine) == ["suspect"]
