Run calls with an idempotency key at most once

Cause: a call that may not be repeated was sent by one owner, but nothing was remembered, so that a resend after a crash ran again. Ruled out: intents by entries (as many writers per key as entries), a key passed to the service alone (the service need not know keys). Change: an owner appends an intent to caroblug.calls.SERVICE, many in one append, and calls only when it is first for its key in the log's order; outcomes are recorded and replayed. Non-repeatable calls go over a connection of their own, since the kept-alive client resends PUT and DELETE.

--- a/caroblug/core/state/__init__.py
+++ b/caroblug/core/state/__init__.py
@@ -10,6 +10,16 @@
     Sharing,
     parse_bundle,
 )
+from caroblug.core.state._calls import (
+    CallBatch,
+    Intent,
+    IntentId,
+    Outcome,
+    OutcomeKind,
+    decode_batch,
+    digest_parts,
+    encode_batch,
+)
 from caroblug.core.state._fold import (
     Applied,
     BundleFold,
@@ -18,12 +28,26 @@
     Lost,
     Rejected,
 )
+from caroblug.core.state._intents import IntentFold, KeyState
 from caroblug.core.state._keys import (
     hash_key,
     key_matches,
     make_key,
     split_key,
 )
+from caroblug.core.state._owner import (
+    Admitted,
+    Conflict,
+    Decided,
+    IntentOwner,
+    Joined,
+    Kept,
+    Replayed,
+    Started,
+    Unavailable,
+    Undecided,
+    Verdict,
+)
 from caroblug.core.state._records import (
     BundleRecord,
     Signature,
@@ -36,22 +60,43 @@
 from caroblug.core.state._sections import join_sections, split_sections
 
 __all__ = [
+    "Admitted",
     "Applied",
     "Bundle",
     "BundleFold",
     "BundleRecord",
+    "CallBatch",
     "ClientAccount",
+    "Conflict",
+    "Decided",
     "Head",
     "Ignored",
+    "Intent",
+    "IntentFold",
+    "IntentId",
+    "IntentOwner",
+    "Joined",
+    "Kept",
+    "KeyState",
     "Limits",
     "Lost",
     "ModelRule",
     "Objective",
+    "Outcome",
+    "OutcomeKind",
     "Rejected",
+    "Replayed",
     "ServiceRule",
     "Sharing",
     "Signature",
+    "Started",
+    "Unavailable",
+    "Undecided",
+    "Verdict",
+    "decode_batch",
     "decode_record",
+    "digest_parts",
+    "encode_batch",
     "encode_record",
     "hash_key",
     "join_sections",
--- a/caroblug/core/state/_bundle.py
+++ b/caroblug/core/state/_bundle.py
@@ -44,12 +44,19 @@
         idempotent_methods: HTTP methods that may be repeated; a call with
             another method runs at most once.
         timeout_ms: How long one call may take.
+        remember_ms: For how long an idempotency key is remembered; the log
+            service must keep its records for longer than this.
     """
 
     idempotent_methods: list[str] = attrs.field(
         factory=lambda: list(_IDEMPOTENT_METHODS)
     )
     timeout_ms: int = duration_ms("How long one call may take.", 5000)
+    remember_ms: int = duration_ms("How long a key is remembered.", 1_800_000)
+
+    def __attrs_post_init__(self) -> None:
+        if self.remember_ms <= self.timeout_ms:
+            raise ValueError("remember_ms must be more than timeout_ms")
 
 
 @attrs.frozen
--- a/caroblug/entry/_refusals.py
+++ b/caroblug/entry/_refusals.py
@@ -14,6 +14,7 @@
     RefusalType.UNKNOWN_SERVICE: falcon.HTTP_404,
     RefusalType.NOT_FOUND: falcon.HTTP_404,
     RefusalType.KEY_CONFLICT: falcon.HTTP_409,
+    RefusalType.ANSWER_NOT_KEPT: falcon.HTTP_409,
     RefusalType.BODY_TOO_LARGE: falcon.HTTP_413,
     RefusalType.LIMIT_REACHED: falcon.HTTP_429,
     RefusalType.QUARANTINED: falcon.HTTP_429,
--- /dev/null
+++ b/caroblug/side/_once.py
@@ -0,0 +1,237 @@
+"""Calls that may not be repeated: each key runs at most once."""
+
+import hashlib
+
+from gevent import event
+
+from caroblug.core.state import (
+    Conflict,
+    IntentId,
+    Joined,
+    Kept,
+    Outcome,
+    OutcomeKind,
+    Replayed,
+    Started,
+    Undecided,
+    Verdict,
+    digest_parts,
+)
+from caroblug.gen.wire import ttypes as wire
+from caroblug.side._journal import CallJournal
+from caroblug.side._plain import DirectCaller, PlainCaller, refuse_call
+from caroblug.utils import Metrics, Ran, RefusalType
+
+_RETRY_AFTER_MS = 1000
+_KEPT_BODY_BYTES = 16 * 1024
+_REPLAYED = ("Idempotent-Replayed", "true")
+_DIGEST_BYTES = 20
+_MS_PER_S = 1000
+
+
+class OnceCaller(PlainCaller):
+    """Makes a call with a key only when its intent is first on the log.
+
+    Args:
+        direct: Makes the calls.
+        journal: Intents and outcomes of this service.
+        metrics: Where verdicts are counted.
+    """
+
+    def __init__(
+        self, direct: DirectCaller, journal: CallJournal, metrics: Metrics
+    ) -> None:
+        self._direct = direct
+        self._journal = journal
+        self._metrics = metrics
+        self._results: dict[IntentId, event.AsyncResult] = {}
+
+    @property
+    def pending(self) -> int:
+        """Intents and outcomes that are not on the log yet."""
+        return self._journal.pending
+
+    def call(self, call: wire.PlainCall) -> wire.PlainReply:
+        """Runs a call and returns its answer or refusal."""
+        if call.repeatable or not call.key:
+            return self._direct.call(call)
+        key = digest_parts(
+            call.client_account.encode(),
+            call.target.encode(),
+            call.key.encode(),
+        )
+        request = digest_parts(
+            call.method.encode(), call.path.encode(), call.body or b""
+        )
+        admitted = self._journal.admit(key, request, call.deadline_ms)
+        self._metrics.count(
+            "calls_admitted", outcome=type(admitted).__name__.lower()
+        )
+        if isinstance(admitted, Started):
+            return self._start(call, key, request, admitted.id)
+        if isinstance(admitted, Joined):
+            return self._join(call, admitted.id)
+        if isinstance(admitted, Replayed):
+            return _replay(call, admitted.outcome)
+        if isinstance(admitted, Kept):
+            return self._replay_kept(call, admitted)
+        if isinstance(admitted, Conflict):
+            return _conflict(call)
+        if isinstance(admitted, Undecided):
+            return _undecided(call)
+        return self._unavailable(call)
+
+    def _start(
+        self, call: wire.PlainCall, key: bytes, request: bytes, intent: IntentId
+    ) -> wire.PlainReply:
+        result: event.AsyncResult = event.AsyncResult()
+        self._results[intent] = result
+        try:
+            verdict = self._journal.wait_verdict(intent)
+            self._metrics.count("call_verdicts", verdict=verdict.name.lower())
+            if verdict is Verdict.WON:
+                reply = self._run(call, key, intent)
+            elif verdict is Verdict.GIVEN_UP:
+                reply = self._unavailable(call)
+            else:
+                reply = self._on_lost(call, key, request)
+            result.set(reply)
+        finally:
+            del self._results[intent]
+        return reply
+
+    def _run(
+        self, call: wire.PlainCall, key: bytes, intent: IntentId
+    ) -> wire.PlainReply:
+        reply = self._direct.call_once(call, lambda: self._journal.begin(key))
+        ran = Ran(reply.ran)
+        if ran is Ran.NO:
+            self._journal.cancel(key)
+            return reply
+        self._journal.finish(_make_outcome(key, intent, reply))
+        return reply
+
+    def _join(self, call: wire.PlainCall, intent: IntentId) -> wire.PlainReply:
+        """Waits for the same request's answer, as long as the call may."""
+        result = self._results.get(intent)
+        reply = None
+        if result is not None:
+            reply = result.wait(call.deadline_ms / _MS_PER_S)
+        if reply is None:
+            return _undecided(call)
+        return _copy_reply(call, reply)
+
+    def _on_lost(
+        self, call: wire.PlainCall, key: bytes, request: bytes
+    ) -> wire.PlainReply:
+        state = self._journal.lookup(key)
+        if state is not None and state.request != request:
+            return _conflict(call)
+        if state is not None and state.outcome is OutcomeKind.ANSWERED:
+            return self._replay_kept(call, Kept(state))
+        return _undecided(call)
+
+    def _replay_kept(self, call: wire.PlainCall, kept: Kept) -> wire.PlainReply:
+        outcome = self._journal.answer(kept.state)
+        if outcome is not None:
+            return _replay(call, outcome)
+        return refuse_call(
+            call,
+            RefusalType.LOG_UNAVAILABLE,
+            "the call has run; its answer cannot be read back now",
+            Ran.YES,
+            _RETRY_AFTER_MS,
+        )
+
+    def _unavailable(self, call: wire.PlainCall) -> wire.PlainReply:
+        """Says that nothing was begun, or that the past is not known.
+
+        An owner that has never read the log to its end does not know whether
+        an earlier sending of the key has run: it says so.
+        """
+        ran = Ran.NO if self._journal.caught_up else Ran.UNKNOWN
+        return refuse_call(
+            call,
+            RefusalType.LOG_UNAVAILABLE,
+            "the log service takes no intents now; come back with this key",
+            ran,
+            _RETRY_AFTER_MS,
+        )
+
+
+def _make_outcome(
+    key: bytes, intent: IntentId, reply: wire.PlainReply
+) -> Outcome:
+    if not reply.status:
+        return Outcome(intent, key, OutcomeKind.UNKNOWN)
+    body = reply.body or b""
+    digest = ""
+    if len(body) > _KEPT_BODY_BYTES:
+        digest = hashlib.blake2b(body, digest_size=_DIGEST_BYTES).hexdigest()
+        body = b""
+    headers = tuple((h.name, h.value) for h in reply.headers or ())
+    return Outcome(
+        intent,
+        key,
+        OutcomeKind.ANSWERED,
+        reply.status,
+        headers,
+        body,
+        digest,
+    )
+
+
+def _replay(call: wire.PlainCall, outcome: Outcome) -> wire.PlainReply:
+    if outcome.body_digest:
+        return refuse_call(
+            call,
+            RefusalType.ANSWER_NOT_KEPT,
+            f"the call has run; its answer of status {outcome.status} is"
+            f" over {_KEPT_BODY_BYTES} bytes and was not kept;"
+            f" its digest is {outcome.body_digest}",
+            Ran.YES,
+            retry_after_ms=0,
+        )
+    headers = [wire.Header(n, v) for n, v in (*outcome.headers, _REPLAYED)]
+    return wire.PlainReply(
+        call=call.call,
+        status=outcome.status,
+        headers=headers,
+        body=outcome.body,
+        ran=Ran.YES,
+    )
+
+
+def _copy_reply(
+    call: wire.PlainCall, reply: wire.PlainReply
+) -> wire.PlainReply:
+    return wire.PlainReply(
+        call=call.call,
+        status=reply.status,
+        headers=reply.headers,
+        body=reply.body,
+        reason=reply.reason,
+        message=reply.message,
+        ran=reply.ran,
+        retry_after_ms=reply.retry_after_ms,
+    )
+
+
+def _conflict(call: wire.PlainCall) -> wire.PlainReply:
+    return refuse_call(
+        call,
+        RefusalType.KEY_CONFLICT,
+        "the key was used with another request; this one did not run",
+        Ran.NO,
+        retry_after_ms=0,
+    )
+
+
+def _undecided(call: wire.PlainCall) -> wire.PlainReply:
+    return refuse_call(
+        call,
+        RefusalType.OUTCOME_UNKNOWN,
+        "a call with this key was begun, and how it ended is not known",
+        Ran.UNKNOWN,
+        _RETRY_AFTER_MS,
+    )
--- a/caroblug/side/_plain.py
+++ b/caroblug/side/_plain.py
@@ -1,15 +1,23 @@
 """Calls of a plain service through its side process."""
 
 import abc
+from collections.abc import Callable
+from urllib import parse
 
 import gevent
 
 from caroblug.gen.wire import ttypes as wire
 from caroblug.transport import PeerAddress, PeerNetwork
-from caroblug.transport._http import HttpFailed, JsonHttp
+from caroblug.transport._http import (
+    HttpAnswer,
+    HttpFailed,
+    JsonHttp,
+    request_once,
+)
 from caroblug.utils import Metrics, Ran, RefusalType
 
 _RETRY_AFTER_MS = 500
+_PATH_SAFE = "%/?:@!$&'()*+,;=~-._[]"
 _HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "content-length", "host"}
 )
@@ -18,13 +26,18 @@
 class PlainCaller(abc.ABC):
     """Answers calls of a plain service."""
 
+    @property
+    def pending(self) -> int:
+        """What must still be written before the process may end."""
+        return 0
+
     @abc.abstractmethod
     def call(self, call: wire.PlainCall) -> wire.PlainReply:
         """Runs a call and returns its answer or refusal; may block."""
 
 
 class DirectCaller(PlainCaller):
-    """Passes each call to the service once.
+    """Passes each call to the service.
 
     Args:
         host: IP address of the service.
@@ -33,33 +46,69 @@
     """
 
     def __init__(self, host: str, port: int, timeout_ms: int) -> None:
+        self._host = host
+        self._port = port
+        self._timeout_ms = timeout_ms
         self._client = JsonHttp(host, port, timeout_ms, connections=64)
 
     def call(self, call: wire.PlainCall) -> wire.PlainReply:
         """Runs a call and returns its answer or refusal."""
-        headers = {h.name: h.value for h in call.headers or ()}
-        if call.key:
-            headers["Idempotency-Key"] = call.key
+        if not call.repeatable:
+            return self.call_once(call, lambda: True)
         answer = self._client.request(
-            call.method, call.path, call.body or b"", headers
+            call.method, call.path, call.body or b"", _headers_of(call)
         )
-        if isinstance(answer, HttpFailed):
-            ran = Ran.UNKNOWN if answer.sent else Ran.NO
-            return refuse_call(
-                call, RefusalType.BACKEND_FAILED, answer.message, ran
-            )
-        kept = [
-            wire.Header(name, value)
-            for name, value in answer.headers
-            if name.lower() not in _HOP_HEADERS
-        ]
-        return wire.PlainReply(
-            call=call.call,
-            status=answer.status,
-            headers=kept,
-            body=answer.body,
-            ran=Ran.YES,
+        return _make_reply(call, answer)
+
+    def call_once(
+        self, call: wire.PlainCall, may_send: Callable[[], bool]
+    ) -> wire.PlainReply:
+        """Runs a call that must not reach the service twice.
+
+        Args:
+            call: The call.
+            may_send: Asked right before the first byte leaves.
+        """
+        answer = request_once(
+            self._host,
+            self._port,
+            min(self._timeout_ms, call.deadline_ms or self._timeout_ms),
+            call.method,
+            parse.quote(call.path, safe=_PATH_SAFE),
+            call.body or b"",
+            _headers_of(call),
+            may_send,
         )
+        return _make_reply(call, answer)
+
+
+def _headers_of(call: wire.PlainCall) -> dict[str, str]:
+    headers = {h.name: h.value for h in call.headers or ()}
+    if call.key:
+        headers["Idempotency-Key"] = call.key
+    return headers
+
+
+def _make_reply(
+    call: wire.PlainCall, answer: HttpAnswer | HttpFailed
+) -> wire.PlainReply:
+    if isinstance(answer, HttpFailed):
+        ran = Ran.UNKNOWN if answer.sent else Ran.NO
+        return refuse_call(
+            call, RefusalType.BACKEND_FAILED, answer.message, ran
+        )
+    kept = [
+        wire.Header(name, value)
+        for name, value in answer.headers
+        if name.lower() not in _HOP_HEADERS
+    ]
+    return wire.PlainReply(
+        call=call.call,
+        status=answer.status,
+        headers=kept,
+        body=answer.body,
+        ran=Ran.YES,
+    )
 
 
 def refuse_call(
@@ -100,6 +149,11 @@
     def __len__(self) -> int:
         return self._running
 
+    @property
+    def busy(self) -> bool:
+        """Whether calls run or their outcomes are still unwritten."""
+        return self._running > 0 or self._caller.pending > 0
+
     def on_call(
         self, peer: PeerAddress, call: wire.PlainCall, *, leaving: bool
     ) -> None:
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -1,10 +1,12 @@
 """The side program: wires its parts together."""
 
+import secrets
+
 import falcon
 import gevent
 
 from caroblug.core.recovery import StageFailure
-from caroblug.core.state import BundleFold, Head
+from caroblug.core.state import BundleFold, Head, ServiceRule
 from caroblug.gen.wire import ttypes as wire
 from caroblug.node import (
     BundleFollower,
@@ -12,9 +14,11 @@
     NodeHttp,
     add_node_routes,
 )
+from caroblug.side._journal import CallJournal, JournalSettings, make_journal
+from caroblug.side._once import OnceCaller
 from caroblug.side._plain import DirectCaller, PlainCalls
 from caroblug.side._pump import EnginePump
-from caroblug.side._settings import SideSettings
+from caroblug.side._settings import PlainSettings, SideSettings
 from caroblug.side._streams import StageStreams
 from caroblug.transport import (
     EngineClient,
@@ -35,7 +39,8 @@
 
 _ENTRY_ROLE = "entry"
 _DESCRIBE_S = 0.2
-_PLAIN_TIMEOUT_MS = 5000
+_PLAIN_TIMEOUT_MS = 60_000
+_WRITER_BYTES = 6
 
 
 class SideServer(PeerHandler):
@@ -71,6 +76,7 @@
         self._pump: EnginePump | None = None
         self._streams: StageStreams | None = None
         self._calls: PlainCalls | None = None
+        self._journal: CallJournal | None = None
         self._make_backend()
 
     @property
@@ -91,6 +97,8 @@
         gevent.spawn(self.bundles.run)
         if self._engine is not None:
             gevent.spawn(self._watch_engine)
+        if self._journal is not None:
+            self._journal.start()
         gevent.spawn(self._report_forever)
         log_state("program.started", port=settings.peer_port)
         self.lifetime.wait(self._report, self._busy)
@@ -116,10 +124,7 @@
     def _make_backend(self) -> None:
         settings = self.settings
         if settings.plain is not None:
-            caller = DirectCaller(
-                settings.plain.host, settings.plain.port, _PLAIN_TIMEOUT_MS
-            )
-            self._calls = PlainCalls(caller, self.network, self.metrics)
+            self._calls = self._make_calls(settings.plain)
             return
         self._engine = make_engine_client(
             settings.engine.host,
@@ -145,6 +150,20 @@
         )
         self._pump.start()
 
+    def _make_calls(self, plain: PlainSettings) -> PlainCalls:
+        self._journal = make_journal(
+            make_log_service(self.settings.log.host, self.settings.log.port),
+            plain.service,
+            f"{self.settings.instance}.{secrets.token_hex(_WRITER_BYTES)}",
+            self._clock,
+            self.metrics,
+            JournalSettings(self.settings.intent_interval_ms),
+            ServiceRule().remember_ms,
+        )
+        direct = DirectCaller(plain.host, plain.port, _PLAIN_TIMEOUT_MS)
+        caller = OnceCaller(direct, self._journal, self.metrics)
+        return PlainCalls(caller, self.network, self.metrics)
+
     def _on_stream_messages(
         self, streams: StageStreams, frame: wire.Frame
     ) -> None:
@@ -169,11 +188,14 @@
 
     def _busy(self) -> bool:
         if self._calls is not None:
-            return len(self._calls) > 0
+            return self._calls.busy
         return len(self._streams) > 0
 
     def _on_head(self, head: Head) -> None:
-        del head
+        if self._journal is not None:
+            service = self.settings.plain.service
+            rule = head.bundle.services.get(service, ServiceRule())
+            self._journal.set_window(rule.remember_ms)
         self._report()
 
     def _on_engine_lost(self, message: str) -> None:
--- a/caroblug/side/_settings.py
+++ b/caroblug/side/_settings.py
@@ -26,6 +26,8 @@
         engine_timeout_ms: How long one batch may take.
         report_ms: Time between load reports.
         journal_positions: Outputs kept per stream for a new next stage.
+        intent_interval_ms: Least time between two appends of intents; all
+            owners together must stay under the log service's rate.
     """
 
     engine: Address | None = None
@@ -37,6 +39,8 @@
         1, 1_000_000, "Outputs kept per stream for a new next stage.", 8192
     )
 
+    intent_interval_ms: int = duration_ms("Time between appends.", 10)
+
     def __attrs_post_init__(self) -> None:
         if (self.engine is None) == (self.plain is None):
             raise ValueError("give either [engine] or [plain]")
--- a/caroblug/transport/_http.py
+++ b/caroblug/transport/_http.py
@@ -1,6 +1,8 @@
 """JSON over HTTP to the systems outside, with a bounded time."""
 
 import dataclasses
+import http.client
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -8,6 +10,7 @@
 from geventhttpclient.response import HTTPParseError
 
 _JSON_HEADERS = {"Content-Type": "application/json"}
+_HttpErrors = (OSError, http.client.HTTPException, ValueError)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,8 +89,61 @@
         except ConnectionRefusedError as error:
             return HttpFailed(str(error), sent=False)
         except (OSError, HTTPParseError, ValueError) as error:
-            return HttpFailed(str(error) or type(error).__name__, sent=True)
+            return HttpFailed(_describe(error), sent=True)
 
     def close(self) -> None:
         """Closes every connection."""
         self._client.close()
+
+
+def request_once(
+    host: str,
+    port: int,
+    timeout_ms: int,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: dict[str, str],
+    may_send: Callable[[], bool],
+) -> HttpAnswer | HttpFailed:
+    """Makes one call over a connection of its own; sends it once at most.
+
+    Guards against a hidden resend: `JsonHttp` sends a PUT or DELETE again by
+    itself when a kept connection breaks, so that a service that has run it
+    runs it twice. A new connection is never a broken kept one, and http.client
+    sends nothing again.
+
+    Args:
+        host: IP address.
+        port: Port.
+        timeout_ms: Bound on connecting and on each wait for bytes.
+        method: HTTP method.
+        path: Path and query.
+        body: Body bytes.
+        headers: Header names and values.
+        may_send: Asked once the connection is open, right before the first
+            byte leaves.
+    """
+    connection = http.client.HTTPConnection(host, port, timeout_ms / 1000)
+    try:
+        connection.connect()
+    except _HttpErrors as error:
+        connection.close()
+        return HttpFailed(_describe(error), sent=False)
+    try:
+        if not may_send():
+            return HttpFailed("the time to call has passed", sent=False)
+        connection.request(method, path, body, headers)
+        response = connection.getresponse()
+        content = response.read()
+        return HttpAnswer(
+            response.status, content, tuple(response.getheaders())
+        )
+    except _HttpErrors as error:
+        return HttpFailed(_describe(error), sent=True)
+    finally:
+        connection.close()
+
+
+def _describe(error: Exception) -> str:
+    return str(error) or type(error).__name__
--- a/caroblug/utils/_outcomes.py
+++ b/caroblug/utils/_outcomes.py
@@ -28,6 +28,7 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     LOG_UNAVAILABLE = "log_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     LEAVING = "leaving"
     BACKEND_FAILED = "backend_failed"
     NOT_FOUND = "not_found"
