--- a/caroblug/core/state/tests/test_intents.py
+++ b/caroblug/core/state/tests/test_intents.py
@@ -345,3 +345,21 @@
         _commit(owner, log, now_ms)
         assert owner.core.begin(key, now_ms)
     assert len(owner.fold) <= _WINDOW_MS / 1000 + 2
+
+
+def test_append_that_takes_effect_late_holds_no_key():
+    """A booking stays "unknown" for half an hour though it never ran.
+
+    An append times out, its caller is told "not run", and the log takes it
+    all the same, after the owner's next one.
+    """
+    log = _Log()
+    owner = _Owner("owner")
+    owner.core.admit(0, _KEYS[0], _REQUESTS[0], _WITHIN_MS)
+    late = owner.flying = owner.core.next_batch(0)
+    owner.settle(log, 1)
+    assert owner.told_no == {late.entries[0].id}
+    _commit(owner, log, 2)
+    log.append(3, encode_batch(late))
+    owner.read(log, 3)
+    assert owner.fold.lookup(_KEYS[0]) is None
--- a/caroblug/entry/_plain.py
+++ b/caroblug/entry/_plain.py
@@ -64,7 +64,7 @@
             if isinstance(outcome, wire.PlainReply):
                 return outcome
             refused = outcome
-            if refused.ran is not Ran.NO and not call.repeatable:
+            if not _may_try_another(call, refused):
                 return refused
             self._metrics.count("plain_retries")
         return refused
@@ -123,6 +123,19 @@
         )
 
 
+def _may_try_another(call: wire.PlainCall, refused: Refused) -> bool:
+    """Tells whether another instance may be asked after a refusal.
+
+    A key's owner may have left an intent on the log, which another owner
+    could only answer by `unknown`; one that leaves has not begun.
+    """
+    if call.repeatable:
+        return True
+    if call.key:
+        return refused.type is RefusalType.LEAVING
+    return refused.ran is Ran.NO
+
+
 def _rank(call: wire.PlainCall, view: PlainView) -> int:
     """Rendezvous rank: every entry sends a key to the same instance."""
     text = f"{call.client_account}\0{call.key}\0{view.address.instance}"
--- a/standins/log.py
+++ b/standins/log.py
@@ -44,6 +44,7 @@
         self.retention_s = retention_s
         self.appends_per_s = appends_per_s
         self.delay_ms = 0.0
+        self.answer_delay_ms = 0.0
         self.down = False
         self.silent = False
         self.lose_answers = 0
@@ -116,6 +117,7 @@
             self._log.lose_answers -= 1
             gevent.sleep(_HANG_S)
             raise falcon.HTTPServiceUnavailable
+        gevent.sleep(self._log.answer_delay_ms / 1000)
         response.status = falcon.HTTP_201
         response.media = {"offset": offset}
 
@@ -129,6 +131,7 @@
             request.get_param_as_int("limit", default=100),
             request.get_param_as_int("wait_ms", default=0),
         )
+        gevent.sleep(self._log.answer_delay_ms / 1000)
         self._check()
 
     def _check(self) -> None:
@@ -143,8 +146,8 @@
 class _Control:
     """Orders from tests.
 
-    Keys: `down`, `silent`, `lose_answers`, `delay_ms`, `retention_s`,
-    `appends_per_s`.
+    Keys: `down`, `silent`, `lose_answers`, `delay_ms` (before an append takes
+    effect), `answer_delay_ms` (after it), `retention_s`, `appends_per_s`.
     """
 
     def __init__(self, log: Log) -> None:
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -22,6 +22,7 @@
 
     def __init__(self, delay_ms: float) -> None:
         self.delay_ms = delay_ms
+        self.padding = 0
         self.runs: collections.Counter[str] = collections.Counter()
 
     def __call__(
@@ -39,12 +40,15 @@
             "body": body,
             "key": key,
             "run": self.runs[key or body],
+            "padding": "x" * self.padding,
         }
         if request.method == "POST":
             response.status = falcon.HTTP_201
 
 
 class _Counts:
+    """Counts of runs; orders from tests: `delay_ms`, `padding`."""
+
     def __init__(self, plain: Plain) -> None:
         self._plain = plain
 
@@ -53,7 +57,11 @@
         response.media = {"runs": dict(self._plain.runs)}
 
     def on_post(self, request: falcon.Request, response: falcon.Response):
-        self._plain.delay_ms = float(request.get_media()["delay_ms"])
+        orders = request.get_media()
+        self._plain.delay_ms = float(
+            orders.get("delay_ms", self._plain.delay_ms)
+        )
+        self._plain.padding = int(orders.get("padding", 0))
         response.media = {}
 
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -231,6 +231,11 @@
         }
         self.http(self.instances_port, "POST", "/instances", record)
 
+    def list_instance_gone(self, process: RunningProcess) -> None:
+        """Takes an instance off the platform's list."""
+        record = {"instance": process.name, "state": "gone"}
+        self.http(self.instances_port, "POST", "/instances", record)
+
     def control(self, name: str, orders: dict[str, Any]) -> None:
         """Gives orders to a stand-in."""
         port = self.processes[name].http_port
