--- a/caroblug/core/state/_calls.py
+++ b/caroblug/core/state/_calls.py
@@ -49,7 +49,7 @@
 
 
 @attrs.frozen
-class Outcome:
+class CallOutcome:
     """Says how an intent ended.
 
     Attributes:
@@ -86,7 +86,7 @@
     writer: str
     sequence: int
     horizon: int
-    entries: tuple[Intent | Outcome, ...]
+    entries: tuple[Intent | CallOutcome, ...]
 
 
 def digest_parts(*parts: bytes) -> bytes:
@@ -125,7 +125,7 @@
         return None
 
 
-def _encode_entry(entry: Intent | Outcome) -> dict[str, Any]:
+def _encode_entry(entry: Intent | CallOutcome) -> dict[str, Any]:
     body: dict[str, Any] = {
         "writer": entry.id.writer,
         "number": entry.id.number,
@@ -142,12 +142,12 @@
     return body
 
 
-def _decode_entry(body: dict[str, Any]) -> Intent | Outcome:
+def _decode_entry(body: dict[str, Any]) -> Intent | CallOutcome:
     identity = IntentId(str(body["writer"]), int(body["number"]))
     key = bytes.fromhex(body["key"])
     if "request" in body:
         return Intent(identity, key, bytes.fromhex(body["request"]))
-    return Outcome(
+    return CallOutcome(
         identity,
         key,
         OutcomeKind(body["outcome"]),
--- a/caroblug/core/state/_intents.py
+++ b/caroblug/core/state/_intents.py
@@ -10,9 +10,9 @@
 
 from caroblug.core.state._calls import (
     CallBatch,
+    CallOutcome,
     Intent,
     IntentId,
-    Outcome,
     OutcomeKind,
     decode_batch,
 )
@@ -159,7 +159,7 @@
         if first is not state:
             first.later = (*first.later, state)
 
-    def _on_outcome(self, outcome: Outcome, offset: int) -> None:
+    def _on_outcome(self, outcome: CallOutcome, offset: int) -> None:
         first = self._keys.get(outcome.key)
         if first is None:
             return
@@ -169,7 +169,11 @@
                 return
 
     def _end(
-        self, first: KeyState, state: KeyState, outcome: Outcome, offset: int
+        self,
+        first: KeyState,
+        state: KeyState,
+        outcome: CallOutcome,
+        offset: int,
     ) -> None:
         if outcome.kind is not OutcomeKind.VOID:
             state.outcome = outcome.kind
--- a/caroblug/core/state/_owner.py
+++ b/caroblug/core/state/_owner.py
@@ -8,9 +8,9 @@
 
 from caroblug.core.state._calls import (
     CallBatch,
+    CallOutcome,
     Intent,
     IntentId,
-    Outcome,
     OutcomeKind,
 )
 from caroblug.core.state._intents import IntentFold, KeyState
@@ -33,7 +33,7 @@
     intent: Intent
     deadline_ms: int
     phase: _Phase = _Phase.QUEUED
-    outcome: Outcome | None = None
+    outcome: CallOutcome | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,7 +54,7 @@
 class Replayed:
     """The call has run and its answer is known here."""
 
-    outcome: Outcome
+    outcome: CallOutcome
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,7 +161,9 @@
         self._sequence = 0
         self._number = 0
         self._live: dict[bytes, _Live] = {}
-        self._queue: collections.deque[Intent | Outcome] = collections.deque()
+        self._queue: collections.deque[Intent | CallOutcome] = (
+            collections.deque()
+        )
         self._flying: CallBatch | None = None
         self._ages = _Ages()
 
@@ -286,7 +288,7 @@
             raise AssertionError("only a call not yet made can be voided")
         self._void(live.intent)
 
-    def finish(self, outcome: Outcome) -> None:
+    def finish(self, outcome: CallOutcome) -> None:
         """Takes the outcome of a call that was made."""
         live = self._live[outcome.key]
         if live.phase is not _Phase.CALLING or outcome.id != live.intent.id:
@@ -308,12 +310,12 @@
         self._queue.append(intent)
         return Started(intent.id)
 
-    def _take(self) -> tuple[Intent | Outcome, ...]:
-        entries: list[Intent | Outcome] = []
+    def _take(self) -> tuple[Intent | CallOutcome, ...]:
+        entries: list[Intent | CallOutcome] = []
         size = 0
         while self._queue and len(entries) < _BATCH_ENTRIES:
             entry = self._queue[0]
-            if isinstance(entry, Outcome):
+            if isinstance(entry, CallOutcome):
                 size += len(entry.body)
             if entries and size > _BATCH_BODY_BYTES:
                 break
@@ -337,7 +339,7 @@
         return Decided(intent.id, intent.key, Verdict.GIVEN_UP)
 
     def _void(self, intent: Intent) -> None:
-        self._queue.append(Outcome(intent.id, intent.key, OutcomeKind.VOID))
+        self._queue.append(CallOutcome(intent.id, intent.key, OutcomeKind.VOID))
 
 
 def _admit_live(live: _Live, request: bytes) -> Admitted:
--- a/caroblug/core/state/tests/test_intents.py
+++ b/caroblug/core/state/tests/test_intents.py
@@ -11,11 +11,11 @@
 from hypothesis import strategies as st
 
 from caroblug.core.state import (
+    CallOutcome,
     IntentFold,
     IntentOwner,
     Joined,
     Kept,
-    Outcome,
     OutcomeKind,
     Replayed,
     Started,
@@ -208,7 +208,7 @@
         at = self.owners[owner]
         if at.running:
             key, intent = at.running.popitem()
-            at.core.finish(Outcome(intent, key, kind))
+            at.core.finish(CallOutcome(intent, key, kind))
 
     @stateful.rule(owner=st.integers(0, _OWNERS - 1))
     def fail_to_connect(self, owner):
@@ -311,7 +311,7 @@
     first.core.admit(0, _KEYS[0], _REQUESTS[0], _WITHIN_MS)
     _commit(first, log, 0)
     assert first.core.begin(_KEYS[0], 1)
-    outcome = Outcome(
+    outcome = CallOutcome(
         first.won[_KEYS[0]], _KEYS[0], OutcomeKind.ANSWERED, 201, (), b"seat 4"
     )
     admit = (2, _KEYS[0], _REQUESTS[0], _WITHIN_MS)
--- /dev/null
+++ b/caroblug/entry/_feed.py
@@ -0,0 +1,110 @@
+"""From a running stream to its caller, timed and always ended."""
+
+from collections.abc import Callable, Iterator
+
+import gevent
+
+from caroblug.entry._admission import Permit
+from caroblug.entry._streams import EntryStreams, RunningStream
+from caroblug.utils import (
+    CALLERS_OWN,
+    Clock,
+    Metrics,
+    Ran,
+    RefusalType,
+    Refused,
+)
+
+_MS_PER_S = 1000
+_NOT_BAD = {"answered", "cancelled", *CALLERS_OWN}
+_RETRY_AFTER_MS = 1000
+_DEADLINE = Refused(
+    RefusalType.DEADLINE_EXCEEDED,
+    "the answer took too long",
+    Ran.UNKNOWN,
+    _RETRY_AFTER_MS,
+)
+
+
+class Feed:
+    """Iterates over what a stream releases; ends it whatever happens."""
+
+    def __init__(
+        self,
+        stream: RunningStream,
+        streams: EntryStreams,
+        permit: Permit,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.stream = stream
+        self._streams = streams
+        self._permit = permit
+        self._clock = clock
+        self._metrics = metrics
+        self._since_ms = 0
+        self._group = ""
+        self._closed = False
+
+    def begin(self, since_ms: int, group: str) -> None:
+        """Notes when the request came and under which group it counts."""
+        self._since_ms = since_ms
+        self._group = group
+
+    def __iter__(self) -> Iterator[list[int] | Refused]:
+        last_ms = self._since_ms
+        record_ms = self._recorder("first_token")
+        record_next_ms = self._recorder("between_tokens")
+        outcome = "answered"
+        output = self.stream.output
+        deadline = self._start_deadline()
+        try:
+            while True:
+                part = output.get()
+                if part is None:
+                    break
+                if isinstance(part, Refused):
+                    outcome = part.type.value
+                    yield part
+                    break
+                self._permit.on_tokens()
+                now_ms = self._clock.now_ms()
+                record_ms(now_ms - last_ms)
+                record_ms, last_ms = record_next_ms, now_ms
+                yield part
+        except GeneratorExit:
+            outcome = "cancelled"
+            raise
+        finally:
+            deadline.kill(block=False)
+            self._finish(outcome)
+
+    def close(self) -> None:
+        """Ends the stream and gives its place back; twice does nothing."""
+        if self._closed:
+            return
+        self._closed = True
+        self._streams.end(self.stream)
+
+    def _start_deadline(self) -> gevent.Greenlet:
+        """Starts one timer for the whole stream: one a token costs 10 µs."""
+        left_ms = max(0, self.stream.end_ms - self._clock.now_ms())
+        return gevent.spawn_later(
+            left_ms / _MS_PER_S, self.stream.output.put, _DEADLINE
+        )
+
+    def _recorder(self, name: str) -> Callable[[float], None]:
+        model = self.stream.request.model
+        return self._metrics.recorder(name, service=model, group=self._group)
+
+    def _finish(self, outcome: str) -> None:
+        self.close()
+        self._recorder("request")(self._clock.now_ms() - self._since_ms)
+        self._metrics.count(
+            "requests",
+            service=self.stream.request.model,
+            group=self._group,
+            outcome=outcome,
+        )
+        if outcome not in _NOT_BAD:
+            self._metrics.count_bad(self.stream.request.client_account)
--- a/caroblug/gen/wire/ttypes.py
+++ b/caroblug/gen/wire/ttypes.py
@@ -296,6 +296,7 @@
      - seed
      - entry
      - weight
+     - alone_until: Positions before this one run with nothing else in the engine.
 
     """
 
@@ -315,10 +316,11 @@
         'seed',
         'entry',
         'weight',
+        'alone_until',
     )
 
 
-    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None,):
+    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None, alone_until=None,):
         self.stream = stream
         self.attempt = attempt
         self.client_account = client_account
@@ -334,6 +336,7 @@
         self.seed = seed
         self.entry = entry
         self.weight = weight
+        self.alone_until = alone_until
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -431,6 +434,11 @@
                     self.weight = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.I32:
+                    self.alone_until = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -507,6 +515,10 @@
             oprot.writeFieldBegin('weight', TType.DOUBLE, 15)
             oprot.writeDouble(self.weight)
             oprot.writeFieldEnd()
+        if self.alone_until is not None:
+            oprot.writeFieldBegin('alone_until', TType.I32, 60)
+            oprot.writeI32(self.alone_until)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1076,6 +1088,10 @@
      - bundle_version
      - host
      - port
+     - streams: Streams open at this engine, from every entry.
+     - backlog: Positions that wait or run.
+     - client_accounts: Client accounts with streams open here.
+     - interval_ms: Time until the next report; one that is late is no longer believed.
 
     """
 
@@ -1093,10 +1109,14 @@
         'bundle_version',
         'host',
         'port',
+        'streams',
+        'backlog',
+        'client_accounts',
+        'interval_ms',
     )
 
 
-    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None,):
+    def __init__(self, instance=None, role=None, data_centre=None, target=None, first_layer=None, end_layer=None, tokens_per_s=None, waiting=None, running=None, leaving=None, bundle_version=None, host=None, port=None, streams=None, backlog=None, client_accounts=None, interval_ms=None,):
         self.instance = instance
         self.role = role
         self.data_centre = data_centre
@@ -1110,6 +1130,10 @@
         self.bundle_version = bundle_version
         self.host = host
         self.port = port
+        self.streams = streams
+        self.backlog = backlog
+        self.client_accounts = client_accounts
+        self.interval_ms = interval_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1185,6 +1209,26 @@
                     self.port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I32:
+                    self.streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I32:
+                    self.backlog = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.I32:
+                    self.client_accounts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 70:
+                if ftype == TType.I32:
+                    self.interval_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1247,6 +1291,22 @@
             oprot.writeFieldBegin('port', TType.I32, 13)
             oprot.writeI32(self.port)
             oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 20)
+            oprot.writeI32(self.streams)
+            oprot.writeFieldEnd()
+        if self.backlog is not None:
+            oprot.writeFieldBegin('backlog', TType.I32, 21)
+            oprot.writeI32(self.backlog)
+            oprot.writeFieldEnd()
+        if self.client_accounts is not None:
+            oprot.writeFieldBegin('client_accounts', TType.I32, 60)
+            oprot.writeI32(self.client_accounts)
+            oprot.writeFieldEnd()
+        if self.interval_ms is not None:
+            oprot.writeFieldBegin('interval_ms', TType.I32, 70)
+            oprot.writeI32(self.interval_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1784,47 +1844,25 @@
         return not (self == other)
 
 
-class Frame(object):
+class LinkProbe(object):
     """
+    Measures a link: sent back by the peer with `answer` set.
+
     Attributes:
-     - opens
-     - needs
-     - steps
-     - tokens
-     - cancels
-     - refusals
-     - reports
-     - calls
-     - replies
-     - heartbeats
+     - sent_ms: The asker's own clock; of no meaning to the peer.
+     - answer
 
     """
 
     __slots__ = (
-        'opens',
-        'needs',
-        'steps',
-        'tokens',
-        'cancels',
-        'refusals',
-        'reports',
-        'calls',
-        'replies',
-        'heartbeats',
+        'sent_ms',
+        'answer',
     )
 
 
-    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None,):
-        self.opens = opens
-        self.needs = needs
-        self.steps = steps
-        self.tokens = tokens
-        self.cancels = cancels
-        self.refusals = refusals
-        self.reports = reports
-        self.calls = calls
-        self.replies = replies
-        self.heartbeats = heartbeats
+    def __init__(self, sent_ms=None, answer=None,):
+        self.sent_ms = sent_ms
+        self.answer = answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1836,113 +1874,111 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.LIST:
-                    self.opens = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = OpenStream()
-                        _elem40.read(iprot)
-                        self.opens.append(_elem40)
-                    iprot.readListEnd()
+                if ftype == TType.I64:
+                    self.sent_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.LIST:
-                    self.needs = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = Need()
-                        _elem46.read(iprot)
-                        self.needs.append(_elem46)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.LIST:
-                    self.steps = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = Step()
-                        _elem52.read(iprot)
-                        self.steps.append(_elem52)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.LIST:
-                    self.tokens = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = Token()
-                        _elem58.read(iprot)
-                        self.tokens.append(_elem58)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.LIST:
-                    self.cancels = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = Cancel()
-                        _elem64.read(iprot)
-                        self.cancels.append(_elem64)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.LIST:
-                    self.refusals = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = StageRefusal()
-                        _elem70.read(iprot)
-                        self.refusals.append(_elem70)
-                    iprot.readListEnd()
+                if ftype == TType.BOOL:
+                    self.answer = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.LIST:
-                    self.reports = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = LoadReport()
-                        _elem76.read(iprot)
-                        self.reports.append(_elem76)
-                    iprot.readListEnd()
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LinkProbe')
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I64, 1)
+            oprot.writeI64(self.sent_ms)
+            oprot.writeFieldEnd()
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.BOOL, 2)
+            oprot.writeBool(self.answer)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BundleAdvert(object):
+    """
+    What a process says about its bundle in force; version 0 is none.
+
+    Attributes:
+     - version
+     - digest
+     - offset: Where in the log this version was accepted.
+     - log_age_ms: How long ago the log's end was reached, as far as the sender knows.
+
+    """
+
+    __slots__ = (
+        'version',
+        'digest',
+        'offset',
+        'log_age_ms',
+    )
+
+
+    def __init__(self, version=None, digest=None, offset=None, log_age_ms=None,):
+        self.version = version
+        self.digest = digest
+        self.offset = offset
+        self.log_age_ms = log_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.version = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.LIST:
-                    self.calls = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = PlainCall()
-                        _elem82.read(iprot)
-                        self.calls.append(_elem82)
-                    iprot.readListEnd()
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.LIST:
-                    self.replies = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = PlainReply()
-                        _elem88.read(iprot)
-                        self.replies.append(_elem88)
-                    iprot.readListEnd()
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.LIST:
-                    self.heartbeats = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = Heartbeat()
-                        _elem94.read(iprot)
-                        self.heartbeats.append(_elem94)
-                    iprot.readListEnd()
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.log_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1954,76 +1990,22 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Frame')
-        if self.opens is not None:
-            oprot.writeFieldBegin('opens', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.opens))
-            for iter95 in self.opens:
-                iter95.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.needs is not None:
-            oprot.writeFieldBegin('needs', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.needs))
-            for iter96 in self.needs:
-                iter96.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.steps is not None:
-            oprot.writeFieldBegin('steps', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.steps))
-            for iter97 in self.steps:
-                iter97.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.tokens is not None:
-            oprot.writeFieldBegin('tokens', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.tokens))
-            for iter98 in self.tokens:
-                iter98.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.cancels is not None:
-            oprot.writeFieldBegin('cancels', TType.LIST, 5)
-            oprot.writeListBegin(TType.STRUCT, len(self.cancels))
-            for iter99 in self.cancels:
-                iter99.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.refusals is not None:
-            oprot.writeFieldBegin('refusals', TType.LIST, 6)
-            oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter100 in self.refusals:
-                iter100.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.reports is not None:
-            oprot.writeFieldBegin('reports', TType.LIST, 7)
-            oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter101 in self.reports:
-                iter101.write(oprot)
-            oprot.writeListEnd()
+        oprot.writeStructBegin('BundleAdvert')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I32, 1)
+            oprot.writeI32(self.version)
             oprot.writeFieldEnd()
-        if self.calls is not None:
-            oprot.writeFieldBegin('calls', TType.LIST, 8)
-            oprot.writeListBegin(TType.STRUCT, len(self.calls))
-            for iter102 in self.calls:
-                iter102.write(oprot)
-            oprot.writeListEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 2)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
             oprot.writeFieldEnd()
-        if self.replies is not None:
-            oprot.writeFieldBegin('replies', TType.LIST, 9)
-            oprot.writeListBegin(TType.STRUCT, len(self.replies))
-            for iter103 in self.replies:
-                iter103.write(oprot)
-            oprot.writeListEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 3)
+            oprot.writeI64(self.offset)
             oprot.writeFieldEnd()
-        if self.heartbeats is not None:
-            oprot.writeFieldBegin('heartbeats', TType.LIST, 10)
-            oprot.writeListBegin(TType.STRUCT, len(self.heartbeats))
-            for iter104 in self.heartbeats:
-                iter104.write(oprot)
-            oprot.writeListEnd()
+        if self.log_age_ms is not None:
+            oprot.writeFieldBegin('log_age_ms', TType.I64, 4)
+            oprot.writeI64(self.log_age_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2048,49 +2030,1318 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(Hello)
-Hello.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'role', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'data_centre', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'nonce', 'BINARY', None, ),  # 4
-    (5, TType.I32, 'protocol', None, None, ),  # 5
-    (6, TType.STRING, 'host', 'UTF8', None, ),  # 6
-    (7, TType.I32, 'port', None, None, ),  # 7
-)
-all_structs.append(StageRef)
-StageRef.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'port', None, None, ),  # 3
-    (4, TType.I32, 'first_layer', None, None, ),  # 4
-    (5, TType.I32, 'end_layer', None, None, ),  # 5
-)
-all_structs.append(OpenStream)
-OpenStream.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'attempt', None, None, ),  # 2
-    (3, TType.STRING, 'client_account', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'model', 'UTF8', None, ),  # 4
-    (5, TType.LIST, 'chain', (TType.STRUCT, [StageRef, None], False), None, ),  # 5
-    (6, TType.I32, 'stage', None, None, ),  # 6
-    (7, TType.LIST, 'tokens', (TType.I32, None, False), None, ),  # 7
-    (8, TType.I32, 'prompt_length', None, None, ),  # 8
-    (9, TType.I32, 'known_length', None, None, ),  # 9
-    (10, TType.I32, 'max_length', None, None, ),  # 10
-    (11, TType.I64, 'deadline_ms', None, None, ),  # 11
-    (12, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 12
-    (13, TType.I64, 'seed', None, None, ),  # 13
-    (14, TType.STRUCT, 'entry', [StageRef, None], None, ),  # 14
-    (15, TType.DOUBLE, 'weight', None, None, ),  # 15
-)
-all_structs.append(Step)
-Step.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
+
+
+class BundleFetch(object):
+    """
+    Asks a peer for its head, or just for some sections.
+
+    Attributes:
+     - digest
+     - base: Digest of the head that the asker has; its sections are left out.
+     - hashes: Content hashes; if any, only these sections are sent.
+
+    """
+
+    __slots__ = (
+        'digest',
+        'base',
+        'hashes',
+    )
+
+
+    def __init__(self, digest=None, base=None, hashes=None,):
+        self.digest = digest
+        self.base = base
+        self.hashes = hashes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.base = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.hashes = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.hashes.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BundleFetch')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.STRING, 2)
+            oprot.writeString(self.base.encode('utf-8') if sys.version_info[0] == 2 else self.base)
+            oprot.writeFieldEnd()
+        if self.hashes is not None:
+            oprot.writeFieldBegin('hashes', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.hashes))
+            for iter41 in self.hashes:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class BundleSections(object):
+    """
+    A head's record, and sections by content hash; both may be partial.
+
+    Attributes:
+     - digest
+     - offset
+     - record: The record without sections; empty if only sections were asked for.
+     - sections
+
+    """
+
+    __slots__ = (
+        'digest',
+        'offset',
+        'record',
+        'sections',
+    )
+
+
+    def __init__(self, digest=None, offset=None, record=None, sections=None,):
+        self.digest = digest
+        self.offset = offset
+        self.record = record
+        self.sections = sections
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.record = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.sections = {}
+                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
+                    for _i46 in range(_size42):
+                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val48 = iprot.readBinary()
+                        self.sections[_key47] = _val48
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('BundleSections')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 2)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.record is not None:
+            oprot.writeFieldBegin('record', TType.STRING, 3)
+            oprot.writeBinary(self.record)
+            oprot.writeFieldEnd()
+        if self.sections is not None:
+            oprot.writeFieldBegin('sections', TType.MAP, 4)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.sections))
+            for kiter49, viter50 in self.sections.items():
+                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
+                oprot.writeBinary(viter50)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ShareDemand(object):
+    """
+    What an entry reports of an account to the account's home.
+
+    Attributes:
+     - client_account
+     - streams
+     - used
+
+    """
+
+    __slots__ = (
+        'client_account',
+        'streams',
+        'used',
+    )
+
+
+    def __init__(self, client_account=None, streams=None, used=None,):
+        self.client_account = client_account
+        self.streams = streams
+        self.used = used
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.client_account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.used = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ShareDemand')
+        if self.client_account is not None:
+            oprot.writeFieldBegin('client_account', TType.STRING, 1)
+            oprot.writeString(self.client_account.encode('utf-8') if sys.version_info[0] == 2 else self.client_account)
+            oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 2)
+            oprot.writeI32(self.streams)
+            oprot.writeFieldEnd()
+        if self.used is not None:
+            oprot.writeFieldBegin('used', TType.DOUBLE, 3)
+            oprot.writeDouble(self.used)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ShareGrant(object):
+    """
+    What an entry may use of an account until the term ends.
+
+    Attributes:
+     - client_account
+     - streams
+     - tokens
+     - total
+     - term_ms
+
+    """
+
+    __slots__ = (
+        'client_account',
+        'streams',
+        'tokens',
+        'total',
+        'term_ms',
+    )
+
+
+    def __init__(self, client_account=None, streams=None, tokens=None, total=None, term_ms=None,):
+        self.client_account = client_account
+        self.streams = streams
+        self.tokens = tokens
+        self.total = total
+        self.term_ms = term_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.client_account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.tokens = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.total = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.term_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ShareGrant')
+        if self.client_account is not None:
+            oprot.writeFieldBegin('client_account', TType.STRING, 1)
+            oprot.writeString(self.client_account.encode('utf-8') if sys.version_info[0] == 2 else self.client_account)
+            oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 2)
+            oprot.writeI32(self.streams)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.DOUBLE, 3)
+            oprot.writeDouble(self.tokens)
+            oprot.writeFieldEnd()
+        if self.total is not None:
+            oprot.writeFieldBegin('total', TType.I32, 4)
+            oprot.writeI32(self.total)
+            oprot.writeFieldEnd()
+        if self.term_ms is not None:
+            oprot.writeFieldBegin('term_ms', TType.I32, 5)
+            oprot.writeI32(self.term_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Suspicion(object):
+    """
+    A request that was in an engine, or a plain service, as it crashed.
+
+    Attributes:
+     - fingerprint
+     - client_account
+     - crash
+     - cleared: Whether the request has since run on past that place.
+     - remaining_ms
+     - position: One past the last position that was in the engine; 0 for a call.
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'client_account',
+        'crash',
+        'cleared',
+        'remaining_ms',
+        'position',
+    )
+
+
+    def __init__(self, fingerprint=None, client_account=None, crash=None, cleared=None, remaining_ms=None, position=None,):
+        self.fingerprint = fingerprint
+        self.client_account = client_account
+        self.crash = crash
+        self.cleared = cleared
+        self.remaining_ms = remaining_ms
+        self.position = position
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.client_account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.crash = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.cleared = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.position = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Suspicion')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.client_account is not None:
+            oprot.writeFieldBegin('client_account', TType.STRING, 2)
+            oprot.writeString(self.client_account.encode('utf-8') if sys.version_info[0] == 2 else self.client_account)
+            oprot.writeFieldEnd()
+        if self.crash is not None:
+            oprot.writeFieldBegin('crash', TType.STRING, 3)
+            oprot.writeString(self.crash.encode('utf-8') if sys.version_info[0] == 2 else self.crash)
+            oprot.writeFieldEnd()
+        if self.cleared is not None:
+            oprot.writeFieldBegin('cleared', TType.BOOL, 4)
+            oprot.writeBool(self.cleared)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 5)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.I32, 6)
+            oprot.writeI32(self.position)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunRequest(object):
+    """
+    Asks an account's home whether a request may run now, or leaves.
+
+    Attributes:
+     - fingerprint
+     - number
+     - leave
+     - proved: Whether it has run its whole prompt; said when it leaves.
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'number',
+        'leave',
+        'proved',
+    )
+
+
+    def __init__(self, fingerprint=None, number=None, leave=None, proved=None,):
+        self.fingerprint = fingerprint
+        self.number = number
+        self.leave = leave
+        self.proved = proved
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.leave = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.proved = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunRequest')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.leave is not None:
+            oprot.writeFieldBegin('leave', TType.BOOL, 3)
+            oprot.writeBool(self.leave)
+            oprot.writeFieldEnd()
+        if self.proved is not None:
+            oprot.writeFieldBegin('proved', TType.BOOL, 4)
+            oprot.writeBool(self.proved)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunAdmitted(object):
+    """
+    Lets a request run, with what is known against it.
+
+    Attributes:
+     - fingerprint
+     - number
+     - known
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'number',
+        'known',
+    )
+
+
+    def __init__(self, fingerprint=None, number=None, known=None,):
+        self.fingerprint = fingerprint
+        self.number = number
+        self.known = known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.known = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = Suspicion()
+                        _elem56.read(iprot)
+                        self.known.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunAdmitted')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.known))
+            for iter57 in self.known:
+                iter57.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Frame(object):
+    """
+    Attributes:
+     - opens
+     - needs
+     - steps
+     - tokens
+     - cancels
+     - refusals
+     - reports
+     - calls
+     - replies
+     - heartbeats
+     - probes
+     - bundle_adverts
+     - bundle_fetches
+     - bundle_sections
+     - demands
+     - grants
+     - suspicions
+     - run_requests
+     - run_admitted
+
+    """
+
+    __slots__ = (
+        'opens',
+        'needs',
+        'steps',
+        'tokens',
+        'cancels',
+        'refusals',
+        'reports',
+        'calls',
+        'replies',
+        'heartbeats',
+        'probes',
+        'bundle_adverts',
+        'bundle_fetches',
+        'bundle_sections',
+        'demands',
+        'grants',
+        'suspicions',
+        'run_requests',
+        'run_admitted',
+    )
+
+
+    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None, probes=None, bundle_adverts=None, bundle_fetches=None, bundle_sections=None, demands=None, grants=None, suspicions=None, run_requests=None, run_admitted=None,):
+        self.opens = opens
+        self.needs = needs
+        self.steps = steps
+        self.tokens = tokens
+        self.cancels = cancels
+        self.refusals = refusals
+        self.reports = reports
+        self.calls = calls
+        self.replies = replies
+        self.heartbeats = heartbeats
+        self.probes = probes
+        self.bundle_adverts = bundle_adverts
+        self.bundle_fetches = bundle_fetches
+        self.bundle_sections = bundle_sections
+        self.demands = demands
+        self.grants = grants
+        self.suspicions = suspicions
+        self.run_requests = run_requests
+        self.run_admitted = run_admitted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.opens = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = OpenStream()
+                        _elem63.read(iprot)
+                        self.opens.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.needs = []
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = Need()
+                        _elem69.read(iprot)
+                        self.needs.append(_elem69)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.steps = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Step()
+                        _elem75.read(iprot)
+                        self.steps.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.tokens = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = Token()
+                        _elem81.read(iprot)
+                        self.tokens.append(_elem81)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.cancels = []
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = Cancel()
+                        _elem87.read(iprot)
+                        self.cancels.append(_elem87)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.refusals = []
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = StageRefusal()
+                        _elem93.read(iprot)
+                        self.refusals.append(_elem93)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.reports = []
+                    (_etype97, _size94) = iprot.readListBegin()
+                    for _i98 in range(_size94):
+                        _elem99 = LoadReport()
+                        _elem99.read(iprot)
+                        self.reports.append(_elem99)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.calls = []
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = PlainCall()
+                        _elem105.read(iprot)
+                        self.calls.append(_elem105)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.replies = []
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = PlainReply()
+                        _elem111.read(iprot)
+                        self.replies.append(_elem111)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.heartbeats = []
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = Heartbeat()
+                        _elem117.read(iprot)
+                        self.heartbeats.append(_elem117)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.probes = []
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = LinkProbe()
+                        _elem123.read(iprot)
+                        self.probes.append(_elem123)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 40:
+                if ftype == TType.LIST:
+                    self.bundle_adverts = []
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = BundleAdvert()
+                        _elem129.read(iprot)
+                        self.bundle_adverts.append(_elem129)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 41:
+                if ftype == TType.LIST:
+                    self.bundle_fetches = []
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = BundleFetch()
+                        _elem135.read(iprot)
+                        self.bundle_fetches.append(_elem135)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 42:
+                if ftype == TType.LIST:
+                    self.bundle_sections = []
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = BundleSections()
+                        _elem141.read(iprot)
+                        self.bundle_sections.append(_elem141)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = ShareDemand()
+                        _elem147.read(iprot)
+                        self.demands.append(_elem147)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 61:
+                if ftype == TType.LIST:
+                    self.grants = []
+                    (_etype151, _size148) = iprot.readListBegin()
+                    for _i152 in range(_size148):
+                        _elem153 = ShareGrant()
+                        _elem153.read(iprot)
+                        self.grants.append(_elem153)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 62:
+                if ftype == TType.LIST:
+                    self.suspicions = []
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = Suspicion()
+                        _elem159.read(iprot)
+                        self.suspicions.append(_elem159)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 63:
+                if ftype == TType.LIST:
+                    self.run_requests = []
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = RunRequest()
+                        _elem165.read(iprot)
+                        self.run_requests.append(_elem165)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 64:
+                if ftype == TType.LIST:
+                    self.run_admitted = []
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = RunAdmitted()
+                        _elem171.read(iprot)
+                        self.run_admitted.append(_elem171)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Frame')
+        if self.opens is not None:
+            oprot.writeFieldBegin('opens', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.opens))
+            for iter172 in self.opens:
+                iter172.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.needs is not None:
+            oprot.writeFieldBegin('needs', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.needs))
+            for iter173 in self.needs:
+                iter173.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.steps is not None:
+            oprot.writeFieldBegin('steps', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.steps))
+            for iter174 in self.steps:
+                iter174.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.tokens))
+            for iter175 in self.tokens:
+                iter175.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cancels is not None:
+            oprot.writeFieldBegin('cancels', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.cancels))
+            for iter176 in self.cancels:
+                iter176.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.refusals is not None:
+            oprot.writeFieldBegin('refusals', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.refusals))
+            for iter177 in self.refusals:
+                iter177.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.reports is not None:
+            oprot.writeFieldBegin('reports', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.reports))
+            for iter178 in self.reports:
+                iter178.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.calls is not None:
+            oprot.writeFieldBegin('calls', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.calls))
+            for iter179 in self.calls:
+                iter179.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.replies is not None:
+            oprot.writeFieldBegin('replies', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.replies))
+            for iter180 in self.replies:
+                iter180.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.heartbeats is not None:
+            oprot.writeFieldBegin('heartbeats', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.heartbeats))
+            for iter181 in self.heartbeats:
+                iter181.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.probes is not None:
+            oprot.writeFieldBegin('probes', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.probes))
+            for iter182 in self.probes:
+                iter182.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bundle_adverts is not None:
+            oprot.writeFieldBegin('bundle_adverts', TType.LIST, 40)
+            oprot.writeListBegin(TType.STRUCT, len(self.bundle_adverts))
+            for iter183 in self.bundle_adverts:
+                iter183.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bundle_fetches is not None:
+            oprot.writeFieldBegin('bundle_fetches', TType.LIST, 41)
+            oprot.writeListBegin(TType.STRUCT, len(self.bundle_fetches))
+            for iter184 in self.bundle_fetches:
+                iter184.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.bundle_sections is not None:
+            oprot.writeFieldBegin('bundle_sections', TType.LIST, 42)
+            oprot.writeListBegin(TType.STRUCT, len(self.bundle_sections))
+            for iter185 in self.bundle_sections:
+                iter185.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 60)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter186 in self.demands:
+                iter186.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.grants is not None:
+            oprot.writeFieldBegin('grants', TType.LIST, 61)
+            oprot.writeListBegin(TType.STRUCT, len(self.grants))
+            for iter187 in self.grants:
+                iter187.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspicions is not None:
+            oprot.writeFieldBegin('suspicions', TType.LIST, 62)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
+            for iter188 in self.suspicions:
+                iter188.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.run_requests is not None:
+            oprot.writeFieldBegin('run_requests', TType.LIST, 63)
+            oprot.writeListBegin(TType.STRUCT, len(self.run_requests))
+            for iter189 in self.run_requests:
+                iter189.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.run_admitted is not None:
+            oprot.writeFieldBegin('run_admitted', TType.LIST, 64)
+            oprot.writeListBegin(TType.STRUCT, len(self.run_admitted))
+            for iter190 in self.run_admitted:
+                iter190.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(Hello)
+Hello.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'role', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'data_centre', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'nonce', 'BINARY', None, ),  # 4
+    (5, TType.I32, 'protocol', None, None, ),  # 5
+    (6, TType.STRING, 'host', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'port', None, None, ),  # 7
+)
+all_structs.append(StageRef)
+StageRef.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'port', None, None, ),  # 3
+    (4, TType.I32, 'first_layer', None, None, ),  # 4
+    (5, TType.I32, 'end_layer', None, None, ),  # 5
+)
+all_structs.append(OpenStream)
+OpenStream.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.STRING, 'client_account', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'model', 'UTF8', None, ),  # 4
+    (5, TType.LIST, 'chain', (TType.STRUCT, [StageRef, None], False), None, ),  # 5
+    (6, TType.I32, 'stage', None, None, ),  # 6
+    (7, TType.LIST, 'tokens', (TType.I32, None, False), None, ),  # 7
+    (8, TType.I32, 'prompt_length', None, None, ),  # 8
+    (9, TType.I32, 'known_length', None, None, ),  # 9
+    (10, TType.I32, 'max_length', None, None, ),  # 10
+    (11, TType.I64, 'deadline_ms', None, None, ),  # 11
+    (12, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 12
+    (13, TType.I64, 'seed', None, None, ),  # 13
+    (14, TType.STRUCT, 'entry', [StageRef, None], None, ),  # 14
+    (15, TType.DOUBLE, 'weight', None, None, ),  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    (60, TType.I32, 'alone_until', None, None, ),  # 60
+)
+all_structs.append(Step)
+Step.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
     (2, TType.I32, 'attempt', None, None, ),  # 2
     (3, TType.I32, 'position', None, None, ),  # 3
     (4, TType.LIST, 'states', (TType.STRING, 'BINARY', False), None, ),  # 4
@@ -2142,6 +3393,63 @@
     (11, TType.I32, 'bundle_version', None, None, ),  # 11
     (12, TType.STRING, 'host', 'UTF8', None, ),  # 12
     (13, TType.I32, 'port', None, None, ),  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.I32, 'streams', None, None, ),  # 20
+    (21, TType.I32, 'backlog', None, None, ),  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    None,  # 40
+    None,  # 41
+    None,  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    (60, TType.I32, 'client_accounts', None, None, ),  # 60
+    None,  # 61
+    None,  # 62
+    None,  # 63
+    None,  # 64
+    None,  # 65
+    None,  # 66
+    None,  # 67
+    None,  # 68
+    None,  # 69
+    (70, TType.I32, 'interval_ms', None, None, ),  # 70
 )
 all_structs.append(Header)
 Header.thrift_spec = (
@@ -2181,6 +3489,76 @@
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
 )
+all_structs.append(LinkProbe)
+LinkProbe.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sent_ms', None, None, ),  # 1
+    (2, TType.BOOL, 'answer', None, None, ),  # 2
+)
+all_structs.append(BundleAdvert)
+BundleAdvert.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'version', None, None, ),  # 1
+    (2, TType.STRING, 'digest', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'offset', None, None, ),  # 3
+    (4, TType.I64, 'log_age_ms', None, None, ),  # 4
+)
+all_structs.append(BundleFetch)
+BundleFetch.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'base', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'hashes', (TType.STRING, 'UTF8', False), None, ),  # 3
+)
+all_structs.append(BundleSections)
+BundleSections.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'offset', None, None, ),  # 2
+    (3, TType.STRING, 'record', 'BINARY', None, ),  # 3
+    (4, TType.MAP, 'sections', (TType.STRING, 'UTF8', TType.STRING, 'BINARY', False), None, ),  # 4
+)
+all_structs.append(ShareDemand)
+ShareDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'client_account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'streams', None, None, ),  # 2
+    (3, TType.DOUBLE, 'used', None, None, ),  # 3
+)
+all_structs.append(ShareGrant)
+ShareGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'client_account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'streams', None, None, ),  # 2
+    (3, TType.DOUBLE, 'tokens', None, None, ),  # 3
+    (4, TType.I32, 'total', None, None, ),  # 4
+    (5, TType.I32, 'term_ms', None, None, ),  # 5
+)
+all_structs.append(Suspicion)
+Suspicion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'client_account', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'crash', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'cleared', None, None, ),  # 4
+    (5, TType.I64, 'remaining_ms', None, None, ),  # 5
+    (6, TType.I32, 'position', None, None, ),  # 6
+)
+all_structs.append(RunRequest)
+RunRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.BOOL, 'leave', None, None, ),  # 3
+    (4, TType.BOOL, 'proved', None, None, ),  # 4
+)
+all_structs.append(RunAdmitted)
+RunAdmitted.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.LIST, 'known', (TType.STRUCT, [Suspicion, None], False), None, ),  # 3
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2194,6 +3572,60 @@
     (8, TType.LIST, 'calls', (TType.STRUCT, [PlainCall, None], False), None, ),  # 8
     (9, TType.LIST, 'replies', (TType.STRUCT, [PlainReply, None], False), None, ),  # 9
     (10, TType.LIST, 'heartbeats', (TType.STRUCT, [Heartbeat, None], False), None, ),  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.LIST, 'probes', (TType.STRUCT, [LinkProbe, None], False), None, ),  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    (40, TType.LIST, 'bundle_adverts', (TType.STRUCT, [BundleAdvert, None], False), None, ),  # 40
+    (41, TType.LIST, 'bundle_fetches', (TType.STRUCT, [BundleFetch, None], False), None, ),  # 41
+    (42, TType.LIST, 'bundle_sections', (TType.STRUCT, [BundleSections, None], False), None, ),  # 42
+    None,  # 43
+    None,  # 44
+    None,  # 45
+    None,  # 46
+    None,  # 47
+    None,  # 48
+    None,  # 49
+    None,  # 50
+    None,  # 51
+    None,  # 52
+    None,  # 53
+    None,  # 54
+    None,  # 55
+    None,  # 56
+    None,  # 57
+    None,  # 58
+    None,  # 59
+    (60, TType.LIST, 'demands', (TType.STRUCT, [ShareDemand, None], False), None, ),  # 60
+    (61, TType.LIST, 'grants', (TType.STRUCT, [ShareGrant, None], False), None, ),  # 61
+    (62, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 62
+    (63, TType.LIST, 'run_requests', (TType.STRUCT, [RunRequest, None], False), None, ),  # 63
+    (64, TType.LIST, 'run_admitted', (TType.STRUCT, [RunAdmitted, None], False), None, ),  # 64
 )
 fix_spec(all_structs)
 del all_structs
--- a/caroblug/side/_journal.py
+++ b/caroblug/side/_journal.py
@@ -10,12 +10,12 @@
 from caroblug.core.state import (
     Admitted,
     CallBatch,
+    CallOutcome,
     Decided,
     IntentFold,
     IntentId,
     IntentOwner,
     KeyState,
-    Outcome,
     Verdict,
     decode_batch,
     encode_batch,
@@ -79,7 +79,7 @@
         self._interval_ms = settings.interval_ms
         self._wake = event.Event()
         self._verdicts: dict[IntentId, event.AsyncResult] = {}
-        self._answers: collections.OrderedDict[IntentId, Outcome] = (
+        self._answers: collections.OrderedDict[IntentId, CallOutcome] = (
             collections.OrderedDict()
         )
         self._answers_bytes = 0
@@ -136,7 +136,7 @@
         self._owner.cancel(key)
         self._wake.set()
 
-    def finish(self, outcome: Outcome) -> None:
+    def finish(self, outcome: CallOutcome) -> None:
         """Records an outcome; the caller need not wait for it."""
         self._keep(outcome)
         self._owner.finish(outcome)
@@ -146,7 +146,7 @@
         """Returns what is remembered of a key."""
         return self._fold.lookup(key)
 
-    def answer(self, state: KeyState) -> Outcome | None:
+    def answer(self, state: KeyState) -> CallOutcome | None:
         """Returns a recorded answer, from the log if need be."""
         kept = self._answers.get(state.id)
         if kept is not None:
@@ -156,11 +156,11 @@
             return None
         batch = decode_batch(records.records[0].data)
         for entry in batch.entries if batch else ():
-            if isinstance(entry, Outcome) and entry.id == state.id:
+            if isinstance(entry, CallOutcome) and entry.id == state.id:
                 return entry
         return None
 
-    def _keep(self, outcome: Outcome) -> None:
+    def _keep(self, outcome: CallOutcome) -> None:
         self._answers[outcome.id] = outcome
         self._answers_bytes += len(outcome.body)
         while self._answers_bytes > _ANSWERS_BYTES:
--- a/caroblug/side/_once.py
+++ b/caroblug/side/_once.py
@@ -1,32 +1,43 @@
 """Calls that may not be repeated: each key runs at most once."""
 
 import hashlib
+import secrets
 
 from gevent import event
 
 from caroblug.core.state import (
+    CallOutcome,
     Conflict,
     IntentId,
     Joined,
     Kept,
-    Outcome,
     OutcomeKind,
     Replayed,
+    ServiceRule,
     Started,
     Undecided,
     Verdict,
     digest_parts,
 )
 from caroblug.gen.wire import ttypes as wire
-from caroblug.side._journal import CallJournal
-from caroblug.side._plain import DirectCaller, PlainCaller, refuse_call
-from caroblug.utils import Metrics, Ran, RefusalType
+from caroblug.side._journal import CallJournal, JournalSettings, make_journal
+from caroblug.side._plain import (
+    DirectCaller,
+    PlainCaller,
+    PlainCalls,
+    refuse_call,
+)
+from caroblug.side._settings import SideSettings
+from caroblug.transport import PeerNetwork, make_log_service
+from caroblug.utils import Clock, Metrics, Ran, RefusalType
 
 _RETRY_AFTER_MS = 1000
 _KEPT_BODY_BYTES = 16 * 1024
 _REPLAYED = ("Idempotent-Replayed", "true")
 _DIGEST_BYTES = 20
 _MS_PER_S = 1000
+_SERVICE_TIMEOUT_MS = 60_000
+_WRITER_BYTES = 6
 
 
 class OnceCaller(PlainCaller):
@@ -51,6 +62,14 @@
         """Intents and outcomes that are not on the log yet."""
         return self._journal.pending
 
+    def start(self) -> None:
+        """Starts to follow and to write the log of calls."""
+        self._journal.start()
+
+    def on_rule(self, rule: ServiceRule) -> None:
+        """Takes the window from a new bundle."""
+        self._journal.set_window(rule.remember_ms)
+
     def call(self, call: wire.PlainCall) -> wire.PlainReply:
         """Runs a call and returns its answer or refusal."""
         if call.repeatable or not call.key:
@@ -161,16 +180,16 @@
 
 def _make_outcome(
     key: bytes, intent: IntentId, reply: wire.PlainReply
-) -> Outcome:
+) -> CallOutcome:
     if not reply.status:
-        return Outcome(intent, key, OutcomeKind.UNKNOWN)
+        return CallOutcome(intent, key, OutcomeKind.UNKNOWN)
     body = reply.body or b""
     digest = ""
     if len(body) > _KEPT_BODY_BYTES:
         digest = hashlib.blake2b(body, digest_size=_DIGEST_BYTES).hexdigest()
         body = b""
     headers = tuple((h.name, h.value) for h in reply.headers or ())
-    return Outcome(
+    return CallOutcome(
         intent,
         key,
         OutcomeKind.ANSWERED,
@@ -181,7 +200,7 @@
     )
 
 
-def _replay(call: wire.PlainCall, outcome: Outcome) -> wire.PlainReply:
+def _replay(call: wire.PlainCall, outcome: CallOutcome) -> wire.PlainReply:
     if outcome.body_digest:
         return refuse_call(
             call,
@@ -235,3 +254,25 @@
         Ran.UNKNOWN,
         _RETRY_AFTER_MS,
     )
+
+
+def make_plain_calls(
+    settings: SideSettings,
+    network: PeerNetwork,
+    clock: Clock,
+    metrics: Metrics,
+) -> PlainCalls:
+    """Returns the calls of the plain service in the settings."""
+    plain = settings.plain
+    journal = make_journal(
+        make_log_service(settings.log.host, settings.log.port),
+        plain.service,
+        f"{settings.instance}.{secrets.token_hex(_WRITER_BYTES)}",
+        clock,
+        metrics,
+        JournalSettings(settings.intent_interval_ms),
+        ServiceRule().remember_ms,
+    )
+    direct = DirectCaller(plain.host, plain.port, _SERVICE_TIMEOUT_MS)
+    caller = OnceCaller(direct, journal, metrics)
+    return PlainCalls(plain.service, caller, network, metrics)
--- a/caroblug/side/_plain.py
+++ b/caroblug/side/_plain.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from caroblug.core.state import Head, ServiceRule
 from caroblug.gen.wire import ttypes as wire
 from caroblug.transport import PeerAddress, PeerNetwork
 from caroblug.transport._http import (
@@ -31,6 +32,14 @@
         """What must still be written before the process may end."""
         return 0
 
+    def start(self) -> None:
+        """Starts what the caller needs in the background."""
+        return
+
+    def on_rule(self, rule: ServiceRule) -> None:
+        """Takes the service's rule from a new bundle."""
+        del rule
+
     @abc.abstractmethod
     def call(self, call: wire.PlainCall) -> wire.PlainReply:
         """Runs a call and returns its answer or refusal; may block."""
@@ -133,14 +142,20 @@
     """The calls that run at this side process.
 
     Args:
+        service: Name of the service.
         caller: Runs them.
         network: Where answers are sent.
         metrics: Where they are counted.
     """
 
     def __init__(
-        self, caller: PlainCaller, network: PeerNetwork, metrics: Metrics
+        self,
+        service: str,
+        caller: PlainCaller,
+        network: PeerNetwork,
+        metrics: Metrics,
     ) -> None:
+        self._service = service
         self._caller = caller
         self._network = network
         self._metrics = metrics
@@ -154,6 +169,16 @@
         """Whether calls run or their outcomes are still unwritten."""
         return self._running > 0 or self._caller.pending > 0
 
+    def start(self) -> None:
+        """Starts to follow the log of calls."""
+        self._caller.start()
+
+    def on_head(self, head: Head) -> None:
+        """Takes a new bundle."""
+        rule = head.bundle.services.get(self._service)
+        if rule is not None:
+            self._caller.on_rule(rule)
+
     def on_call(
         self, peer: PeerAddress, call: wire.PlainCall, *, leaving: bool
     ) -> None:
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -1,25 +1,27 @@
 """The side program: wires its parts together."""
 
-import secrets
+from collections.abc import Mapping
 
 import falcon
 import gevent
 
 from caroblug.core.recovery import StageFailure
-from caroblug.core.state import BundleFold, Head, ServiceRule
+from caroblug.core.routing import report_interval_ms
+from caroblug.core.state import Head, Quarantine, Sharing
 from caroblug.gen.wire import ttypes as wire
 from caroblug.node import (
-    BundleFollower,
     Lifetime,
     NodeHttp,
     add_node_routes,
+    add_status_route,
+    make_fleet,
 )
-from caroblug.side._journal import CallJournal, JournalSettings, make_journal
-from caroblug.side._once import OnceCaller
-from caroblug.side._plain import DirectCaller, PlainCalls
+from caroblug.side._crashes import Crashes
+from caroblug.side._once import make_plain_calls
+from caroblug.side._plain import PlainCalls
 from caroblug.side._pump import EnginePump
-from caroblug.side._settings import PlainSettings, SideSettings
-from caroblug.side._streams import StageStreams
+from caroblug.side._settings import SideSettings
+from caroblug.side._streams import StageStreams, address_of
 from caroblug.transport import (
     EngineClient,
     EngineDescription,
@@ -27,7 +29,6 @@
     PeerAddress,
     PeerHandler,
     make_engine_client,
-    make_log_service,
     make_peer_network,
 )
 from caroblug.utils import (
@@ -38,9 +39,8 @@
 )
 
 _ENTRY_ROLE = "entry"
+_REPORT_BYTES = 110
 _DESCRIBE_S = 0.2
-_PLAIN_TIMEOUT_MS = 60_000
-_WRITER_BYTES = 6
 
 
 class SideServer(PeerHandler):
@@ -58,25 +58,34 @@
         hello = wire.Hello(settings.instance, "side", settings.data_centre)
         self.network = make_peer_network(
             hello,
-            settings.shared_key.encode(),
+            settings.shared_keys[0].encode(),
             self,
             self._clock,
             self.metrics,
             settings.heartbeat_ms,
             settings.silence_ms,
         )
-        self.bundles = BundleFollower(
-            make_log_service(settings.log.host, settings.log.port),
-            BundleFold(settings.operators, settings.signatures),
+        self.fleet = make_fleet(
+            settings,
+            "side",
+            self.network,
+            self._clock,
             self.metrics,
             self._on_head,
         )
+        self.bundles = self.fleet.bundles
+        self._crashes = Crashes(
+            settings.instance,
+            self.network,
+            self._quarantine,
+            self._clock,
+            self.metrics,
+        )
         self._description: EngineDescription | None = None
         self._engine: EngineClient | None = None
         self._pump: EnginePump | None = None
         self._streams: StageStreams | None = None
         self._calls: PlainCalls | None = None
-        self._journal: CallJournal | None = None
         self._make_backend()
 
     @property
@@ -92,13 +101,16 @@
         self.network.start(settings.host, settings.peer_port)
         app = falcon.App()
         add_node_routes(app, self.metrics, lambda: self.ready)
+        add_status_route(
+            app, lambda: self.fleet.status(self.ready, self._running())
+        )
         http = NodeHttp(settings.host, settings.http_port, app)
         http.start()
-        gevent.spawn(self.bundles.run)
+        self.fleet.start(self.lifetime.leave)
         if self._engine is not None:
             gevent.spawn(self._watch_engine)
-        if self._journal is not None:
-            self._journal.start()
+        if self._calls is not None:
+            self._calls.start()
         gevent.spawn(self._report_forever)
         log_state("program.started", port=settings.peer_port)
         self.lifetime.wait(self._report, self._busy)
@@ -107,6 +119,12 @@
 
     def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
         """Takes a frame from a peer."""
+        for probe in frame.probes or ():
+            if not probe.answer:
+                self.network.send(peer, wire.LinkProbe(probe.sent_ms, True))
+        self.fleet.on_frame(peer, frame)
+        for suspicion in frame.suspicions or ():
+            self._crashes.on_suspicion(suspicion)
         if self._streams is not None:
             self._on_stream_messages(self._streams, frame)
         if self._calls is not None:
@@ -115,16 +133,23 @@
 
     def on_peer_up(self, peer: PeerAddress) -> None:
         """Tells a new entry about this process."""
+        self.fleet.on_peer_up(peer)
+        if peer.role == _ENTRY_ROLE:
+            self._crashes.on_entry_up(peer)
         if peer.role == _ENTRY_ROLE and self._is_up():
             self.network.send(peer, self._make_report())
 
     def on_peer_lost(self, peer: PeerAddress, reason: str) -> None:
-        """Does nothing: the entry decides about its streams."""
+        """Leaves the streams alone: the entry decides about them."""
+        del reason
+        self.fleet.on_peer_lost(peer)
 
     def _make_backend(self) -> None:
         settings = self.settings
         if settings.plain is not None:
-            self._calls = self._make_calls(settings.plain)
+            self._calls = make_plain_calls(
+                settings, self.network, self._clock, self.metrics
+            )
             return
         self._engine = make_engine_client(
             settings.engine.host,
@@ -136,9 +161,10 @@
             self._clock,
             self.metrics,
             lambda results: self._streams.on_results(results),
-            lambda sessions, message: self._on_engine_lost(message),
+            self._on_engine_lost,
             batch=1,
             batches=settings.batches,
+            queue=settings.queue,
         )
         self._streams = StageStreams(
             settings.instance,
@@ -147,28 +173,15 @@
             self._clock,
             self.metrics,
             settings.journal_positions,
+            self._sharing,
         )
         self._pump.start()
 
-    def _make_calls(self, plain: PlainSettings) -> PlainCalls:
-        self._journal = make_journal(
-            make_log_service(self.settings.log.host, self.settings.log.port),
-            plain.service,
-            f"{self.settings.instance}.{secrets.token_hex(_WRITER_BYTES)}",
-            self._clock,
-            self.metrics,
-            JournalSettings(self.settings.intent_interval_ms),
-            ServiceRule().remember_ms,
-        )
-        direct = DirectCaller(plain.host, plain.port, _PLAIN_TIMEOUT_MS)
-        caller = OnceCaller(direct, self._journal, self.metrics)
-        return PlainCalls(caller, self.network, self.metrics)
-
     def _on_stream_messages(
         self, streams: StageStreams, frame: wire.Frame
     ) -> None:
         for opened in frame.opens or ():
-            streams.on_open(opened, self._refusal())
+            streams.on_open(opened, self._refusal(opened))
         for need in frame.needs or ():
             streams.on_need(need)
         for step in frame.steps or ():
@@ -178,27 +191,54 @@
         for cancel in frame.cancels or ():
             streams.on_cancel(cancel)
 
-    def _refusal(self) -> str:
+    def _refusal(self, opened: wire.OpenStream) -> str:
         if self.lifetime.leaving:
             return StageFailure.LEAVING
+        if self._streams.positions >= self.settings.positions:
+            return StageFailure.OVERLOADED
+        fingerprint = opened.fingerprint or ""
+        if self._crashes.is_quarantined(fingerprint):
+            self._crashes.tell(address_of(opened.entry), fingerprint)
+            return StageFailure.QUARANTINED
         return "" if self._is_up() else StageFailure.ENGINE_FAILED
 
     def _is_up(self) -> bool:
         return self._calls is not None or self._description is not None
 
+    def _running(self) -> int:
+        work = self._streams if self._calls is None else self._calls
+        return len(work)
+
     def _busy(self) -> bool:
         if self._calls is not None:
             return self._calls.busy
-        return len(self._streams) > 0
+        return self._running() > 0
 
     def _on_head(self, head: Head) -> None:
-        if self._journal is not None:
-            service = self.settings.plain.service
-            rule = head.bundle.services.get(service, ServiceRule())
-            self._journal.set_window(rule.remember_ms)
+        if self._calls is not None:
+            self._calls.on_head(head)
         self._report()
 
-    def _on_engine_lost(self, message: str) -> None:
+    def _sharing(self) -> Sharing:
+        head = self.bundles.head
+        return head.bundle.sharing if head is not None else Sharing()
+
+    def _quarantine(self) -> Quarantine:
+        head = self.bundles.head
+        return head.bundle.quarantine if head is not None else Quarantine()
+
+    def _on_engine_lost(
+        self, in_engine: Mapping[str, int], failed: EngineFailed
+    ) -> None:
+        """Tells entries, of suspects first: they retry what they hear of."""
+        if failed.crashed:
+            requests = self._streams.requests_of(in_engine)
+            self._crashes.on_crash(
+                (opened.fingerprint, opened.client_account, position)
+                for opened, position in requests
+                if opened.fingerprint
+            )
+        message = failed.message
         if self._description is not None:
             log_state("engine.lost", message=message)
             self.metrics.count("engine_lost")
@@ -211,9 +251,10 @@
             description = self._engine.describe()
             if isinstance(description, EngineFailed):
                 if self._description is not None:
-                    self._on_engine_lost(description.message)
+                    self._on_engine_lost(self._pump.in_engine, description)
             elif self._description is None:
                 log_state("engine.up", model=description.model)
+                self._crashes.on_up()
                 self._pump.batch = description.batch
                 self._description = description
                 self._report()
@@ -222,9 +263,18 @@
 
     def _report_forever(self) -> None:
         while True:
-            gevent.sleep(self.settings.report_ms / 1000)
+            gevent.sleep(self._report_interval_ms() / 1000)
             self._report()
 
+    def _report_interval_ms(self) -> int:
+        entries = sum(p.role == _ENTRY_ROLE for p in self.network.peers)
+        return report_interval_ms(
+            entries,
+            _REPORT_BYTES,
+            self.settings.report_ms,
+            self.settings.report_bytes_per_s,
+        )
+
     def _report(self) -> None:
         self.network.broadcast(_ENTRY_ROLE, self._make_report())
 
@@ -239,6 +289,7 @@
             bundle_version=head.version if head else 0,
             host=settings.host,
             port=settings.peer_port,
+            interval_ms=self._report_interval_ms(),
         )
         if settings.plain is not None:
             report.target = settings.plain.service
@@ -251,6 +302,9 @@
             report.tokens_per_s = description.tokens_per_s
             report.waiting = self._pump.waiting
             report.running = self._pump.running
+            report.streams = len(self._streams)
+            report.client_accounts = self._pump.client_accounts
+            report.backlog = self._pump.backlog
         return report
 
 
--- a/caroblug/transport/__init__.py
+++ b/caroblug/transport/__init__.py
@@ -10,6 +10,7 @@
     make_engine_client,
 )
 from caroblug.transport._framing import FrameError, Sealer
+from caroblug.transport._http import HttpAnswer, HttpFailed, JsonHttp
 from caroblug.transport._instances import (
     HttpInstanceList,
     InstanceList,
@@ -32,6 +33,10 @@
     PeerNetwork,
     make_peer_network,
 )
+from caroblug.transport._suspicions import (
+    suspicion_from_wire,
+    suspicion_to_wire,
+)
 
 __all__ = [
     "Appended",
@@ -41,10 +46,13 @@
     "EngineItem",
     "EngineResult",
     "FrameError",
+    "HttpAnswer",
     "HttpEngineClient",
+    "HttpFailed",
     "HttpInstanceList",
     "HttpLogService",
     "InstanceList",
+    "JsonHttp",
     "InstanceRecord",
     "InstancesUnavailable",
     "LogRecord",
@@ -59,4 +67,6 @@
     "make_instance_list",
     "make_log_service",
     "make_peer_network",
+    "suspicion_from_wire",
+    "suspicion_to_wire",
 ]
--- a/caroblug/utils/_settings.py
+++ b/caroblug/utils/_settings.py
@@ -1,6 +1,5 @@
 """TOML tables structured into attrs classes, reporting every mistake."""
 
-import dataclasses
 import pathlib
 import tomllib
 from typing import Any, TypeVar
@@ -13,36 +12,10 @@
     IterableValidationError,
 )
 
-_T = TypeVar("_T")
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SettingProblem:
-    """One mistake in a TOML file.
-
-    Attributes:
-        file: Name of the file.
-        key: Dotted path of the key.
-        message: The value found and what is allowed.
-    """
-
-    file: str
-    key: str
-    message: str
-
-    def __str__(self) -> str:
-        return f"{self.file}: {self.key}: {self.message}"
+from caroblug.utils._ranges import OutOfRangeError, out_of_range
+from caroblug.utils._settings_problems import SettingProblem, SettingsRejected
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SettingsRejected:
-    """A TOML file with mistakes.
-
-    Attributes:
-        problems: Every mistake found, in the file's order.
-    """
-
-    problems: tuple[SettingProblem, ...]
+_T = TypeVar("_T")
 
 
 def _strict(kind: type) -> Any:
@@ -87,6 +60,8 @@
         ]
     if isinstance(error, (ClassValidationError, IterableValidationError)):
         return _walk_group(error, file, path)
+    if isinstance(error, OutOfRangeError):
+        return []  # `out_of_range` names it with its own key.
     where = ".".join(path) or "(top)"
     return [SettingProblem(file, where, _message_of(error))]
 
@@ -99,15 +74,28 @@
     problems = []
     for error in group.exceptions:
         inner = path
+        secret = False
         for note in getattr(error, "__notes__", ()):
             if hasattr(note, "name"):
                 inner = (*path, str(note.name))
+                secret = _is_secret(group, note.name)
             elif hasattr(note, "index"):
                 inner = (*path, str(note.index))
+        if secret and isinstance(error, TypeError):
+            error = TypeError("must be text")
         problems.extend(_walk(error, file, inner))
     return problems
 
 
+def _is_secret(group: BaseException, name: str) -> bool:
+    """Tells whether a field's value must not show in messages."""
+    cls = getattr(group, "cl", None)
+    if cls is None or not attrs.has(cls):
+        return False
+    field = getattr(attrs.fields(cls), name, None)
+    return field is not None and field.metadata.get("secret", False)
+
+
 def structure_table(
     table: dict[str, Any], cls: type[_T], file: str
 ) -> _T | SettingsRejected:
@@ -124,7 +112,14 @@
     try:
         return _CONVERTER.structure(table, cls)
     except (ClassValidationError, IterableValidationError) as error:
-        return SettingsRejected(tuple(_walk(error, file, ())))
+        problems = _walk(error, file, ())
+    named = {problem.key for problem in problems}
+    problems += [
+        problem
+        for problem in out_of_range(table, cls, file)
+        if problem.key not in named
+    ]
+    return SettingsRejected(tuple(problems))
 
 
 def load_settings(path: str, cls: type[_T]) -> _T | SettingsRejected:
