Hedge repeatable calls within a budget; note the choice for at most once

Cause: a look-up at one slow instance waited for it although another was free; retries had no budget. Ruled out: a fixed hedge delay: it is wrong for every service but one. Conclusion: the process test of a slow desk passes; its gain was not measured.

--- a/benchmarks/once.py
+++ b/benchmarks/once.py
@@ -47,7 +47,7 @@
     """Latencies of answered calls, in ms, and calls that were refused."""
 
     took_ms: list[float] = attrs.field(factory=list)
-    refused: int = result[f"appends_per_s_{_AT_ONCE[-1]}"]
+    refused: int = 0
 
     def quantile(self, share: float) -> float:
         """Returns a quantile of the latencies."""
--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -9,6 +9,7 @@
     ItemQueue,
     make_queue,
 )
+from caroblug.core.limits._hedging import Hedging
 from caroblug.core.limits._homes import Homes
 from caroblug.core.limits._overload import (
     EngineLoad,
@@ -39,6 +40,7 @@
     "FifoQueue",
     "Grant",
     "HomeShares",
+    "Hedging",
     "Homes",
     "ItemQueue",
     "OpenedSince",
--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -96,7 +96,9 @@
             self.latencies,
             self.limits.suspects,
         )
-        self.plain = PlainClient(self.network, self.directory, self.metrics)
+        self.plain = PlainClient(
+            self.network, self.directory, self._clock, self.metrics
+        )
         self._instances = make_instance_list(
             settings.instance_list.host, settings.instance_list.port
         )
--- a/standins/tests/test_once.py
+++ b/standins/tests/test_once.py
@@ -272,3 +272,23 @@
     site.control("log", {fault: False})
     site.wait_for(lambda: _book(site, key).status == 201, "the end of it")
     assert _runs(site, key) == 1
+
+
+def test_slow_look_up_is_hedged(site):
+    """One booking desk is slow, and every second look-up waits for it.
+
+    A look-up may be repeated: past the p95 of recent ones it is asked of the
+    other desk as well, and the first answer counts.
+    """
+    entry = _entries(site)[0]
+
+    def _look_up():
+        return site.call(entry, _ACCOUNT, "GET", "/services/booking/seats")
+
+    for _ in range(30):
+        assert _look_up().status == 200
+    site.control(_plains(site)[0], {"delay_ms": 2000})
+    for _ in range(4):
+        assert _look_up().status == 200
+    resends = site.metric(entry, "caroblug_plain_resends_total")
+    assert 1 <= resends <= 14
