--- a/caroblug/core/state/__init__.py
+++ b/caroblug/core/state/__init__.py
@@ -11,6 +11,16 @@
     Sharing,
     parse_bundle,
 )
+from caroblug.core.state._calls import (
+    CallBatch,
+    CallOutcome,
+    Intent,
+    IntentId,
+    OutcomeKind,
+    decode_batch,
+    digest_parts,
+    encode_batch,
+)
 from caroblug.core.state._checks import check_bundle_table
 from caroblug.core.state._fold import (
     Applied,
@@ -24,6 +34,7 @@
     Rejected,
 )
 from caroblug.core.state._head import Head
+from caroblug.core.state._intents import IntentFold, KeyState
 from caroblug.core.state._keys import (
     hash_key,
     key_matches,
@@ -36,6 +47,19 @@
     MemberView,
     rank_members,
 )
+from caroblug.core.state._owner import (
+    Admitted,
+    Conflict,
+    Decided,
+    IntentOwner,
+    Joined,
+    Kept,
+    Replayed,
+    Started,
+    Unavailable,
+    Undecided,
+    Verdict,
+)
 from caroblug.core.state._records import (
     BundleRecord,
     Signature,
@@ -63,16 +87,28 @@
 )
 
 __all__ = [
+    "Admitted",
     "Advert",
     "Applied",
     "Bundle",
     "BundleFold",
     "BundleRecord",
+    "CallBatch",
+    "CallOutcome",
     "ClientAccount",
+    "Conflict",
+    "Decided",
     "Deferred",
     "Fetch",
     "Head",
     "Ignored",
+    "Intent",
+    "IntentFold",
+    "IntentId",
+    "IntentOwner",
+    "Joined",
+    "Kept",
+    "KeyState",
     "Limits",
     "LogEntry",
     "Lost",
@@ -83,19 +119,28 @@
     "ModelRule",
     "Objective",
     "Outcome",
+    "OutcomeKind",
     "Quarantine",
     "Rejected",
+    "Replayed",
     "ServiceRule",
     "Sharing",
     "Signature",
     "Snapshot",
     "SnapshotSchedule",
     "Spread",
+    "Started",
+    "Unavailable",
+    "Undecided",
+    "Verdict",
     "check_bundle_table",
     "choose_neighbours",
     "choose_readers",
+    "decode_batch",
     "decode_record",
     "decode_snapshot",
+    "digest_parts",
+    "encode_batch",
     "encode_record",
     "encode_snapshot",
     "hash_key",
--- a/caroblug/side/_settings.py
+++ b/caroblug/side/_settings.py
@@ -29,6 +29,8 @@
         report_bytes_per_s: Budget of all load reports.
         queue: Order of waiting work; `fifo` is a baseline for measurements.
         journal_positions: Outputs kept per stream for a new next stage.
+        intent_interval_ms: Least time between two appends of intents; all
+            owners together must stay under the log service's rate.
         positions: Positions of all open streams together, prompts and answers
             to come included; more streams are refused.
     """
@@ -49,6 +51,8 @@
         1, 100_000_000, "Positions of all open streams together.", 1_000_000
     )
 
+    intent_interval_ms: int = duration_ms("Time between appends.", 10)
+
     def __attrs_post_init__(self) -> None:
         if (self.engine is None) == (self.plain is None):
             raise ValueError("give either [engine] or [plain]")
