--- a/caroblug/side/_pump.py
+++ b/caroblug/side/_pump.py
@@ -25,11 +25,12 @@
 
 NEVER_MS = sys.maxsize
 
-_CHUNKS_PER_BATCH = 4
+_CHUNKS_PER_BATCH = 2
 _BATCHES_AHEAD = 2
 _OVERTAKING_CALLS = 16
 _OVERTAKING = 0
 _NORMAL = 1
+_PAID_COST = 1e-9
 
 
 @attrs.define
@@ -258,7 +259,9 @@
     def _take_batch(self) -> list[EngineItem]:
         """Takes what fits into one batch and into the engine.
 
-        The last item may be over by less than a chunk.
+        An item that does not fit whole is cut: were it sent whole, the engine
+        would run its end in another batch, and the call's other results would
+        wait for that.
         """
         if self._normal_running:
             room = self.batch * _BATCHES_AHEAD - self._overtaking_running
@@ -288,14 +291,42 @@
                 break
             if not self._is_wanted(waiting):
                 continue
-            item = attrs.evolve(waiting.item, priority=priority)
+            item = waiting.item
+            if len(item.inputs) > room:
+                item = self._cut(waiting, room)
             account = waiting.client_account
             self._by_account[account] += len(item.inputs)
             self._account_of[item.session] = account
-            items.append(item)
+            items.append(attrs.evolve(item, priority=priority))
             room -= len(item.inputs)
+        if room > 0 and priority == _NORMAL:
+            self._extend(items, room)
         return items
 
+    def _extend(self, items: list[EngineItem], room: int) -> None:
+        """Adds held chunks to their streams' items: nobody else waits."""
+        for index, item in enumerate(items):
+            held = self._held[item.session]
+            while held and len(held[0].item.inputs) <= room:
+                more = held.popleft().item.inputs
+                room -= len(more)
+                self._positions_waiting -= len(more)
+                self._by_account[self._account_of[item.session]] += len(more)
+                item = attrs.evolve(item, inputs=item.inputs + more)
+            items[index] = item
+
+    def _cut(self, waiting: _Waiting, room: int) -> EngineItem:
+        """Returns the part that fits; the rest is the stream's next unit."""
+        item = waiting.item
+        rest = attrs.evolve(
+            waiting,
+            item=_part_of(item, room, len(item.inputs)),
+            cost=_PAID_COST,
+        )
+        self._held[item.session].appendleft(rest)
+        self._positions_waiting += len(rest.item.inputs)
+        return _part_of(item, 0, room)
+
     def _has_its_part(self, client_account: str) -> bool:
         """Tells whether an account has half of what the heaviest has there."""
         heaviest = max(self._by_account.values(), default=0)
@@ -310,17 +341,6 @@
             if not self._by_account[account]:
                 del self._by_account[account]
 
-    def _may_overtake(self) -> bool:
-        """Tells whether the next account has nothing in the engine yet.
-
-        Guards against a light account that waits behind the batches which a
-        heavy one has in the engine already: its first item goes in at once,
-        where an engine that honours priorities runs it next. An account's
-        priority falls with the positions that it has in the engine.
-        """
-        account = self._queue.next_account
-        return account is not None and not self._by_account[account]
-
     def _is_wanted(self, waiting: _Waiting) -> bool:
         """Tells whether an item still is to run; lets go of it if not.
 
@@ -345,7 +365,9 @@
         items: Sequence[EngineItem],
         outcome: tuple[EngineResult, ...] | EngineFailed,
     ) -> None:
-        self._suspects.on_done()
+        if items:
+            # A call that only ends sessions may return while a suspect runs.
+            self._suspects.on_done()
         if isinstance(outcome, EngineFailed):
             in_engine = self.in_engine
             for item in items:
@@ -385,15 +407,20 @@
     if length <= chunk:
         return [item]
     return [
-        attrs.evolve(
-            item,
-            position=item.position + start,
-            inputs=item.inputs[start : start + chunk],
-        )
+        _part_of(item, start, start + chunk)
         for start in range(0, length, chunk)
     ]
 
 
+def _part_of(item: EngineItem, start: int, end: int) -> EngineItem:
+    """Returns the part of an item from one input to another."""
+    return attrs.evolve(
+        item,
+        position=item.position + start,
+        inputs=item.inputs[start:end],
+    )
+
+
 def _end_of(item: EngineItem) -> int:
     """Returns one past an item's last position."""
     return item.position + len(item.inputs)
