--- a/benchmarks/_open_load.py
+++ b/benchmarks/_open_load.py
@@ -49,8 +49,7 @@
             gevent.sleep(max(0.0, due - time.monotonic()))
             entry = self._entries[number % len(self._entries)]
             number += 1
-            weights = [shape.share for shape in self._shapes]
-            shape = self._random.choices(self._shapes, weights)[0]
+            shape = self._draw()
             words = [
                 f"w{self._random.randrange(10_000)}" for _ in range(shape.words)
             ]
@@ -68,7 +67,7 @@
         sent = time.monotonic()
         try:
             with socket.create_connection((HOST, port), _TIMEOUT_S) as sock:
-                sock.sendall(self._request(body))
+                sock.sendall(self._encode(body))
                 head = sock.recv(_PEEK_BYTES, socket.MSG_PEEK)
                 status = head[_STATUS_AT : _STATUS_AT + 3]
                 if status != _OK:
--- a/caroblug/entry/_services.py
+++ b/caroblug/entry/_services.py
@@ -2,13 +2,15 @@
 
 import falcon
 
-from caroblug.core.state import Bundle
+from caroblug.core.limits import Admission
+from caroblug.core.state import Bundle, ServiceRule
 from caroblug.entry._door import Door
 from caroblug.entry._plain import PlainClient
 from caroblug.entry._refusals import write_refusal
 from caroblug.gen.wire import ttypes as wire
 from caroblug.utils import CALLERS_OWN, Clock, Metrics, RefusalType, Refused
 
+_RETRY_AFTER_MS = 1000
 _PASSED_HEADERS = ("content-type", "accept")
 
 
@@ -22,6 +24,7 @@
         self._client = client
         self._clock = clock
         self._metrics = metrics
+        self._places: dict[tuple[str, str], Admission] = {}
 
     def __call__(
         self, request: falcon.Request, response: falcon.Response, **parts: str
@@ -80,7 +83,27 @@
             deadline_ms=rule.timeout_ms,
             client_account=account,
         )
-        return self._client.call(call, rule)
+        return self._call_in_place(call, rule)
+
+    def _call_in_place(
+        self, call: wire.PlainCall, rule: ServiceRule
+    ) -> wire.PlainReply | Refused:
+        """Makes a call, unless the account has too many open here."""
+        key = (call.target, call.client_account)
+        places = self._places.setdefault(key, Admission(rule.calls))
+        places.places = rule.calls
+        if not places.take():
+            return Refused(
+                RefusalType.LIMIT_REACHED,
+                f"the account's {rule.calls} calls are open already",
+                retry_after_ms=_RETRY_AFTER_MS,
+            )
+        try:
+            return self._client.call(call, rule)
+        finally:
+            places.release()
+            if not places.open:
+                self._places.pop(key, None)
 
 
 def _write_reply(response: falcon.Response, reply: wire.PlainReply) -> None:
--- /dev/null
+++ b/caroblug/entry/tests/test_slow_reader.py
@@ -0,0 +1,79 @@
+"""A caller that asks for an answer and does not read it."""
+
+from caroblug.core.routing import Chain, LatencyTable, Stage
+from caroblug.entry._directory import Directory
+from caroblug.entry._streams import EntryStreams, StreamRequest
+from caroblug.gen.wire import ttypes as wire
+from caroblug.utils import ManualClock, Refused, make_metrics
+
+
+class _Network:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, to, *messages):
+        self.sent.extend((to.instance, message) for message in messages)
+
+    def is_connected(self, instance):
+        return True
+
+
+class _Chooser:
+    def choose(self, *arguments):
+        return Chain((Stage("side-a", "127.0.0.1", 1, 0, 8),))
+
+
+class _NoSuspects:
+    def refusal(self, fingerprint, ran):
+        return None
+
+    def alone_until(self, fingerprint):
+        return 0
+
+    def on_progress(self, fingerprint, length):
+        pass
+
+
+def test_stream_that_nobody_reads_is_cancelled_and_gives_its_place_back():
+    """An engine generates for a caller that has stopped reading.
+
+    The caller's connection stays open, so that nothing else ends the stream;
+    its place would be held until the whole answer has been generated.
+    """
+    clock = ManualClock(0)
+    network = _Network()
+    streams = EntryStreams(
+        wire.StageRef("entry-a", "127.0.0.1", 2, 0, 0),
+        network,
+        Directory(clock, 1000),
+        _Chooser(),
+        clock,
+        make_metrics(),
+        "muscat-a",
+        3,
+        LatencyTable(),
+        _NoSuspects(),
+    )
+    request = StreamRequest(
+        client_account="school-1",
+        weight=1.0,
+        model="dome-7b",
+        layers=8,
+        prompt=[1],
+        max_tokens=100,
+        deadline_ms=1000,
+        seed=1,
+        unread_tokens=10,
+    )
+    stream = streams.start(request)
+    ended = []
+    stream.on_end = lambda: ended.append(stream.tokens.generated)
+    for position in range(1, 50):
+        streams.on_token(wire.Token(stream.name, 1, position, 7))
+    assert ended == [11]
+    assert len(streams) == 0
+    cancels = [m for _, m in network.sent if isinstance(m, wire.Cancel)]
+    assert len(cancels) == 1
+    parts = [stream.output.get(block=False) for _ in range(12)]
+    assert isinstance(parts[-1], Refused)
+    assert parts[:-1] == [[7]] * 11
