Take the count of what is in the engine out of the pump

Change: InEngine counts items and positions by call, account and session. Conclusion: no behaviour changes.

--- a/caroblug/side/_pump.py
+++ b/caroblug/side/_pump.py
@@ -15,6 +15,7 @@
     Turn,
     make_queue,
 )
+from caroblug.side._in_engine import NORMAL, OVERTAKING, InEngine
 from caroblug.transport import (
     EngineClient,
     EngineFailed,
@@ -28,8 +29,6 @@
 _CHUNKS_PER_BATCH = 2
 _BATCHES_AHEAD = 2
 _OVERTAKING_CALLS = 16
-_OVERTAKING = 0
-_NORMAL = 1
 _PAID_COST = 1e-9
 
 
@@ -47,6 +46,9 @@
 class EnginePump:
     """Takes waiting items in fair order into batches.
 
+    At most two batches of positions are in the engine, and two more of
+    accounts that have too little there.
+
     Args:
         engine: The engine.
         clock: Source of time.
@@ -81,18 +83,12 @@
         self._queue: ItemQueue[_Waiting] = make_queue(queue)
         self._suspects: SoloQueue[_Waiting] = SoloQueue()
         self._weights = AccountWeights()
-        self._in_engine: dict[str, int] = {}
-        self._normal_running = 0
-        self._overtaking_running = 0
-        self._account_of: dict[str, str] = {}
-        self._by_account: collections.Counter[str] = collections.Counter()
+        self._inside = InEngine()
         self._held: dict[str, collections.deque[_Waiting]] = {}
         self._ended: list[str] = []
         self._dropped: set[str] = set()
         self._wake = event.Event()
-        self._running = 0
         self._positions_waiting = 0
-        self._positions_running = 0
 
     @property
     def waiting(self) -> int:
@@ -103,12 +99,12 @@
     @property
     def running(self) -> int:
         """Items in the engine."""
-        return self._running
+        return self._inside.items
 
     @property
     def backlog(self) -> int:
         """Positions that wait or are in the engine."""
-        return self._positions_waiting + self._positions_running
+        return self._positions_waiting + self._inside.positions
 
     @property
     def chunk(self) -> int:
@@ -118,7 +114,7 @@
     @property
     def in_engine(self) -> Mapping[str, int]:
         """Sessions in the engine, with one past their last position there."""
-        return dict(self._in_engine)
+        return self._inside.sessions
 
     @property
     def client_accounts(self) -> int:
@@ -218,31 +214,24 @@
     def _run(self, items: Sequence[EngineItem]) -> None:
         ended, self._ended = self._ended, []
         positions = sum(len(item.inputs) for item in items)
-        self._running += len(items)
-        self._positions_running += positions
-        overtaking = bool(items) and items[0].priority == _OVERTAKING
-        if overtaking:
-            self._overtaking_running += positions
-        else:
-            self._normal_running += positions
-        for item in items:
-            self._in_engine[item.session] = _end_of(item)
+        self._inside.begin(items)
         outcome = self._engine.run(items, ended)
-        self._running -= len(items)
-        self._count_out(items)
-        if overtaking:
-            self._overtaking_running -= positions
-        else:
-            self._normal_running -= positions
-        self._positions_running -= positions
+        in_engine = self.in_engine
+        self._inside.end(items)
         self._metrics.count("engine_batches")
         self._metrics.count("engine_items", len(items))
         self._metrics.count("engine_positions", positions)
-        self._finish(items, outcome)
+        if items:
+            # A call that only ends sessions may return while a suspect runs.
+            self._suspects.on_done()
+        if isinstance(outcome, EngineFailed):
+            self._fail(items, in_engine, outcome)
+        else:
+            self._finish(items, outcome)
 
     def _take(self) -> list[EngineItem]:
         """Takes a batch in fair order, or a suspect's item alone."""
-        turn = self._suspects.turn(self._running, len(self._queue))
+        turn = self._suspects.turn(self._inside.items, len(self._queue))
         if turn is Turn.NOBODY:
             return []
         if turn is Turn.SUSPECT:
@@ -263,14 +252,15 @@
         would run its end in another batch, and the call's other results would
         wait for that.
         """
-        if self._normal_running:
-            room = self.batch * _BATCHES_AHEAD - self._overtaking_running
+        ahead = self.batch * _BATCHES_AHEAD
+        if self._inside.positions_of(NORMAL):
+            room = ahead - self._inside.positions_of(OVERTAKING)
             room = min(self.batch, room)
-            items = self._take_items(room, _OVERTAKING)
+            items = self._take_items(room, OVERTAKING)
             if items:
                 return items
-        left = self.batch * _BATCHES_AHEAD - self._normal_running
-        return self._take_items(min(self.batch, left), _NORMAL)
+        room = min(self.batch, ahead - self._inside.positions_of(NORMAL))
+        return self._take_items(room, NORMAL)
 
     def _take_items(self, room: int, priority: int) -> list[EngineItem]:
         """Takes items in fair order.
@@ -283,8 +273,8 @@
         """
         items: list[EngineItem] = []
         while len(self._queue) and room > 0:
-            if priority == _OVERTAKING:
-                waiting = self._queue.get_within(self._has_its_part)
+            if priority == OVERTAKING:
+                waiting = self._queue.get_within(self._inside.has_its_part)
             else:
                 waiting = self._queue.get()
             if waiting is None:
@@ -294,12 +284,12 @@
             item = waiting.item
             if len(item.inputs) > room:
                 item = self._cut(waiting, room)
-            account = waiting.client_account
-            self._by_account[account] += len(item.inputs)
-            self._account_of[item.session] = account
+            self._inside.take(
+                waiting.client_account, item.session, len(item.inputs)
+            )
             items.append(attrs.evolve(item, priority=priority))
             room -= len(item.inputs)
-        if room > 0 and priority == _NORMAL:
+        if room > 0 and priority == NORMAL:
             self._extend(items, room)
         return items
 
@@ -311,7 +301,7 @@
                 more = held.popleft().item.inputs
                 room -= len(more)
                 self._positions_waiting -= len(more)
-                self._by_account[self._account_of[item.session]] += len(more)
+                self._inside.extend(item.session, len(more))
                 item = attrs.evolve(item, inputs=item.inputs + more)
             items[index] = item
 
@@ -327,20 +317,6 @@
         self._positions_waiting += len(rest.item.inputs)
         return _part_of(item, 0, room)
 
-    def _has_its_part(self, client_account: str) -> bool:
-        """Tells whether an account has half of what the heaviest has there."""
-        heaviest = max(self._by_account.values(), default=0)
-        return 2 * self._by_account[client_account] >= heaviest
-
-    def _count_out(self, items: Sequence[EngineItem]) -> None:
-        for item in items:
-            account = self._account_of.pop(item.session, None)
-            if account is None:
-                continue
-            self._by_account[account] -= len(item.inputs)
-            if not self._by_account[account]:
-                del self._by_account[account]
-
     def _is_wanted(self, waiting: _Waiting) -> bool:
         """Tells whether an item still is to run; lets go of it if not.
 
@@ -361,27 +337,23 @@
         return True
 
     def _finish(
-        self,
-        items: Sequence[EngineItem],
-        outcome: tuple[EngineResult, ...] | EngineFailed,
+        self, items: Sequence[EngineItem], results: Sequence[EngineResult]
     ) -> None:
-        if items:
-            # A call that only ends sessions may return while a suspect runs.
-            self._suspects.on_done()
-        if isinstance(outcome, EngineFailed):
-            in_engine = self.in_engine
-            for item in items:
-                self._in_engine.pop(item.session, None)
-                self._drop_held(item.session)
-            self._on_failed(in_engine, outcome)
-            return
-        for item in items:
-            self._in_engine.pop(item.session, None)
-        wanted = [r for r in outcome if r.session not in self._dropped]
+        wanted = [r for r in results if r.session not in self._dropped]
         for item in items:
             self._release(item.session)
         self._on_results(wanted)
 
+    def _fail(
+        self,
+        items: Sequence[EngineItem],
+        in_engine: Mapping[str, int],
+        failed: EngineFailed,
+    ) -> None:
+        for item in items:
+            self._drop_held(item.session)
+        self._on_failed(in_engine, failed)
+
     def _drop_held(self, session: str) -> None:
         for waiting in self._held.pop(session, ()):
             self._positions_waiting -= len(waiting.item.inputs)
@@ -419,8 +391,3 @@
         position=item.position + start,
         inputs=item.inputs[start:end],
     )
-
-
-def _end_of(item: EngineItem) -> int:
-    """Returns one past an item's last position."""
-    return item.position + len(item.inputs)
