--- a/caroblug/gen/wire/ttypes.py
+++ b/caroblug/gen/wire/ttypes.py
@@ -28,6 +28,7 @@
      - protocol
      - host
      - port
+     - session: The sender's session with this peer; see transport/_peers.py.
 
     """
 
@@ -39,10 +40,11 @@
         'protocol',
         'host',
         'port',
+        'session',
     )
 
 
-    def __init__(self, instance=None, role=None, data_centre=None, nonce=None, protocol=None, host=None, port=None,):
+    def __init__(self, instance=None, role=None, data_centre=None, nonce=None, protocol=None, host=None, port=None, session=None,):
         self.instance = instance
         self.role = role
         self.data_centre = data_centre
@@ -50,6 +52,7 @@
         self.protocol = protocol
         self.host = host
         self.port = port
+        self.session = session
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -95,6 +98,11 @@
                     self.port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRING:
+                    self.session = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -133,6 +141,10 @@
             oprot.writeFieldBegin('port', TType.I32, 7)
             oprot.writeI32(self.port)
             oprot.writeFieldEnd()
+        if self.session is not None:
+            oprot.writeFieldBegin('session', TType.STRING, 30)
+            oprot.writeString(self.session.encode('utf-8') if sys.version_info[0] == 2 else self.session)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -296,6 +308,7 @@
      - seed
      - entry
      - weight
+     - sends_from: First position the previous stage sends of its own accord.
 
     """
 
@@ -315,10 +328,11 @@
         'seed',
         'entry',
         'weight',
+        'sends_from',
     )
 
 
-    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None,):
+    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None, sends_from=None,):
         self.stream = stream
         self.attempt = attempt
         self.client_account = client_account
@@ -334,6 +348,7 @@
         self.seed = seed
         self.entry = entry
         self.weight = weight
+        self.sends_from = sends_from
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -431,6 +446,11 @@
                     self.weight = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.I32:
+                    self.sends_from = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -507,6 +527,10 @@
             oprot.writeFieldBegin('weight', TType.DOUBLE, 15)
             oprot.writeDouble(self.weight)
             oprot.writeFieldEnd()
+        if self.sends_from is not None:
+            oprot.writeFieldBegin('sends_from', TType.I32, 30)
+            oprot.writeI32(self.sends_from)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -853,18 +877,21 @@
     Attributes:
      - stream
      - attempt
+     - only_here: Whether only the receiving stage ends; it is no longer in the chain.
 
     """
 
     __slots__ = (
         'stream',
         'attempt',
+        'only_here',
     )
 
 
-    def __init__(self, stream=None, attempt=None,):
+    def __init__(self, stream=None, attempt=None, only_here=None,):
         self.stream = stream
         self.attempt = attempt
+        self.only_here = only_here
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -885,6 +912,11 @@
                     self.attempt = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.BOOL:
+                    self.only_here = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -903,6 +935,10 @@
             oprot.writeFieldBegin('attempt', TType.I32, 2)
             oprot.writeI32(self.attempt)
             oprot.writeFieldEnd()
+        if self.only_here is not None:
+            oprot.writeFieldBegin('only_here', TType.BOOL, 30)
+            oprot.writeBool(self.only_here)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -939,6 +975,7 @@
      - reason
      - message
      - retry_after_ms
+     - unreachable: The peer that the stage cannot reach, for `peer_unreachable`.
 
     """
 
@@ -949,16 +986,18 @@
         'reason',
         'message',
         'retry_after_ms',
+        'unreachable',
     )
 
 
-    def __init__(self, stream=None, attempt=None, instance=None, reason=None, message=None, retry_after_ms=None,):
+    def __init__(self, stream=None, attempt=None, instance=None, reason=None, message=None, retry_after_ms=None, unreachable=None,):
         self.stream = stream
         self.attempt = attempt
         self.instance = instance
         self.reason = reason
         self.message = message
         self.retry_after_ms = retry_after_ms
+        self.unreachable = unreachable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -999,6 +1038,11 @@
                     self.retry_after_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRING:
+                    self.unreachable = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1033,6 +1077,10 @@
             oprot.writeFieldBegin('retry_after_ms', TType.I32, 6)
             oprot.writeI32(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.unreachable is not None:
+            oprot.writeFieldBegin('unreachable', TType.STRING, 30)
+            oprot.writeString(self.unreachable.encode('utf-8') if sys.version_info[0] == 2 else self.unreachable)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1797,6 +1845,8 @@
      - calls
      - replies
      - heartbeats
+     - number: Place in the sender's session, from 1; 0 for acknowledgements only.
+     - acknowledged: Every number up to this one has been received.
 
     """
 
@@ -1811,10 +1861,12 @@
         'calls',
         'replies',
         'heartbeats',
+        'number',
+        'acknowledged',
     )
 
 
-    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None,):
+    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None, number=None, acknowledged=None,):
         self.opens = opens
         self.needs = needs
         self.steps = steps
@@ -1825,6 +1877,8 @@
         self.calls = calls
         self.replies = replies
         self.heartbeats = heartbeats
+        self.number = number
+        self.acknowledged = acknowledged
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1945,6 +1999,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.I64:
+                    self.acknowledged = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2025,6 +2089,14 @@
                 iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 30)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.acknowledged is not None:
+            oprot.writeFieldBegin('acknowledged', TType.I64, 31)
+            oprot.writeI64(self.acknowledged)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2058,6 +2130,29 @@
     (5, TType.I32, 'protocol', None, None, ),  # 5
     (6, TType.STRING, 'host', 'UTF8', None, ),  # 6
     (7, TType.I32, 'port', None, None, ),  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.STRING, 'session', 'UTF8', None, ),  # 30
 )
 all_structs.append(StageRef)
 StageRef.thrift_spec = (
@@ -2086,6 +2181,21 @@
     (13, TType.I64, 'seed', None, None, ),  # 13
     (14, TType.STRUCT, 'entry', [StageRef, None], None, ),  # 14
     (15, TType.DOUBLE, 'weight', None, None, ),  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.I32, 'sends_from', None, None, ),  # 30
 )
 all_structs.append(Step)
 Step.thrift_spec = (
@@ -2115,6 +2225,34 @@
     None,  # 0
     (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
     (2, TType.I32, 'attempt', None, None, ),  # 2
+    None,  # 3
+    None,  # 4
+    None,  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.BOOL, 'only_here', None, None, ),  # 30
 )
 all_structs.append(StageRefusal)
 StageRefusal.thrift_spec = (
@@ -2125,6 +2263,30 @@
     (4, TType.STRING, 'reason', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'message', 'UTF8', None, ),  # 5
     (6, TType.I32, 'retry_after_ms', None, None, ),  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.STRING, 'unreachable', 'UTF8', None, ),  # 30
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
@@ -2194,6 +2356,27 @@
     (8, TType.LIST, 'calls', (TType.STRUCT, [PlainCall, None], False), None, ),  # 8
     (9, TType.LIST, 'replies', (TType.STRUCT, [PlainReply, None], False), None, ),  # 9
     (10, TType.LIST, 'heartbeats', (TType.STRUCT, [Heartbeat, None], False), None, ),  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.I64, 'number', None, None, ),  # 30
+    (31, TType.I64, 'acknowledged', None, None, ),  # 31
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/caroblug.thrift
+++ b/thrift/caroblug.thrift
@@ -15,6 +15,8 @@
   5: i32 protocol
   6: string host
   7: i32 port
+  /** The sender's session with this peer; see transport/_peers.py. */
+  30: string session
 }
 
 /** One stage of a chain: the side process and the layers it runs. */
@@ -45,6 +47,8 @@
   13: i64 seed
   14: StageRef entry
   15: double weight
+  /** First position the previous stage sends of its own accord. */
+  30: i32 sends_from
 }
 
 /** Hidden states for consecutive positions, starting at `position`. */
@@ -74,6 +78,8 @@
 struct Cancel {
   1: string stream
   2: i32 attempt
+  /** Whether only the receiving stage ends; it is no longer in the chain. */
+  30: bool only_here
 }
 
 /** A stage gives up a stream; `reason` is a StageFailure value. */
@@ -84,6 +90,8 @@
   4: string reason
   5: string message
   6: i32 retry_after_ms
+  /** The peer that the stage cannot reach, for `peer_unreachable`. */
+  30: string unreachable
 }
 
 /** What a side process tells its peers about itself. */
@@ -151,4 +159,8 @@
   8: list<PlainCall> calls
   9: list<PlainReply> replies
   10: list<Heartbeat> heartbeats
+  /** Place in the sender's session, from 1; 0 for acknowledgements only. */
+  30: i64 number
+  /** Every number up to this one has been received. */
+  31: i64 acknowledged
 }
