--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -2,5 +2,6 @@
 
 from caroblug.core.limits._admission import Admission
 from caroblug.core.limits._fair_queue import FairQueue
+from caroblug.core.limits._retry_budget import RetryBudget, RetryRule
 
-__all__ = ["Admission", "FairQueue"]
+__all__ = ["Admission", "FairQueue", "RetryBudget", "RetryRule"]
--- a/caroblug/core/recovery/__init__.py
+++ b/caroblug/core/recovery/__init__.py
@@ -1,5 +1,6 @@
 """Attempts, positions, resuming and reassembly of streams."""
 
+from caroblug.core.recovery._delivery import Delivery
 from caroblug.core.recovery._effects import (
     Effect,
     FailStream,
@@ -18,6 +19,7 @@
 
 __all__ = [
     "DEFAULT_JOURNAL_POSITIONS",
+    "Delivery",
     "Effect",
     "EntryStream",
     "FailStream",
--- a/caroblug/core/recovery/_effects.py
+++ b/caroblug/core/recovery/_effects.py
@@ -5,7 +5,16 @@
 
 @attrs.frozen
 class ForwardOpen:
-    """Open the stream at the next stage."""
+    """Open the stream at the next stage.
+
+    Attributes:
+        known_length: Tokens that are settled, prompt included: the entry or
+            the first stage has them.
+        sends_from: First position that this stage sends of its own accord.
+    """
+
+    known_length: int
+    sends_from: int
 
 
 @attrs.frozen
--- a/caroblug/core/recovery/_release.py
+++ b/caroblug/core/recovery/_release.py
@@ -36,6 +36,15 @@
         self._attempt += 1
         return self._attempt
 
+    def is_current(self, attempt: int) -> bool:
+        """Tells whether a token of this attempt may be taken.
+
+        Guards against two tokens for one position: a token of an older
+        attempt may be late, and its position sampled anew meanwhile. The
+        stages that live on send again what the entry lacks.
+        """
+        return attempt == self._attempt
+
     def on_token(self, position: int, token: int) -> list[int]:
         """Takes a token and returns those now released, in order.
 
--- a/caroblug/core/recovery/_stage.py
+++ b/caroblug/core/recovery/_stage.py
@@ -24,6 +24,7 @@
 )
 
 DEFAULT_JOURNAL_POSITIONS = 8192
+_GAPS_PER_NEED = 16
 
 
 class StageFailure(enum.StrEnum):
@@ -31,7 +32,9 @@
 
     JOURNAL_LOST = "journal_lost"
     ENGINE_FAILED = "engine_failed"
+    PEER_UNREACHABLE = "peer_unreachable"
     LEAVING = "leaving"
+    HANDED_ON = "handed_on"
     WRONG_LAYERS = "wrong_layers"
     OVERLOADED = "overloaded"
     QUARANTINED = "quarantined"
@@ -65,6 +68,10 @@
         self._journal: list[bytes] = []
         self._journal_start = 0
         self._sampled: dict[int, int] = {}
+        self._known_length = 0
+        self._send_from = 0
+        self._asked = -1
+        self._gaps = 0
 
     @property
     def attempt(self) -> int:
@@ -83,15 +90,18 @@
         known_length: int,
         prompt_length: int,
         max_length: int,
+        sends_from: int = 0,
     ) -> list[Effect]:
         """Opens the stream, or opens it again under a newer attempt.
 
         Args:
             attempt: Number of the attempt, from 1.
             tokens: Prompt and accepted tokens, at the first stage only.
-            known_length: Tokens the entry has accepted, prompt included.
+            known_length: Tokens that are settled, prompt included.
             prompt_length: Tokens of the prompt.
             max_length: Tokens after which the stream is complete.
+            sends_from: First position that the previous stage sends of its
+                own accord.
 
         Returns:
             What to do; nothing for an attempt that is not newer.
@@ -101,15 +111,19 @@
         self._attempt = attempt
         self._prompt_length = prompt_length
         self._max_length = max_length
-        effects: list[Effect] = [] if self.is_last else [ForwardOpen()]
-        effects += self._tell_sampled(known_length)
+        self._known_length = max(known_length, len(self._tokens))
+        self._send_from = self._done
+        effects: list[Effect] = []
+        if not self.is_last:
+            effects.append(ForwardOpen(self._known_length, self._done))
+        effects += self._tell_sampled()
         if self.is_first:
             effects += self._reopen_first(tokens)
-        else:
-            effects.append(SendNeed(self._submitted))
+        elif self._submitted != sends_from:
+            effects.append(self._need())
         return effects
 
-    def _tell_sampled(self, known_length: int) -> list[Effect]:
+    def _tell_sampled(self) -> list[Effect]:
         """Sends again what the entry may have missed.
 
         Guards against a token lost with the entry's connection or with the
@@ -120,7 +134,7 @@
         return [
             SendToken(position, token)
             for position, token in sorted(self._sampled.items())
-            if position >= known_length
+            if position >= self._known_length
         ]
 
     def _reopen_first(self, tokens: list[int]) -> list[Effect]:
@@ -160,12 +174,14 @@
         """Takes hidden states from the previous stage.
 
         Guards against frames that come twice, late or after a gap: only the
-        part from the next position on is run, a gap is asked for again.
+        part from the next position on is run, a gap is asked for again. It
+        is asked for once, and then only now and then: each frame behind the
+        gap would else bring the whole journal.
         """
         if attempt != self._attempt:
             return []
         if position > self._submitted:
-            return [SendNeed(self._submitted)]
+            return self._on_gap()
         fresh = states[self._submitted - position :]
         if not fresh:
             return []
@@ -173,6 +189,16 @@
         self._submitted += len(fresh)
         return [RunUnit(self._attempt, start, tuple(fresh))]
 
+    def _on_gap(self) -> list[Effect]:
+        self._gaps += 1
+        if self._asked == self._submitted and self._gaps % _GAPS_PER_NEED:
+            return []
+        return [self._need()]
+
+    def _need(self) -> SendNeed:
+        self._asked = self._submitted
+        return SendNeed(self._submitted)
+
     def on_states_run(self, position: int, states: list[bytes]) -> list[Effect]:
         """Takes the engine's outputs, at every stage but the last.
 
@@ -184,7 +210,10 @@
         self._done += len(states)
         self._journal.extend(states)
         self._trim_journal()
-        return [SendStates(position, tuple(states))]
+        start = max(position, self._send_from)
+        if start >= self._done:
+            return []
+        return [SendStates(start, tuple(states[start - position :]))]
 
     def on_sampled(
         self, position: int, length: int, token: int
@@ -195,18 +224,25 @@
             position: First position that was run.
             length: Positions that were run.
             token: The token sampled after the last of them.
+
+        Guards against two tokens for one position: a replacement that runs
+        settled positions again samples too, and engines of another kind may
+        sample otherwise. A settled token is never sent.
         """
         self._expect_done(position)
         self._done += length
         place = self._done
-        if place < self._prompt_length:
+        if place < max(self._prompt_length, self._known_length):
             return []
         self._sampled[place] = token
         return [SendToken(place, token)]
 
     def on_need(self, attempt: int, position: int) -> list[Effect]:
-        """Sends outputs again from `position` for the next stage."""
-        if attempt != self._attempt or position >= self._done:
+        """Sends outputs from `position` on, again if they were sent."""
+        if attempt != self._attempt:
+            return []
+        self._send_from = position
+        if position >= self._done:
             return []
         if position < self._journal_start:
             return [
--- /dev/null
+++ b/caroblug/entry/_chains.py
@@ -0,0 +1,154 @@
+"""Picks chains for streams: a first one, and one in place of a broken one."""
+
+from collections.abc import Collection
+
+import attrs
+
+from caroblug.core.routing import Chain, ChainChooser, EngineView, Stage
+from caroblug.entry._directory import Directory
+from caroblug.utils import Clock
+
+_BROKEN_MS = 5000
+_CHOICES = 4
+
+
+class ChainPicker:
+    """Picks chains around what is excluded and around broken links.
+
+    Args:
+        directory: What is known of the engines.
+        chooser: Chooses whole chains.
+        clock: Source of time.
+        data_centre: Where this entry runs.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        chooser: ChainChooser,
+        clock: Clock,
+        data_centre: str,
+    ) -> None:
+        self._directory = directory
+        self._chooser = chooser
+        self._clock = clock
+        self._data_centre = data_centre
+        self._broken: dict[tuple[str, str], int] = {}
+
+    def on_broken_link(self, sender: str, receiver: str) -> None:
+        """Notes that one side process cannot reach another.
+
+        Guards against new streams over a link that is cut between two sides
+        which this entry reaches: each would first wait in vain. A broken
+        link is tried again after a while.
+        """
+        now_ms = self._clock.now_ms()
+        self._broken = {
+            link: end_ms
+            for link, end_ms in self._broken.items()
+            if end_ms > now_ms
+        }
+        self._broken[sender, receiver] = now_ms + _BROKEN_MS
+
+    def pick(
+        self, model: str, layers: int, excluded: Collection[str]
+    ) -> Chain | None:
+        """Returns a whole chain, or None if there is none."""
+        engines = self._directory.engines(model)
+        avoided = set(excluded)
+        chain = None
+        for _ in range(_CHOICES):
+            chain = self._chooser.choose(
+                engines, layers, self._data_centre, avoided
+            )
+            receiver = self._broken_receiver(chain)
+            if not receiver:
+                break
+            avoided.add(receiver)
+        return chain
+
+    def replace(
+        self, chain: Chain, model: str, excluded: Collection[str]
+    ) -> Chain | None:
+        """Returns the chain with only its excluded stages replaced.
+
+        The stages that live on keep their caches and journals, so that no
+        layer that still lives is run twice for a position.
+        """
+        engines = self._directory.engines(model)
+        places = {engine.instance: engine.data_centre for engine in engines}
+        stages: list[Stage] = []
+        for index, stage in enumerate(chain.stages):
+            if stage.instance not in excluded:
+                stages.append(stage)
+                continue
+            beside = _neighbours(chain, stages, index)
+            best = min(
+                (
+                    engine
+                    for engine in engines
+                    if self._fits(engine, stage, beside)
+                    and engine.instance not in excluded
+                    and engine.instance not in chain.instances
+                ),
+                key=lambda e, b=beside: _cost(e, [places.get(i) for i in b]),
+                default=None,
+            )
+            if best is None:
+                return None
+            stages.append(
+                attrs.evolve(
+                    stage,
+                    instance=best.instance,
+                    host=best.host,
+                    port=best.port,
+                )
+            )
+        replaced = Chain(tuple(stages))
+        return None if self._broken_receiver(replaced) else replaced
+
+    def _fits(
+        self, engine: EngineView, stage: Stage, beside: list[str]
+    ) -> bool:
+        """Tells whether an engine can stand in for a stage.
+
+        `beside` names the stages before and after it, empty if there is
+        none or it is to be replaced too.
+        """
+        before, after = beside
+        return (
+            not engine.leaving
+            and engine.first_layer <= stage.first_layer
+            and engine.end_layer >= stage.end_layer
+            and not self._is_broken(before, engine.instance)
+            and not self._is_broken(engine.instance, after)
+        )
+
+    def _broken_receiver(self, chain: Chain | None) -> str:
+        if chain is None or not self._broken:
+            return ""
+        names = chain.instances
+        links = [*zip(names, names[1:], strict=False), (names[-1], names[0])]
+        for sender, receiver in links:
+            if self._is_broken(sender, receiver):
+                return receiver
+        return ""
+
+    def _is_broken(self, sender: str, receiver: str) -> bool:
+        end_ms = self._broken.get((sender, receiver))
+        return end_ms is not None and end_ms > self._clock.now_ms()
+
+
+def _neighbours(chain: Chain, stages: list[Stage], index: int) -> list[str]:
+    before = stages[-1].instance if stages else ""
+    after = ""
+    if index + 1 < len(chain.stages):
+        after = chain.stages[index + 1].instance
+    return [before, after]
+
+
+def _cost(engine: EngineView, beside: list[str | None]) -> tuple[int, float]:
+    """Ranks stand-ins: near the stages beside them, then by wait."""
+    far = sum(place not in (None, engine.data_centre) for place in beside)
+    work = engine.waiting + engine.running + engine.own_streams
+    return far, (1 + work) / engine.tokens_per_s
--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -3,15 +3,20 @@
 import falcon
 import gevent
 
-from caroblug.core.limits import Admission
+from caroblug.core.limits import Admission, RetryBudget, RetryRule
 from caroblug.core.routing import ShortestWaitChooser
 from caroblug.core.state import BundleFold, Head
 from caroblug.entry._api import make_app
+from caroblug.entry._chains import ChainPicker
 from caroblug.entry._directory import Directory
 from caroblug.entry._door import Door
 from caroblug.entry._plain import PlainClient
 from caroblug.entry._settings import EntrySettings
-from caroblug.entry._streams import EntryStreams
+from caroblug.entry._streams import (
+    EntryStreams,
+    RecoveryPolicy,
+    RecoveryWay,
+)
 from caroblug.gen.wire import ttypes as wire
 from caroblug.node import (
     BundleFollower,
@@ -35,6 +40,7 @@
 )
 
 _SIDE_ROLE = "side"
+_REFILL_S = 60
 
 
 class EntryServer(PeerHandler):
@@ -50,13 +56,18 @@
         self._clock = MonotonicClock()
         self.lifetime = Lifetime(self._clock, settings.drain_ms)
         self.network = make_peer_network(
-            wire.Hello(settings.instance, "entry", settings.data_centre),
+            wire.Hello(
+                settings.instance,
+                "entry",
+                settings.data_centre,
+                host=settings.reach_host,
+                port=settings.reach_port,
+            ),
             settings.shared_key.encode(),
             self,
             self._clock,
             self.metrics,
-            settings.heartbeat_ms,
-            settings.silence_ms,
+            settings.make_timing(),
         )
         self.bundles = BundleFollower(
             make_log_service(settings.log.host, settings.log.port),
@@ -67,15 +78,23 @@
         self.directory = Directory(self._clock, settings.report_age_ms)
         self.streams = EntryStreams(
             wire.StageRef(
-                settings.instance, settings.host, settings.peer_port, 0, 0
+                settings.instance,
+                settings.reach_host,
+                settings.reach_port,
+                0,
+                0,
             ),
             self.network,
             self.directory,
-            ShortestWaitChooser(),
+            ChainPicker(
+                self.directory,
+                ShortestWaitChooser(),
+                self._clock,
+                settings.data_centre,
+            ),
             self._clock,
             self.metrics,
-            settings.data_centre,
-            settings.attempts,
+            _make_policy(settings),
         )
         self.plain = PlainClient(self.network, self.directory, self.metrics)
         self._instances = make_instance_list(
@@ -162,6 +181,16 @@
             self.network.send(peer)
 
 
+def _make_policy(settings: EntrySettings) -> RecoveryPolicy:
+    budget = RetryBudget(
+        RetryRule(settings.account_retries),
+        RetryRule(settings.retries, per_s=settings.retries / _REFILL_S),
+    )
+    return RecoveryPolicy(
+        settings.attempts, RecoveryWay(settings.recovery), budget
+    )
+
+
 def serve(settings: EntrySettings) -> None:
     """Runs the entry program."""
     EntryServer(settings).run()
--- a/caroblug/entry/_settings.py
+++ b/caroblug/entry/_settings.py
@@ -2,8 +2,9 @@
 
 import attrs
 
+from caroblug.entry._streams import RecoveryWay
 from caroblug.node import NodeSettings
-from caroblug.utils import count, duration_ms
+from caroblug.utils import choice, count, duration_ms
 
 
 @attrs.frozen(kw_only=True)
@@ -13,11 +14,19 @@
     Attributes:
         streams: Streams open at once.
         attempts: Attempts for one request, the first included.
+        recovery: What is tried first when a stage is lost.
+        retries: Recoveries that may follow each other at once.
+        account_retries: The same for each client account.
         instances_ms: Time between reads of the instance list.
         report_age_ms: Age at which a side's load report no longer counts.
     """
 
     streams: int = count(1, 100_000, "Streams open at once.", 2000)
     attempts: int = count(1, 16, "Attempts for one request.", 6)
+    recovery: str = choice(
+        tuple(RecoveryWay), "Tried first.", RecoveryWay.REPLACE_STAGE
+    )
+    retries: int = count(1, 100_000, "Recoveries at once.", 2000)
+    account_retries: int = count(1, 100_000, "The same per account.", 500)
     instances_ms: int = duration_ms("Time between instance list reads.", 500)
     report_age_ms: int = duration_ms("Age at which a report is too old.", 2000)
--- a/caroblug/entry/_streams.py
+++ b/caroblug/entry/_streams.py
@@ -1,12 +1,15 @@
 """The streams of one entry: attempts, tokens released, recovery."""
 
+import enum
 import secrets
 
 import attrs
 from gevent import queue
 
-from caroblug.core.recovery import EntryStream
-from caroblug.core.routing import Chain, ChainChooser
+from caroblug.core.limits import RetryBudget
+from caroblug.core.recovery import EntryStream, StageFailure
+from caroblug.core.routing import Chain
+from caroblug.entry._chains import ChainPicker
 from caroblug.entry._directory import Directory
 from caroblug.gen.wire import ttypes as wire
 from caroblug.transport import PeerAddress, PeerNetwork
@@ -53,18 +56,50 @@
 
     The queue carries lists of tokens, in order, then None when the stream is
     complete, or a `Refused` when it is given up.
+
+    Attributes:
+        wire_name: Its name at the stages. A fresh start takes another name,
+            so that no stage answers from what it has kept.
     """
 
     def __init__(self, name: str, request: StreamRequest, end_ms: int) -> None:
         self.name = name
+        self.wire_name = name
         self.request = request
         self.end_ms = end_ms
         length = len(request.prompt) + request.max_tokens
         self.tokens = EntryStream(request.prompt, length)
         self.chain: Chain | None = None
         self.excluded: set[str] = set()
+        self.failures = 0
         self.output: queue.Queue = queue.Queue()
 
+    def rename(self) -> None:
+        """Takes the next name at the stages."""
+        self.wire_name = f"{self.name}-{self.tokens.attempt}"
+
+
+class RecoveryWay(enum.StrEnum):
+    """What is tried first when a stage is lost."""
+
+    REPLACE_STAGE = "replace_stage"
+    FULL_PREFILL = "full_prefill"
+
+
+@attrs.frozen
+class RecoveryPolicy:
+    """How streams are recovered.
+
+    Attributes:
+        attempts: Attempts that may fail for one request.
+        way: What is tried first; the other way is the fallback.
+        budget: Grants each recovery.
+    """
+
+    attempts: int
+    way: RecoveryWay
+    budget: RetryBudget
+
 
 class EntryStreams:
     """Every stream of this entry.
@@ -73,11 +108,10 @@
         own: Reference by which sides reach this entry.
         network: Where messages are sent.
         directory: What is known of the engines.
-        chooser: Chooses chains.
+        picker: Picks chains.
         clock: Source of time.
         metrics: Where attempts are counted.
-        data_centre: Where this entry runs.
-        attempts: Attempts for one request, the first included.
+        policy: How streams are recovered.
     """
 
     def __init__(
@@ -85,20 +119,18 @@
         own: wire.StageRef,
         network: PeerNetwork,
         directory: Directory,
-        chooser: ChainChooser,
+        picker: ChainPicker,
         clock: Clock,
         metrics: Metrics,
-        data_centre: str,
-        attempts: int,
+        policy: RecoveryPolicy,
     ) -> None:
-        self.attempts = attempts
-        self._data_centre = data_centre
         self._own = own
         self._network = network
         self._directory = directory
-        self._chooser = chooser
+        self._picker = picker
         self._clock = clock
         self._metrics = metrics
+        self._policy = policy
         self._streams: dict[str, RunningStream] = {}
 
     def __len__(self) -> int:
@@ -109,23 +141,25 @@
         name = secrets.token_hex(_STREAM_BYTES)
         end_ms = self._clock.now_ms() + request.deadline_ms
         stream = RunningStream(name, request, end_ms)
-        refused = self._attempt(stream)
-        if refused is not None:
-            return refused
+        chain = self._picker.pick(request.model, request.layers, ())
+        if chain is None:
+            return _no_chain(Ran.NO)
         self._streams[name] = stream
+        self._open(stream, chain)
         return stream
 
     def end(self, stream: RunningStream) -> None:
         """Ends a stream at every stage; ending it twice does nothing."""
-        if self._streams.pop(stream.name, None) is None:
+        if self._streams.pop(stream.wire_name, None) is None:
             return
-        self._cancel(stream, stream.chain)
-        self._directory.add_streams(stream.chain.instances, -1)
+        self._use(stream, None)
+        if stream.tokens.complete:
+            self._policy.budget.on_success(stream.request.client_account)
 
     def on_token(self, token: wire.Token) -> None:
         """Takes a token from a last stage, or sent again by a first."""
         stream = self._streams.get(token.stream)
-        if stream is None:
+        if stream is None or not stream.tokens.is_current(token.attempt):
             return
         released = stream.tokens.on_token(token.position, token.token)
         if released:
@@ -135,13 +169,29 @@
             self.end(stream)
 
     def on_refusal(self, refusal: wire.StageRefusal) -> None:
-        """Takes a stage's refusal; an older attempt's is dropped."""
+        """Takes a stage's refusal; an older attempt's is dropped.
+
+        A lost journal is nobody's fault: the stream begins afresh and the
+        stage that said so stays in use.
+        """
         stream = self._streams.get(refusal.stream)
-        if stream is None or refusal.attempt != stream.tokens.attempt:
+        if stream is None or not stream.tokens.is_current(refusal.attempt):
             return
         self._metrics.count("stage_refusals", reason=refusal.reason)
-        stream.excluded.add(refusal.instance)
-        self._recover(stream)
+        match refusal.reason:
+            case StageFailure.HANDED_ON:
+                self._hand_on(stream, refusal.instance)
+            case StageFailure.JOURNAL_LOST:
+                self._recover(stream, fresh=True)
+            case StageFailure.PEER_UNREACHABLE:
+                self._picker.on_broken_link(
+                    refusal.instance, refusal.unreachable
+                )
+                stream.excluded.add(refusal.unreachable)
+                self._recover(stream)
+            case _:
+                stream.excluded.add(refusal.instance)
+                self._recover(stream)
 
     def on_peer_lost(self, instance: str) -> None:
         """Recovers every stream that had a stage there."""
@@ -150,106 +200,109 @@
                 stream.excluded.add(instance)
                 self._recover(stream)
 
-    def _recover(self, stream: RunningStream) -> None:
-        before = stream.chain
-        refused = self._attempt(stream)
+    def _hand_on(self, stream: RunningStream, instance: str) -> None:
+        """Moves a stream off a leaving stage, if another can take it.
+
+        If none can, the stream runs on where it is: the leaving stage waits
+        for it as long as it may.
+        """
+        excluded = {*stream.excluded, instance}
+        chain = self._picker.replace(
+            stream.chain, stream.request.model, excluded
+        )
+        if chain is None:
+            self._metrics.count("hand_ons_without_chain")
+            return
+        stream.excluded = excluded
+        self._metrics.count("streams_handed_on")
+        self._open(stream, chain)
+
+    def _recover(self, stream: RunningStream, *, fresh: bool = False) -> None:
+        refused = self._may_recover(stream)
         if refused is not None:
             self._give_up(stream, refused)
             return
+        fresh = fresh or self._policy.way is RecoveryWay.FULL_PREFILL
+        chain = None
+        if not fresh:
+            chain = self._picker.replace(
+                stream.chain, stream.request.model, stream.excluded
+            )
+        if chain is None:
+            request = stream.request
+            chain = self._picker.pick(
+                request.model, request.layers, stream.excluded
+            )
+        if chain is None:
+            self._give_up(stream, _no_chain(Ran.UNKNOWN))
+            return
         self._metrics.count("streams_recovered")
-        left = set(before.instances) - set(stream.chain.instances)
-        self._cancel(stream, before, left)
+        self._open(stream, chain, fresh=fresh)
+
+    def _may_recover(self, stream: RunningStream) -> Refused | None:
+        """Counts a failure; refuses when no retry is left.
 
-    def _attempt(self, stream: RunningStream) -> Refused | None:
-        if stream.tokens.attempt >= self.attempts:
+        The caller gets its final answer at once, with when to come back.
+        """
+        stream.failures += 1
+        if stream.failures >= self._policy.attempts:
             return Refused(
                 RefusalType.BACKEND_FAILED,
-                f"{self.attempts} attempts failed",
+                f"{stream.failures} attempts failed",
                 Ran.UNKNOWN,
                 _RETRY_AFTER_MS,
             )
-        chain = self._choose(stream)
-        if chain is None:
-            ran = Ran.UNKNOWN if stream.tokens.attempt else Ran.NO
+        wait_ms = self._policy.budget.take(
+            stream.request.client_account, self._clock.now_ms()
+        )
+        if wait_ms:
+            self._metrics.count("retry_budget_refusals")
             return Refused(
-                RefusalType.NO_CAPACITY,
-                "no chain of engines covers every layer",
-                ran,
-                _RETRY_AFTER_MS,
+                RefusalType.OVERLOADED,
+                "the retry budget is used up",
+                Ran.UNKNOWN,
+                max(wait_ms, _RETRY_AFTER_MS),
             )
-        if stream.chain is not None:
-            self._directory.add_streams(stream.chain.instances, -1)
-        stream.chain = chain
-        self._directory.add_streams(chain.instances, 1)
-        self._open(stream)
         return None
 
-    def _choose(self, stream: RunningStream) -> Chain | None:
-        """Chooses a chain, first one that keeps the stages still alive."""
-        request = stream.request
-        engines = self._directory.engines(request.model)
-        if stream.chain is not None:
-            kept = self._replace_stages(stream, engines)
-            if kept is not None:
-                return kept
-        return self._chooser.choose(
-            engines, request.layers, self._data_centre, stream.excluded
-        )
-
-    def _replace_stages(self, stream, engines) -> Chain | None:
-        """Returns the chain with only its excluded stages replaced.
-
-        The stages that live on keep their caches and journals, so that no
-        layer that still lives is run twice for a position.
-        """
-        stages = []
-        for stage in stream.chain.stages:
-            if stage.instance not in stream.excluded:
-                stages.append(stage)
-                continue
-            candidates = [
-                engine
-                for engine in engines
-                if not engine.leaving
-                and engine.instance not in stream.excluded
-                and engine.instance not in stream.chain.instances
-                and engine.first_layer <= stage.first_layer
-                and engine.end_layer >= stage.end_layer
-            ]
-            if not candidates:
-                return None
-            best = min(
-                candidates,
-                key=lambda e: (e.waiting + e.own_streams) / e.tokens_per_s,
-            )
-            stages.append(
-                attrs.evolve(
-                    stage,
-                    instance=best.instance,
-                    host=best.host,
-                    port=best.port,
-                )
+    def _open(
+        self, stream: RunningStream, chain: Chain, *, fresh: bool = False
+    ) -> None:
+        """Opens the next attempt; a fresh one drops all that stages keep."""
+        if fresh:
+            del self._streams[stream.wire_name]
+            self._use(stream, None)
+            stream.rename()
+            self._streams[stream.wire_name] = stream
+        self._use(stream, chain)
+        attempt = stream.tokens.begin_attempt()
+        if attempt > 1:
+            log_state(
+                "stream.attempt",
+                stream=stream.name,
+                attempt=attempt,
+                fresh=fresh,
+                excluded=sorted(stream.excluded),
             )
-        return Chain(tuple(stages))
+        message = self._make_open(stream, attempt)
+        self._network.send(_address(chain, 0), message)
 
-    def _open(self, stream: RunningStream) -> None:
-        attempt = stream.tokens.begin_attempt()
+    def _make_open(
+        self, stream: RunningStream, attempt: int
+    ) -> wire.OpenStream:
         request = stream.request
         tokens = stream.tokens.tokens
-        chain = [
-            wire.StageRef(
-                s.instance, s.host, s.port, s.first_layer, s.end_layer
-            )
-            for s in stream.chain.stages
-        ]
-        if attempt > 1:
-            log_state("stream.attempt", stream=stream.name, attempt=attempt)
-        message = wire.OpenStream(
-            stream=stream.name,
+        return wire.OpenStream(
+            stream=stream.wire_name,
             attempt=attempt,
             client_account=request.client_account,
             model=request.model,
-            chain=chain,
+            chain=[
+                wire.StageRef(
+                    s.instance, s.host, s.port, s.first_layer, s.end_layer
+                )
+                for s in stream.chain.stages
+            ],
             stage=0,
             tokens=tokens,
             prompt_length=len(request.prompt),
@@ -260,27 +313,51 @@
             entry=self._own,
             weight=request.weight,
         )
-        self._network.send(_address(stream.chain, 0), message)
+
+    def _use(self, stream: RunningStream, chain: Chain | None) -> None:
+        """Takes a chain into use and ends the stream where it has left.
+
+        Guards against a cancel that ends a stage which lives on: a stage
+        that was replaced is told by the attempt it knows, and does not pass
+        it along. A cancel of the whole stream is passed along, behind the
+        open message on each connection, lest it overtakes that.
+        """
+        before, stream.chain = stream.chain, chain
+        if chain is not None:
+            self._count(chain, 1)
+        if before is None:
+            return
+        self._count(before, -1)
+        kept = chain.instances if chain is not None else ()
+        message = wire.Cancel(
+            stream.wire_name, stream.tokens.attempt, chain is not None
+        )
+        for index, stage in enumerate(before.stages):
+            if stage.instance in kept:
+                continue
+            if self._network.is_connected(stage.instance):
+                self._network.send(_address(before, index), message)
+
+    def _count(self, chain: Chain, change: int) -> None:
+        self._directory.add_streams(chain.instances, change)
+        for instance in chain.instances:
+            self._network.watch(instance, change)
 
     def _give_up(self, stream: RunningStream, refused: Refused) -> None:
         self._metrics.count("streams_given_up", reason=refused.type)
         stream.output.put(refused)
         self.end(stream)
 
-    def _cancel(
-        self,
-        stream: RunningStream,
-        chain: Chain,
-        only: set[str] | None = None,
-    ) -> None:
-        message = wire.Cancel(stream.name, stream.tokens.attempt)
-        for index, stage in enumerate(chain.stages):
-            if only is not None and stage.instance not in only:
-                continue
-            if self._network.is_connected(stage.instance):
-                self._network.send(_address(chain, index), message)
-
 
 def _address(chain: Chain, index: int) -> PeerAddress:
     stage = chain.stages[index]
     return PeerAddress(stage.instance, stage.host, stage.port)
+
+
+def _no_chain(ran: Ran) -> Refused:
+    return Refused(
+        RefusalType.NO_CAPACITY,
+        "no chain of engines covers every layer",
+        ran,
+        _RETRY_AFTER_MS,
+    )
--- a/caroblug/node/_settings.py
+++ b/caroblug/node/_settings.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from caroblug.transport import Timing
 from caroblug.utils import count, duration_ms, name, port, text
 
 _MIN_KEY_CHARACTERS = 32
@@ -30,8 +31,14 @@
         instance_list: The platform's instance list.
         operators: Operators' Ed25519 public keys, in hexadecimal.
         signatures: How many of them must sign a bundle.
-        heartbeat_ms: Silence after which a heartbeat is sent.
-        silence_ms: Silence after which a connection counts as lost.
+        advertised_host: IP address by which others reach the peer port;
+            empty if it is `host`.
+        advertised_port: Port by which others reach the peer port; 0 if it
+            is `peer_port`.
+        heartbeat_ms: Quiet time before a heartbeat, with work in flight.
+        silence_ms: Wait for an acknowledgement, with work in flight, after
+            which a new connection asks the peer.
+        probe_ms: Wait for the peer's answer on a new connection.
         drain_ms: How long running work may take after SIGTERM.
     """
 
@@ -47,6 +54,27 @@
     instance_list: Address = attrs.field()
     operators: list[str] = attrs.field()
     signatures: int = count(1, 16, "Operators that must sign a bundle.", 1)
-    heartbeat_ms: int = duration_ms("Silence before a heartbeat.", 100)
-    silence_ms: int = duration_ms("Silence that means a lost link.", 500)
+    advertised_host: str = ""
+    advertised_port: int = port("Port by which others reach it.", 0)
+    heartbeat_ms: int = duration_ms("Quiet time before a heartbeat.", 100)
+    silence_ms: int = duration_ms("Silence before a new connection.", 300)
+    probe_ms: int = duration_ms("Wait for an answer on it.", 300)
     drain_ms: int = duration_ms("Time to finish after SIGTERM.", 30_000)
+
+    @property
+    def reach_host(self) -> str:
+        """IP address by which others reach the peer port."""
+        return self.advertised_host or self.host
+
+    @property
+    def reach_port(self) -> int:
+        """Port by which others reach the peer port."""
+        return self.advertised_port or self.peer_port
+
+    def make_timing(self) -> Timing:
+        """Returns how soon a peer is asked whether it still lives."""
+        return Timing(
+            heartbeat_ms=self.heartbeat_ms,
+            silence_ms=self.silence_ms,
+            probe_ms=self.probe_ms,
+        )
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -50,15 +50,20 @@
         self.metrics: Metrics = make_metrics()
         self._clock = MonotonicClock()
         self.lifetime = Lifetime(self._clock, settings.drain_ms)
-        hello = wire.Hello(settings.instance, "side", settings.data_centre)
+        hello = wire.Hello(
+            settings.instance,
+            "side",
+            settings.data_centre,
+            host=settings.reach_host,
+            port=settings.reach_port,
+        )
         self.network = make_peer_network(
             hello,
             settings.shared_key.encode(),
             self,
             self._clock,
             self.metrics,
-            settings.heartbeat_ms,
-            settings.silence_ms,
+            settings.make_timing(),
         )
         self.bundles = BundleFollower(
             make_log_service(settings.log.host, settings.log.port),
@@ -111,7 +116,10 @@
             self.network.send(peer, self._make_report())
 
     def on_peer_lost(self, peer: PeerAddress, reason: str) -> None:
-        """Does nothing: the entry decides about its streams."""
+        """Lets the entries know which streams this cuts."""
+        del reason
+        if self._streams is not None:
+            self._streams.on_peer_lost(peer.instance)
 
     def _make_backend(self) -> None:
         settings = self.settings
@@ -215,8 +223,8 @@
             data_centre=settings.data_centre,
             leaving=self.lifetime.leaving or not self._is_up(),
             bundle_version=head.version if head else 0,
-            host=settings.host,
-            port=settings.peer_port,
+            host=settings.reach_host,
+            port=settings.reach_port,
         )
         if settings.plain is not None:
             report.target = settings.plain.service
--- a/caroblug/side/_streams.py
+++ b/caroblug/side/_streams.py
@@ -29,6 +29,8 @@
 class _Entry:
     """A stream with the newest open message that it has had.
 
+    `watched` is the instance that this stage feeds, empty if none.
+
     The session is the stream's name at the engine. It is never used again,
     so that a late answer for a forgotten stream can't reach its successor.
     """
@@ -37,6 +39,7 @@
     opened: wire.OpenStream
     end_ms: int
     session: str
+    watched: str = ""
 
     @property
     def stage(self) -> wire.StageRef:
@@ -58,6 +61,13 @@
     def next(self) -> PeerAddress:
         return address_of(self.opened.chain[self.opened.stage + 1])
 
+    @property
+    def fed(self) -> str:
+        """Instance to which this stage sends; empty if it is its own."""
+        if not self.stream.is_last:
+            return self.next.instance
+        return "" if self.stream.is_first else self.first.instance
+
 
 class StageStreams:
     """Every stream that runs at this side process.
@@ -113,12 +123,14 @@
             return
         known.opened = opened
         known.end_ms = self._end_ms(opened)
+        self._watch(known, known.fed)
         effects = known.stream.open(
             opened.attempt,
             opened.tokens or [],
             opened.known_length,
             opened.prompt_length,
             opened.max_length,
+            opened.sends_from or 0,
         )
         self._apply(opened.stream, known, effects)
 
@@ -157,7 +169,7 @@
         if known is None or cancel.attempt < known.stream.attempt:
             return
         self._forget(cancel.stream)
-        if not known.stream.is_last:
+        if not known.stream.is_last and not cancel.only_here:
             self._network.send(known.next, cancel)
 
     def on_results(self, results: Sequence[EngineResult]) -> None:
@@ -172,6 +184,33 @@
         for name, known in list(self._streams.items()):
             self._fail(name, known, message)
 
+    def on_peer_lost(self, instance: str) -> None:
+        """Tells the entries that a stage is out of reach from here.
+
+        Guards against a link cut between two sides that the entry still
+        reaches: only this end notices, and the stream would stop for good.
+        A stream whose entry is lost has no caller left and is forgotten.
+        """
+        for name, known in list(self._streams.items()):
+            if known.entry.instance == instance:
+                self._metrics.count("streams_orphaned")
+                self._forget(name)
+            elif known.watched == instance:
+                self._refuse(
+                    known.opened,
+                    StageFailure.PEER_UNREACHABLE,
+                    f"{instance} does not answer",
+                    unreachable=instance,
+                )
+
+    def hand_on(self) -> None:
+        """Asks the entries to run every stream elsewhere.
+
+        The streams run on here until their entry ends them.
+        """
+        for known in self._streams.values():
+            self._refuse(known.opened, StageFailure.HANDED_ON, "leaving")
+
     def drop_expired(self) -> None:
         """Forgets streams well past their deadline.
 
@@ -216,16 +255,30 @@
         return self._clock.now_ms() + opened.deadline_ms + _DEADLINE_SLACK_MS
 
     def _forget(self, name: str) -> None:
-        session = self._streams.pop(name).session
-        del self._by_session[session]
-        self._pump.end(session)
+        known = self._streams.pop(name)
+        self._watch(known, "")
+        del self._by_session[known.session]
+        self._pump.end(known.session)
+
+    def _watch(self, known: _Entry, instance: str) -> None:
+        if known.watched == instance:
+            return
+        if known.watched:
+            self._network.watch(known.watched, -1)
+        if instance:
+            self._network.watch(instance)
+        known.watched = instance
 
     def _fail(self, name: str, known: _Entry, message: str) -> None:
         self._refuse(known.opened, StageFailure.ENGINE_FAILED, message)
         self._forget(name)
 
     def _refuse(
-        self, opened: wire.OpenStream, reason: str, message: str
+        self,
+        opened: wire.OpenStream,
+        reason: str,
+        message: str,
+        unreachable: str = "",
     ) -> None:
         self._metrics.count("streams_refused", reason=reason)
         refusal = wire.StageRefusal(
@@ -235,6 +288,7 @@
             reason,
             message,
             _RETRY_AFTER_MS,
+            unreachable,
         )
         self._network.send(address_of(opened.entry), refusal)
 
@@ -263,7 +317,8 @@
                 if to_first_stage:
                     self._send_first(known, message)
             case recovery.ForwardOpen():
-                self._network.send(known.next, _next_open(known.opened))
+                message = _next_open(known.opened, effect)
+                self._network.send(known.next, message)
             case recovery.SendNeed(position):
                 need = wire.Need(name, attempt, position)
                 self._network.send(known.previous, need)
@@ -302,7 +357,9 @@
     )
 
 
-def _next_open(opened: wire.OpenStream) -> wire.OpenStream:
+def _next_open(
+    opened: wire.OpenStream, forward: recovery.ForwardOpen
+) -> wire.OpenStream:
     return wire.OpenStream(
         stream=opened.stream,
         attempt=opened.attempt,
@@ -312,11 +369,12 @@
         stage=opened.stage + 1,
         tokens=[],
         prompt_length=opened.prompt_length,
-        known_length=opened.known_length,
+        known_length=forward.known_length,
         max_length=opened.max_length,
         deadline_ms=opened.deadline_ms,
         fingerprint=opened.fingerprint,
         seed=opened.seed,
         entry=opened.entry,
         weight=opened.weight,
+        sends_from=forward.sends_from,
     )
--- a/caroblug/transport/__init__.py
+++ b/caroblug/transport/__init__.py
@@ -18,6 +18,7 @@
     InstancesUnavailable,
     make_instance_list,
 )
+from caroblug.transport._links import PeerAddress
 from caroblug.transport._log import (
     Appended,
     HttpLogService,
@@ -28,11 +29,11 @@
     make_log_service,
 )
 from caroblug.transport._peers import (
-    PeerAddress,
     PeerHandler,
     PeerNetwork,
     make_peer_network,
 )
+from caroblug.transport._sessions import Timing
 
 __all__ = [
     "Appended",
@@ -58,6 +59,7 @@
     "PeerHandler",
     "PeerNetwork",
     "Records",
+    "Timing",
     "Sealer",
     "make_engine_client",
     "make_instance_list",
--- a/caroblug/transport/_peers.py
+++ b/caroblug/transport/_peers.py
@@ -1,50 +1,32 @@
-"""Connections between caroblug's own processes.
+"""Sessions between caroblug's own processes, over connections that may die.
 
-One connection serves a pair of processes in both directions. A writer sends
+One session serves a pair of processes in both directions. A writer sends
 everything that waits for a peer in one frame, so that the cost of a frame is
-shared by all steps that wait.
+shared by all steps that wait. A connection that is reset or goes silent is
+replaced by a new one, on which what was not acknowledged is sent again; only
+a peer that does not answer on a new connection is lost.
 """
 
 import abc
-import secrets
-from collections.abc import Iterable
+import collections
 
 import attrs
 import gevent
-from gevent import event, server, socket
+from gevent import server, socket
 
 from caroblug.gen.wire import ttypes as wire
 from caroblug.transport import _framing as framing
+from caroblug.transport import _links
+from caroblug.transport._links import Link, PeerAddress
+from caroblug.transport._sessions import Session, Timing
 from caroblug.utils import Clock, Metrics, log_state
 
-_DIAL_TIMEOUT_S = 1.0
-_HANDSHAKE_TIMEOUT_S = 2.0
+_DIAL_TIMEOUT_MS = 1000
+_HANDSHAKE_TIMEOUT_S = 5.0
 _MAX_OUTBOX_MESSAGES = 100_000
-_SEND_TIMEOUT_S = 2.0
-
-_FIELD_OF_MESSAGE = {
-    wire.OpenStream: "opens",
-    wire.Need: "needs",
-    wire.Step: "steps",
-    wire.Token: "tokens",
-    wire.Cancel: "cancels",
-    wire.StageRefusal: "refusals",
-    wire.LoadReport: "reports",
-    wire.PlainCall: "calls",
-    wire.PlainReply: "replies",
-    wire.Heartbeat: "heartbeats",
-}
-
-
-@attrs.frozen
-class PeerAddress:
-    """Where a process of the system listens for the others."""
-
-    instance: str
-    host: str
-    port: int
-    role: str = ""
-    data_centre: str = ""
+_TICK_MS = 50
+_PAUSE_MS = 150
+_MS_PER_S = 1000
 
 
 class PeerHandler(abc.ABC):
@@ -52,46 +34,23 @@
 
     @abc.abstractmethod
     def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
-        """Takes a frame from a peer that has proved itself."""
+        """Takes a frame from a peer that has proved itself.
+
+        Each frame is given once, in the order in which the peer sent it,
+        until the peer is lost.
+        """
 
     @abc.abstractmethod
     def on_peer_up(self, peer: PeerAddress) -> None:
-        """Learns of the first connection with a peer."""
+        """Learns of a new session with a peer."""
 
     @abc.abstractmethod
     def on_peer_lost(self, peer: PeerAddress, reason: str) -> None:
-        """Learns that the last connection with a peer has ended."""
-
-
-class _Link:
-    """One authenticated connection."""
-
-    def __init__(
-        self,
-        sock: socket.socket,
-        peer: PeerAddress,
-        sender: framing.Sealer,
-        checker: framing.Sealer,
-        now_ms: int,
-    ) -> None:
-        self.sock = sock
-        self.peer = peer
-        self.sender = sender
-        self.checker = checker
-        self.outbox: list[object] = []
-        self.wake = event.Event()
-        self.received_ms = now_ms
-        self.sent_ms = now_ms
-        self.closed = False
-
-    def close(self) -> None:
-        self.closed = True
-        self.wake.set()
-        self.sock.close()
+        """Learns that a session has ended; what was in flight is lost."""
 
 
 class PeerNetwork:
-    """All connections of one process.
+    """All sessions of one process.
 
     Args:
         hello: What this process says of itself; its nonce is not used.
@@ -99,8 +58,7 @@
         handler: Takes what arrives.
         clock: Source of time.
         metrics: Where frames and refused peers are counted.
-        heartbeat_ms: Silence on a connection after which one is sent.
-        silence_ms: Silence after which a connection counts as lost.
+        timing: How soon a peer is asked whether it still lives.
     """
 
     def __init__(
@@ -110,46 +68,57 @@
         handler: PeerHandler,
         clock: Clock,
         metrics: Metrics,
-        heartbeat_ms: int,
-        silence_ms: int,
+        timing: Timing,
     ) -> None:
         self._hello = hello
         self._shared_key = shared_key
         self._handler = handler
         self._clock = clock
         self._metrics = metrics
-        self._heartbeat_ms = heartbeat_ms
-        self._silence_ms = silence_ms
-        self._links: dict[str, list[_Link]] = {}
-        self._dialling: dict[str, list[object]] = {}
+        self._timing = timing
+        self._sessions: dict[str, Session] = {}
+        self._watched: collections.Counter[str] = collections.Counter()
         self._server: server.StreamServer | None = None
-        self._heartbeats = 0
+        self._stopped = False
 
     @property
     def peers(self) -> tuple[PeerAddress, ...]:
         """The peers connected now."""
-        return tuple(links[-1].peer for links in self._links.values())
+        return tuple(
+            s.current.peer for s in self._sessions.values() if s.current
+        )
 
     def start(self, host: str, port: int) -> int:
         """Listens for peers and returns the port."""
         self._server = server.StreamServer((host, port), self._accept)
         self._server.start()
-        self._hello.host = host
-        self._hello.port = self._server.server_port
-        gevent.spawn(self._watch)
+        self._hello.host = self._hello.host or host
+        self._hello.port = self._hello.port or self._server.server_port
+        gevent.spawn(self._tick_forever)
         return self._server.server_port
 
     def stop(self) -> None:
         """Closes the listener and every connection."""
+        self._stopped = True
         if self._server is not None:
             self._server.stop(timeout=0)
-        for links in list(self._links.values()):
-            for link in list(links):
+        for session in self._sessions.values():
+            for link in list(session.links):
                 link.close()
 
     def is_connected(self, instance: str) -> bool:
-        """Tells whether a peer has a connection now."""
-        return instance in self._links
+        """Tells whether there is a session with a peer."""
+        return instance in self._sessions
+
+    def watch(self, instance: str, change: int = 1) -> None:
+        """Adds to the count of work in flight that needs a peer.
+
+        Heartbeats are frequent, and silence is noticed soon, only while the
+        count is above zero: idle connections must stay cheap.
+        """
+        self._watched[instance] += change
+        if self._watched[instance] <= 0:
+            del self._watched[instance]
 
     def send(self, to: PeerAddress, *messages: object) -> None:
         """Queues messages for a peer, dialling it if need be.
@@ -157,196 +126,274 @@
         Nothing is raised: a peer that cannot be reached is told to the
         handler by `on_peer_lost`.
         """
-        links = self._links.get(to.instance)
-        if links:
-            self._queue(links[-1], messages)
-            return
-        waiting = self._dialling.get(to.instance)
-        if waiting is not None:
-            waiting.extend(messages)
-            return
-        self._dialling[to.instance] = list(messages)
-        gevent.spawn(self._dial, to)
+        session = self._sessions.get(to.instance)
+        if session is None:
+            session = Session(to, "", self._clock.now_ms())
+            self._sessions[to.instance] = session
+            self._begin_dial(session)
+        self._queue(session, messages)
 
     def broadcast(self, role: str, *messages: object) -> None:
         """Queues messages for every connected peer of a role."""
-        for links in list(self._links.values()):
-            if links[-1].peer.role == role:
-                self._queue(links[-1], messages)
-
-    def _queue(self, link: _Link, messages: Iterable[object]) -> None:
-        link.outbox.extend(messages)
-        if len(link.outbox) > _MAX_OUTBOX_MESSAGES:
-            self._drop(link, "outbox full")
+        for session in list(self._sessions.values()):
+            if session.current and session.current.peer.role == role:
+                self._queue(session, messages)
+
+    def _queue(self, session: Session, messages: tuple[object, ...]) -> None:
+        session.queue(*messages)
+        if len(session.outbox) > _MAX_OUTBOX_MESSAGES:
+            self._lose(session, "outbox full")
+
+    def _begin_dial(self, session: Session) -> None:
+        if not session.dialling and not self._stopped:
+            session.dialling = True
+            gevent.spawn(self._dial, session)
+
+    def _dial(self, session: Session) -> None:
+        """Connects anew; a peer that does not answer in time is lost.
+
+        Guards against a frozen process, whose kernel still accepts: only an
+        answer of the process itself counts. A peer that acknowledged
+        something on the old connection meanwhile was merely slow.
+        """
+        before_ms = self._clock.now_ms()
+        older = list(session.links)
+        link = self._connect(session)
+        session.dialling = False
+        if self._sessions.get(session.to.instance) is not session:
+            if isinstance(link, Link):
+                link.close()
             return
-        link.wake.set()
-
-    def _dial(self, to: PeerAddress) -> None:
+        if isinstance(link, str):
+            now_ms = self._clock.now_ms()
+            waited_ms = session.delivery.waited_ms(now_ms)
+            if session.links and waited_ms < now_ms - before_ms:
+                return
+            self._lose(session, link)
+            return
+        self._metrics.count("links_dialled")
+        session.add_rtt((self._clock.now_ms() - before_ms) / 2)
+        self._add(session, link)
+        for old in older:
+            self._drop(session, old, "replaced")
+        self._read(session, link)
+
+    def _connect(self, session: Session) -> Link | str:
+        """Returns a proved connection, or why there is none."""
+        sock = None
+        timeout = gevent.Timeout(
+            self._dial_ms(session) / _MS_PER_S, TimeoutError("no answer")
+        )
         try:
-            sock = socket.create_connection(
-                (to.host, to.port), timeout=_DIAL_TIMEOUT_S
-            )
-            link = self._shake(sock, dialled=True)
+            with timeout:
+                sock = socket.create_connection(
+                    (session.to.host, session.to.port)
+                )
+                link = _links.greet(
+                    sock,
+                    self._make_hello(session),
+                    self._shared_key,
+                    self._clock.now_ms(),
+                )
+                self._check(session, link)
+                _links.prove(link)
+                return link
         except (OSError, framing.FrameError) as error:
-            self._dialling.pop(to.instance, None)
-            if to.instance not in self._links:
-                self._handler.on_peer_lost(to, f"dial failed: {error}")
-            return
-        messages = self._dialling.pop(to.instance, [])
-        if link.peer.instance != to.instance:
-            link.close()
-            self._handler.on_peer_lost(to, "another instance answered")
-            return
-        self._add(link)
-        self._queue(link, messages)
-        self._read(link)
+            if sock is not None:
+                sock.close()
+            return f"dial failed: {error}"
+
+    def _dial_ms(self, session: Session) -> float:
+        if not session.is_up:
+            return _DIAL_TIMEOUT_MS
+        return self._timing.probe_ms + 4 * session.rtt_ms
+
+    def _check(self, session: Session, link: Link) -> None:
+        if link.peer.instance != session.to.instance:
+            raise framing.FrameError("another instance answered")
+        if session.their_id and session.their_id != link.their_session:
+            raise framing.FrameError("peer has lost the session")
+
+    def _make_hello(self, session: Session) -> wire.Hello:
+        mine = self._hello
+        return wire.Hello(
+            mine.instance,
+            mine.role,
+            mine.data_centre,
+            b"",
+            0,
+            mine.host,
+            mine.port,
+            session.own_id,
+        )
 
     def _accept(self, sock: socket.socket, address: object) -> None:
+        """Answers a connection, for the session it names or a new one.
+
+        Guards against a process that was declared dead and wakes up: it
+        names a session that is no longer known here, or is told one that it
+        does not know, and each end then drops what belonged to the old one.
+        """
         del address
+        known: Session | None = None
+        session: Session | None = None
+
+        def _choose(theirs: wire.Hello) -> wire.Hello:
+            nonlocal known, session
+            known = self._sessions.get(theirs.instance)
+            session = known
+            if known is None or known.their_id not in ("", theirs.session):
+                to = PeerAddress(theirs.instance, theirs.host, theirs.port)
+                session = Session(to, theirs.session, self._clock.now_ms())
+            return self._make_hello(session)
+
+        timeout = gevent.Timeout(_HANDSHAKE_TIMEOUT_S, TimeoutError("slow"))
         try:
-            link = self._shake(sock, dialled=False)
+            with timeout:
+                link = _links.answer(
+                    sock, _choose, self._shared_key, self._clock.now_ms()
+                )
         except (OSError, framing.FrameError):
             self._metrics.count("peers_refused")
             sock.close()
             return
-        self._add(link)
-        self._read(link)
-
-    def _shake(self, sock: socket.socket, *, dialled: bool) -> _Link:
-        """Exchanges hellos; each end then proves itself by its first frame.
-
-        Both ends send a heartbeat at once and check the other's before the
-        connection counts, so that a peer without the key is never added.
-        """
-        sock.settimeout(_HANDSHAKE_TIMEOUT_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        mine = wire.Hello(
-            self._hello.instance,
-            self._hello.role,
-            self._hello.data_centre,
-            secrets.token_bytes(framing.NONCE_BYTES),
-            framing.PROTOCOL,
-            self._hello.host,
-            self._hello.port,
-        )
-        sock.sendall(framing.pack_payload(framing.encode(mine)))
-        theirs = framing.decode(wire.Hello, self._expect(sock)[0])
-        if theirs.protocol != framing.PROTOCOL or not theirs.instance:
-            raise framing.FrameError("another protocol")
-        if theirs.instance == mine.instance:
-            raise framing.FrameError("peer has this instance's name")
-        pair = (mine, theirs) if dialled else (theirs, mine)
-        key = framing.derive_key(self._shared_key, *pair)
-        sender = framing.Sealer(key, mine.instance)
-        checker = framing.Sealer(key, theirs.instance)
-        proof = framing.encode(wire.Frame())
-        sock.sendall(framing.pack_payload(proof, sender.code(proof)))
-        checker.check(*self._expect(sock))
-        sock.settimeout(_SEND_TIMEOUT_S)
-        peer = PeerAddress(
-            theirs.instance,
-            theirs.host,
-            theirs.port,
-            theirs.role,
-            theirs.data_centre,
+        if self._sessions.get(link.peer.instance) is not known:
+            link.close()
+            return
+        if session is not known:
+            if known is not None:
+                self._lose(known, "peer has begun a new session")
+            self._sessions[link.peer.instance] = session
+        self._add(session, link)
+        self._read(session, link)
+
+    def _add(self, session: Session, link: Link) -> None:
+        first, session.is_up = not session.is_up, True
+        session.their_id = link.their_session
+        session.to = attrs.evolve(
+            session.to,
+            role=link.peer.role,
+            data_centre=link.peer.data_centre,
         )
-        return _Link(sock, peer, sender, checker, self._clock.now_ms())
-
-    def _expect(self, sock: socket.socket) -> tuple[bytes, bytes]:
-        received = framing.read_payload(sock)
-        if received is None:
-            raise framing.FrameError("peer closed in the handshake")
-        return received
-
-    def _add(self, link: _Link) -> None:
-        links = self._links.setdefault(link.peer.instance, [])
-        links.append(link)
-        gevent.spawn(self._write, link)
-        if len(links) == 1:
+        session.links.append(link)
+        session.restart_wait(self._clock.now_ms())
+        link.wake.set()
+        gevent.spawn(self._write, session, link)
+        if first:
             self._handler.on_peer_up(link.peer)
 
-    def _read(self, link: _Link) -> None:
+    def _read(self, session: Session, link: Link) -> None:
         reason = "closed by peer"
-        link.sock.settimeout(None)
         try:
             while True:
-                received = framing.read_payload(link.sock)
-                if received is None:
+                payload = link.read()
+                if payload is None:
                     break
-                link.checker.check(*received)
-                link.received_ms = self._clock.now_ms()
-                frame = framing.decode(wire.Frame, received[0])
-                self._metrics.count("frames_received")
-                self._handler.on_frame(link.peer, frame)
+                self._on_payload(session, link, payload)
         except framing.FrameError as error:
             self._metrics.count("frames_refused")
             reason = str(error)
         except OSError as error:
             reason = str(error)
-        self._drop(link, reason)
-
-    def _write(self, link: _Link) -> None:
-        while not link.closed:
-            link.wake.wait()
-            link.wake.clear()
-            while link.outbox and not link.closed:
-                messages, link.outbox = link.outbox, []
-                try:
-                    self._write_frame(link, messages)
-                except OSError as error:
-                    self._drop(link, f"send failed: {error}")
-                    return
-
-    def _write_frame(self, link: _Link, messages: list[object]) -> None:
-        frame = wire.Frame()
-        for message in messages:
-            field = _FIELD_OF_MESSAGE[type(message)]
-            waiting = getattr(frame, field)
-            if waiting is None:
-                setattr(frame, field, [message])
-            else:
-                waiting.append(message)
-        payload = framing.encode(frame)
-        link.sent_ms = self._clock.now_ms()
-        link.sock.sendall(
-            framing.pack_payload(payload, link.sender.code(payload))
-        )
-        self._metrics.count("frames_sent")
-        self._metrics.count("frame_bytes_sent", len(payload))
-
-    def _watch(self) -> None:
-        """Sends heartbeats and drops connections that have gone silent.
+        self._drop(session, link, reason)
+
+    def _on_payload(self, session: Session, link: Link, payload: bytes) -> None:
+        frame = framing.decode(wire.Frame, payload)
+        self._metrics.count("frames_received")
+        now_ms = self._clock.now_ms()
+        link.received_ms = now_ms
+        if self._sessions.get(link.peer.instance) is not session:
+            return
+        for due in session.on_frame(frame, now_ms):
+            self._handler.on_frame(link.peer, due)
 
-        Guards against a connection that something between the two ends has
-        lost track of: no reset arrives, sends seem to succeed, and nothing
-        is ever received again.
+    def _write(self, session: Session, link: Link) -> None:
+        try:
+            while not link.closed:
+                link.wake.wait()
+                link.wake.clear()
+                self._write_waiting(session, link)
+        except OSError as error:
+            self._drop(session, link, f"send failed: {error}")
+
+    def _write_waiting(self, session: Session, link: Link) -> None:
+        if link.resend:
+            link.resend = False
+            for payload in session.delivery.unacknowledged(
+                self._clock.now_ms()
+            ):
+                self._metrics.count("frames_resent")
+                link.write(payload)
+        while session.current is link and not link.closed:
+            payload = session.next_payload(self._clock.now_ms())
+            if payload is None:
+                return
+            link.write(payload)
+            self._metrics.count("frames_sent")
+            self._metrics.count("frame_bytes_sent", len(payload))
+
+    def _tick_forever(self) -> None:
+        """Looks at every session, but not right after a pause of its own.
+
+        Guards against a process that was paused and, awake again, takes all
+        its peers for silent before it has read what they sent.
         """
+        last_ms = self._clock.now_ms()
         while True:
-            gevent.sleep(self._heartbeat_ms / 2000)
+            gevent.sleep(_TICK_MS / _MS_PER_S)
             now_ms = self._clock.now_ms()
-            for links in list(self._links.values()):
-                for link in list(links):
-                    self._watch_link(link, now_ms)
-
-    def _watch_link(self, link: _Link, now_ms: int) -> None:
-        if now_ms - link.received_ms > self._silence_ms:
-            self._drop(link, "silent")
-        elif now_ms - link.sent_ms >= self._heartbeat_ms:
-            self._heartbeats += 1
-            self._queue(link, (wire.Heartbeat(self._heartbeats),))
-
-    def _drop(self, link: _Link, reason: str) -> None:
+            paused = now_ms - last_ms > _TICK_MS + _PAUSE_MS
+            last_ms = now_ms
+            for session in list(self._sessions.values()):
+                if paused:
+                    session.restart_wait(now_ms)
+                elif session.links:
+                    self._tick(session, now_ms)
+
+    def _tick(self, session: Session, now_ms: int) -> None:
+        if session.delivery.over_limit:
+            self._lose(session, "too much unacknowledged")
+            return
+        suspected = session.tick(
+            self._timing,
+            watched=session.to.instance in self._watched,
+            now_ms=now_ms,
+        )
+        if suspected and not session.dialling:
+            self._metrics.count("peers_suspected")
+            self._begin_dial(session)
+        for link in session.links[:-1]:
+            if now_ms - link.received_ms > self._timing.idle_heartbeat_ms:
+                self._drop(session, link, "superseded")
+
+    def _drop(self, session: Session, link: Link, reason: str) -> None:
+        """Ends a connection and goes on with another, or dials one."""
         link.close()
-        links = self._links.get(link.peer.instance, [])
-        if link not in links:
+        if link not in session.links:
+            return
+        was_current = session.current is link
+        session.links.remove(link)
+        if self._sessions.get(session.to.instance) is not session:
             return
-        links.remove(link)
-        if links:
+        self._metrics.count("links_dropped")
+        log_state("peer.link", peer=session.to.instance, reason=reason)
+        if session.current is None:
+            self._begin_dial(session)
             return
-        del self._links[link.peer.instance]
-        log_state("peer.lost", peer=link.peer.instance, reason=reason)
+        if was_current:
+            session.current.resend = True
+            session.current.wake.set()
+
+    def _lose(self, session: Session, reason: str) -> None:
+        if self._sessions.get(session.to.instance) is not session:
+            return
+        del self._sessions[session.to.instance]
+        for link in session.links:
+            link.close()
+        session.links.clear()
+        log_state("peer.lost", peer=session.to.instance, reason=reason)
         self._metrics.count("peers_lost")
-        self._handler.on_peer_lost(link.peer, reason)
+        self._handler.on_peer_lost(session.to, reason)
 
 
 def make_peer_network(
@@ -355,10 +402,9 @@
     handler: PeerHandler,
     clock: Clock,
     metrics: Metrics,
-    heartbeat_ms: int = 100,
-    silence_ms: int = 500,
+    timing: Timing | None = None,
 ) -> PeerNetwork:
     """Returns a network that is not yet listening."""
     return PeerNetwork(
-        hello, shared_key, handler, clock, metrics, heartbeat_ms, silence_ms
+        hello, shared_key, handler, clock, metrics, timing or Timing()
     )
