--- a/caroblug/entry/_chains.py
+++ b/caroblug/entry/_chains.py
@@ -50,22 +50,45 @@
         }
         self._broken[sender, receiver] = now_ms + _BROKEN_MS
 
+    def on_peer_lost(self, instance: str) -> None:
+        """Forgets the broken links of an instance that is itself lost.
+
+        It may come back at any moment, and its links were not to blame.
+        """
+        self._broken = {
+            link: end_ms
+            for link, end_ms in self._broken.items()
+            if instance not in link
+        }
+
     def pick(
         self, model: str, layers: int, excluded: Collection[str]
     ) -> Chain | None:
-        """Returns a whole chain, or None if there is none."""
+        """Returns a whole chain, or None if there is none.
+
+        A chain over a broken link is better than none: the link may have
+        healed.
+        """
         engines = self._directory.engines(model)
         avoided = set(excluded)
-        chain = None
-        for _ in range(_CHOICES):
-            chain = self._chooser.choose(
-                engines, layers, self._data_centre, avoided
+
+        def _choose(*also: str) -> Chain | None:
+            return self._chooser.choose(
+                engines, layers, self._data_centre, avoided | set(also)
             )
-            receiver = self._broken_receiver(chain)
-            if not receiver:
-                break
-            avoided.add(receiver)
-        return chain
+
+        first = chain = _choose()
+        for _ in range(_CHOICES):
+            if chain is None:
+                return first
+            link = self._broken_link(chain)
+            if link is None:
+                return chain
+            sender, receiver = link
+            chain = _choose(receiver)
+            avoided.add(receiver if chain is not None else sender)
+            chain = chain or _choose()
+        return first
 
     def replace(
         self, chain: Chain, model: str, excluded: Collection[str]
@@ -105,7 +128,7 @@
                 )
             )
         replaced = Chain(tuple(stages))
-        return None if self._broken_receiver(replaced) else replaced
+        return None if self._broken_link(replaced) else replaced
 
     def _fits(
         self, engine: EngineView, stage: Stage, beside: list[str]
@@ -124,15 +147,13 @@
             and not self._is_broken(engine.instance, after)
         )
 
-    def _broken_receiver(self, chain: Chain | None) -> str:
-        if chain is None or not self._broken:
-            return ""
+    def _broken_link(self, chain: Chain) -> tuple[str, str] | None:
         names = chain.instances
         links = [*zip(names, names[1:], strict=False), (names[-1], names[0])]
         for sender, receiver in links:
             if self._is_broken(sender, receiver):
-                return receiver
-        return ""
+                return sender, receiver
+        return None
 
     def _is_broken(self, sender: str, receiver: str) -> bool:
         end_ms = self._broken.get((sender, receiver))
--- a/caroblug/entry/_directory.py
+++ b/caroblug/entry/_directory.py
@@ -1,5 +1,7 @@
 """What one entry knows of the side processes, from their own reports."""
 
+from collections.abc import Collection
+
 import attrs
 
 from caroblug.core.routing import EngineView
@@ -32,23 +34,37 @@
         self._engines: dict[str, EngineView] = {}
         self._plain: dict[str, PlainView] = {}
         self._heard_ms: dict[str, int] = {}
+        self._listed_leaving: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
         return len(self._engines) + len(self._plain)
 
     def on_report(self, report: wire.LoadReport) -> None:
         """Takes a load report."""
+        leaving = report.leaving or report.instance in self._listed_leaving
         self._heard_ms[report.instance] = self._clock.now_ms()
         if report.end_layer:
-            self._on_engine(report)
+            self._on_engine(report, leaving)
         elif report.target:
             address = PeerAddress(report.instance, report.host, report.port)
             self._plain[report.instance] = PlainView(
-                address, report.target, report.running or 0, report.leaving
+                address, report.target, report.running or 0, leaving
             )
         elif report.instance in self._engines:
             self._engines[report.instance].leaving = True
 
+    def on_listed(self, leaving: Collection[str]) -> None:
+        """Learns which instances the platform lists as leaving.
+
+        Guards against a side process that does not know that its instance
+        is taken away: it would go on to report itself as usable.
+        """
+        self._listed_leaving = frozenset(leaving)
+        for instance in self._listed_leaving:
+            for view in (self._engines, self._plain):
+                if instance in view:
+                    view[instance].leaving = True
+
     def forget(self, instance: str) -> None:
         """Drops an instance whose connection is lost."""
         self._engines.pop(instance, None)
@@ -84,7 +100,7 @@
         age_ms = self._clock.now_ms() - self._heard_ms[instance]
         return age_ms <= self._report_age_ms
 
-    def _on_engine(self, report: wire.LoadReport) -> None:
+    def _on_engine(self, report: wire.LoadReport, leaving: bool) -> None:
         known = self._engines.get(report.instance)
         self._engines[report.instance] = EngineView(
             report.instance,
@@ -97,6 +113,6 @@
             report.tokens_per_s,
             report.waiting,
             report.running,
-            report.leaving,
+            leaving,
             known.own_streams if known else 0,
         )
--- a/caroblug/entry/_door.py
+++ b/caroblug/entry/_door.py
@@ -30,7 +30,7 @@
     def enter(self, request: falcon.Request) -> tuple[Head, str] | Refused:
         """Returns the head and the client account, or a refusal."""
         head = self._bundles.head
-        if head is None or self._lifetime.leaving:
+        if head is None or not self._lifetime.accepting:
             return _NOT_READY
         account = authenticate(head.bundle, request.get_header("Authorization"))
         if isinstance(account, Refused):
--- a/caroblug/entry/_plain.py
+++ b/caroblug/entry/_plain.py
@@ -101,11 +101,13 @@
         call.call = secrets.token_hex(_CALL_BYTES)
         waiting = _Waiting(view.address.instance)
         self._waiting[call.call] = waiting
+        self._network.watch(view.address.instance)
         try:
             self._network.send(view.address, call)
             reply = waiting.reply.wait(timeout_ms / _MS_PER_S)
         finally:
             del self._waiting[call.call]
+            self._network.watch(view.address.instance, -1)
         if reply is None:
             return Refused(
                 RefusalType.OUTCOME_UNKNOWN,
--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -54,7 +54,9 @@
         self.settings = settings
         self.metrics: Metrics = make_metrics()
         self._clock = MonotonicClock()
-        self.lifetime = Lifetime(self._clock, settings.drain_ms)
+        self.lifetime = Lifetime(
+            self._clock, settings.drain_ms, settings.linger_ms
+        )
         self.network = make_peer_network(
             wire.Hello(
                 settings.instance,
@@ -140,6 +142,7 @@
         """Recovers what ran at the peer."""
         del reason
         self.directory.forget(peer.instance)
+        self.metrics.gauge("known_sides", len(self.directory))
         self.streams.on_peer_lost(peer.instance)
         self.plain.on_peer_lost(peer.instance)
 
@@ -167,6 +170,9 @@
             if isinstance(listed, InstancesUnavailable):
                 self.metrics.count("instance_list_failures")
             else:
+                leaving = {r.instance for r in listed if r.leaving}
+                self.directory.on_listed(leaving)
+                self.metrics.gauge("listed_leaving", len(leaving))
                 for record in listed:
                     if record.role == _SIDE_ROLE and not record.leaving:
                         self._connect(
--- a/caroblug/entry/_streams.py
+++ b/caroblug/entry/_streams.py
@@ -195,6 +195,7 @@
 
     def on_peer_lost(self, instance: str) -> None:
         """Recovers every stream that had a stage there."""
+        self._picker.on_peer_lost(instance)
         for stream in list(self._streams.values()):
             if instance in stream.chain.instances:
                 stream.excluded.add(instance)
--- a/caroblug/node/_lifetime.py
+++ b/caroblug/node/_lifetime.py
@@ -23,6 +23,8 @@
 EXIT_OK = 0
 EXIT_USAGE = 2
 _DRAIN_POLL_S = 0.05
+_LATE_MS = 20_000
+_LATE_EVERY_MS = 1000
 
 
 class Lifetime:
@@ -31,18 +33,32 @@
     Args:
         clock: Source of time.
         drain_ms: How long running work may take after SIGTERM.
+        linger_ms: Shortest time from SIGTERM to the exit.
     """
 
-    def __init__(self, clock: Clock, drain_ms: int) -> None:
+    def __init__(self, clock: Clock, drain_ms: int, linger_ms: int = 0) -> None:
         self._clock = clock
         self._drain_ms = drain_ms
+        self._linger_ms = linger_ms
         self._leaving = event.Event()
+        self._left_ms = 0
 
     @property
     def leaving(self) -> bool:
-        """Whether a stop was asked for: no new work is taken."""
+        """Whether a stop was asked for."""
         return self._leaving.is_set()
 
+    @property
+    def accepting(self) -> bool:
+        """Whether callers' requests are still taken.
+
+        Guards against requests that the balancer sends to an instance which
+        has just said that it is no longer ready: it learns that late.
+        """
+        if not self.leaving:
+            return True
+        return self._clock.now_ms() - self._left_ms < self._linger_ms
+
     def install(self) -> None:
         """Lets SIGTERM and SIGINT begin the drain."""
         gevent.signal_handler(signal.SIGTERM, self.leave)
@@ -52,19 +68,34 @@
         """Begins the drain."""
         if not self.leaving:
             log_state("program.leaving")
+            self._left_ms = self._clock.now_ms()
             self._leaving.set()
 
-    def wait(self, on_leave: Callable[[], None], busy: Callable[[], bool]):
+    def wait(
+        self,
+        on_leave: Callable[[], None],
+        busy: Callable[[], bool],
+        on_late: Callable[[], None] | None = None,
+    ) -> None:
         """Blocks until the program has drained.
 
         Args:
             on_leave: Called once when the drain begins.
             busy: Tells whether work is still running.
+            on_late: Called now and then once the end of the drain is near
+                and work is still running.
         """
         self._leaving.wait()
         on_leave()
-        end_ms = self._clock.now_ms() + self._drain_ms
-        while busy() and self._clock.now_ms() < end_ms:
+        end_ms = self._left_ms + self._drain_ms
+        late_ms = end_ms - min(self._drain_ms // 2, _LATE_MS)
+        while self.accepting or busy():
+            now_ms = self._clock.now_ms()
+            if now_ms >= end_ms:
+                break
+            if on_late is not None and now_ms >= late_ms:
+                on_late()
+                late_ms = now_ms + _LATE_EVERY_MS
             gevent.sleep(_DRAIN_POLL_S)
         log_state("program.stopped", cut_short=busy())
 
@@ -109,5 +140,16 @@
         print(f"{options.config}: ok")
         return EXIT_OK
     start_logging(name, settings.instance)
+    _stop_on_broken_invariants()
     serve(settings)
     return EXIT_OK
+
+
+def _stop_on_broken_invariants() -> None:
+    """Lets a failed assertion in any greenlet end the process.
+
+    Guards against a program that goes on with a broken invariant: gevent
+    prints what a greenlet raises and forgets it.
+    """
+    hub = gevent.get_hub()
+    hub.SYSTEM_ERROR = (*hub.SYSTEM_ERROR, AssertionError)
--- a/caroblug/node/_settings.py
+++ b/caroblug/node/_settings.py
@@ -39,7 +39,11 @@
         silence_ms: Wait for an acknowledgement, with work in flight, after
             which a new connection asks the peer.
         probe_ms: Wait for the peer's answer on a new connection.
-        drain_ms: How long running work may take after SIGTERM.
+        drain_ms: How long running work may take after SIGTERM. For an entry
+            it must not be below the bundle's longest deadline.
+        linger_ms: Shortest time from SIGTERM to the exit, in which others
+            learn that the instance leaves. An entry takes requests until
+            then: the balancer notices `/readyz` late.
     """
 
     instance: str = name("Name of this instance, unique in the fleet.")
@@ -59,7 +63,8 @@
     heartbeat_ms: int = duration_ms("Quiet time before a heartbeat.", 100)
     silence_ms: int = duration_ms("Silence before a new connection.", 300)
     probe_ms: int = duration_ms("Wait for an answer on it.", 300)
-    drain_ms: int = duration_ms("Time to finish after SIGTERM.", 30_000)
+    drain_ms: int = duration_ms("Time to finish after SIGTERM.", 120_000)
+    linger_ms: int = duration_ms("Shortest time to the exit.", 1000)
 
     @property
     def reach_host(self) -> str:
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -12,6 +12,7 @@
     NodeHttp,
     add_node_routes,
 )
+from caroblug.side._engine_watch import WatchedEngine
 from caroblug.side._plain import DirectCaller, PlainCalls
 from caroblug.side._pump import EnginePump
 from caroblug.side._settings import SideSettings
@@ -34,7 +35,7 @@
 )
 
 _ENTRY_ROLE = "entry"
-_DESCRIBE_S = 0.2
+_DESCRIBE_S = 0.1
 _PLAIN_TIMEOUT_MS = 5000
 
 
@@ -49,7 +50,9 @@
         self.settings = settings
         self.metrics: Metrics = make_metrics()
         self._clock = MonotonicClock()
-        self.lifetime = Lifetime(self._clock, settings.drain_ms)
+        self.lifetime = Lifetime(
+            self._clock, settings.drain_ms, settings.linger_ms
+        )
         hello = wire.Hello(
             settings.instance,
             "side",
@@ -98,7 +101,7 @@
             gevent.spawn(self._watch_engine)
         gevent.spawn(self._report_forever)
         log_state("program.started", port=settings.peer_port)
-        self.lifetime.wait(self._report, self._busy)
+        self.lifetime.wait(self._report, self._busy, self._hand_on)
         self.network.stop()
         http.stop()
 
@@ -129,10 +132,16 @@
             )
             self._calls = PlainCalls(caller, self.network, self.metrics)
             return
-        self._engine = make_engine_client(
-            settings.engine.host,
-            settings.engine.port,
-            settings.engine_timeout_ms,
+        address = settings.engine
+        self._engine = WatchedEngine(
+            make_engine_client(
+                address.host, address.port, settings.engine_timeout_ms
+            ),
+            make_engine_client(
+                address.host, address.port, settings.engine_probe_ms
+            ),
+            self._clock,
+            settings.engine_probe_ms,
         )
         self._pump = EnginePump(
             self._engine,
@@ -180,13 +189,17 @@
             return len(self._calls) > 0
         return len(self._streams) > 0
 
+    def _hand_on(self) -> None:
+        if self._streams is not None:
+            self._streams.hand_on()
+
     def _on_head(self, head: Head) -> None:
         del head
         self._report()
 
     def _on_engine_lost(self, message: str) -> None:
         if self._description is not None:
-            log_state("engine.lost", message=message)
+            log_state("engine.lost", reason=message)
             self.metrics.count("engine_lost")
         self._description = None
         self._report()
--- a/caroblug/side/_settings.py
+++ b/caroblug/side/_settings.py
@@ -24,6 +24,7 @@
         plain: The plain service.
         batches: Batches in the engine at once.
         engine_timeout_ms: How long one batch may take.
+        engine_probe_ms: How long the engine may take to say what it is.
         report_ms: Time between load reports.
         journal_positions: Outputs kept per stream for a new next stage.
     """
@@ -32,6 +33,7 @@
     plain: PlainSettings | None = None
     batches: int = count(1, 16, "Batches in the engine at once.", 2)
     engine_timeout_ms: int = duration_ms("How long a batch may take.", 10_000)
+    engine_probe_ms: int = duration_ms("How long a describe may take.", 250)
     report_ms: int = duration_ms("Time between load reports.", 200)
     journal_positions: int = count(
         1, 1_000_000, "Outputs kept per stream for a new next stage.", 8192
--- a/caroblug/side/_streams.py
+++ b/caroblug/side/_streams.py
@@ -190,11 +190,14 @@
         Guards against a link cut between two sides that the entry still
         reaches: only this end notices, and the stream would stop for good.
         A stream whose entry is lost has no caller left and is forgotten.
+        The stages behind are told too: a process that was frozen may, awake
+        again, have opened an old attempt there before it learns that its
+        entry has given it up.
         """
         for name, known in list(self._streams.items()):
             if known.entry.instance == instance:
                 self._metrics.count("streams_orphaned")
-                self._forget(name)
+                self.on_cancel(wire.Cancel(name, known.stream.attempt))
             elif known.watched == instance:
                 self._refuse(
                     known.opened,
@@ -249,6 +252,7 @@
         self._streams[opened.stream] = entry
         self._by_session[session] = opened.stream
         self._metrics.count("streams_opened")
+        self._metrics.gauge("streams", len(self._streams))
         return entry
 
     def _end_ms(self, opened: wire.OpenStream) -> int:
@@ -258,6 +262,7 @@
         known = self._streams.pop(name)
         self._watch(known, "")
         del self._by_session[known.session]
+        self._metrics.gauge("streams", len(self._streams))
         self._pump.end(known.session)
 
     def _watch(self, known: _Entry, instance: str) -> None:
--- a/caroblug/transport/_peers.py
+++ b/caroblug/transport/_peers.py
@@ -27,6 +27,7 @@
 _TICK_MS = 50
 _PAUSE_MS = 150
 _MS_PER_S = 1000
+_FORGOTTEN = "peer has lost the session"
 
 
 class PeerHandler(abc.ABC):
@@ -167,7 +168,8 @@
         if isinstance(link, str):
             now_ms = self._clock.now_ms()
             waited_ms = session.delivery.waited_ms(now_ms)
-            if session.links and waited_ms < now_ms - before_ms:
+            slow = waited_ms < now_ms - before_ms
+            if session.links and slow and link != _FORGOTTEN:
                 return
             self._lose(session, link)
             return
@@ -201,7 +203,7 @@
         except (OSError, framing.FrameError) as error:
             if sock is not None:
                 sock.close()
-            return f"dial failed: {error}"
+            return str(error)
 
     def _dial_ms(self, session: Session) -> float:
         if not session.is_up:
@@ -212,7 +214,7 @@
         if link.peer.instance != session.to.instance:
             raise framing.FrameError("another instance answered")
         if session.their_id and session.their_id != link.their_session:
-            raise framing.FrameError("peer has lost the session")
+            raise framing.FrameError(_FORGOTTEN)
 
     def _make_hello(self, session: Session) -> wire.Hello:
         mine = self._hello
--- /dev/null
+++ b/standins/callers.py
@@ -0,0 +1,123 @@
+"""Callers that stream answers and note when each part came."""
+
+import random
+import time
+from typing import Any
+
+import gevent
+
+from caroblug.entry._tokenizer import make_tokenizer
+from standins import reference
+from standins.site import MODEL, Site
+
+_WORDS = ("autumn", "comet", "dome", "eclipse", "galaxy", "meteor", "nebula")
+
+
+def make_prompt(generator: random.Random, words: int) -> str:
+    """Returns a prompt of `words` words."""
+    return " ".join(generator.choice(_WORDS) for _ in range(words))
+
+
+class Caller:
+    """One streamed completion.
+
+    Args:
+        site: Where it is asked.
+        entry: The entry that is asked.
+        account: The client account.
+        prompt: The prompt.
+        tokens: Tokens to generate.
+        seed: Seed of the sampling.
+
+    Attributes:
+        arrivals: Monotonic time in seconds of each part with text.
+        stream: The stream's name, once known.
+        refusal: The refusal, if one came.
+        broken: What ended the connection, if something did.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        entry: str,
+        account: str,
+        prompt: str,
+        tokens: int,
+        seed: int,
+    ) -> None:
+        self.prompt = prompt
+        self.tokens = tokens
+        self.seed = seed
+        self.arrivals: list[float] = []
+        self.stream = ""
+        self.refusal: dict[str, Any] | None = None
+        self.broken = ""
+        self._site = site
+        self._entry = entry
+        self._account = account
+        self._parts: list[str] = []
+        self._greenlet = gevent.spawn(self._run)
+
+    @property
+    def text(self) -> str:
+        """The text so far."""
+        return "".join(self._parts)
+
+    @property
+    def right(self) -> bool:
+        """Whether the text is the whole right answer."""
+        return self.text == self.expected()
+
+    def prompt_tokens(self) -> list[int]:
+        """Returns the prompt as the entry encodes it."""
+        model = self._site.bundle["models"][MODEL]
+        tokenizer = make_tokenizer(model["vocabulary"])
+        return tokenizer.encode(f"user: {self.prompt}")
+
+    def expected(self) -> str:
+        """Returns the right answer."""
+        model = self._site.bundle["models"][MODEL]
+        tokenizer = make_tokenizer(model["vocabulary"])
+        tokens = reference.expected_tokens(
+            self.prompt_tokens(),
+            self.tokens,
+            model["layers"],
+            model["vocabulary"],
+            self.seed,
+        )
+        return tokenizer.decode(tokens)
+
+    def wait_parts(self, count: int) -> None:
+        """Waits until `count` parts have come."""
+        self._site.wait_for(
+            lambda: len(self.arrivals) >= count or self._greenlet.ready(),
+            f"{count} parts of an answer",
+        )
+
+    def join(self) -> "Caller":
+        """Waits for the end of the answer."""
+        self._greenlet.join()
+        return self
+
+    def _run(self) -> None:
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": self.prompt}],
+            "max_tokens": self.tokens,
+            "seed": self.seed,
+        }
+        try:
+            for chunk in self._site.stream(self._entry, self._account, body):
+                self._take(chunk)
+        except Exception as error:
+            self.broken = repr(error)
+
+    def _take(self, chunk: dict[str, Any]) -> None:
+        if "error" in chunk:
+            self.refusal = chunk["error"]
+            return
+        self.stream = chunk["id"].partition("-")[2]
+        content = chunk["choices"][0]["delta"].get("content", "")
+        if content:
+            self.arrivals.append(time.monotonic())
+            self._parts.append(content)
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,161 @@
+"""A stand-in for what lies between two processes: a TCP relay.
+
+It reads the name of the process that dials from its hello, and can then cut,
+reset or silence what that process has open, or delay everything.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse
+import socket
+import struct
+from typing import Any
+
+import attrs
+import falcon
+import gevent
+from gevent import server
+
+from caroblug.gen.wire import ttypes as wire
+from caroblug.transport import _framing as framing
+from standins._serve import HOST, make_app, serve
+
+_RESET = struct.pack("ii", 1, 0)
+_ANYBODY = "*"
+
+
+@attrs.define(eq=False)
+class _Pair:
+    """A connection on both sides of the relay."""
+
+    name: str
+    near: socket.socket
+    far: socket.socket
+    silent: bool = False
+
+    def reset(self) -> None:
+        """Resets both ends."""
+        for sock in (self.near, self.far):
+            _reset(sock)
+
+
+class Relay:
+    """Passes bytes between those who dial and one target.
+
+    Args:
+        target: Port of the target on loopback.
+    """
+
+    def __init__(self, target: int) -> None:
+        self.target = target
+        self.delay_ms = 0.0
+        self.cut: set[str] = set()
+        self._pairs: list[_Pair] = []
+
+    def names(self) -> list[str]:
+        """Returns who has a connection open."""
+        return sorted({pair.name for pair in self._pairs})
+
+    def chosen(self, name: str) -> list[_Pair]:
+        """Returns the connections of one process or of all."""
+        return [p for p in self._pairs if name in (_ANYBODY, p.name)]
+
+    def accept(self, near: socket.socket, address: Any) -> None:
+        """Serves one connection."""
+        del address
+        received = framing.read_payload(near)
+        if received is None:
+            near.close()
+            return
+        name = framing.decode(wire.Hello, received[0]).instance
+        if name in self.cut or _ANYBODY in self.cut:
+            _reset(near)
+            return
+        far = socket.create_connection((HOST, self.target))
+        for sock in (near, far):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        pair = _Pair(name, near, far)
+        self._pairs.append(pair)
+        far.sendall(framing.pack_payload(*received))
+        back = gevent.spawn(self._pass, pair, far, near)
+        self._pass(pair, near, far)
+        back.join()
+        self._pairs.remove(pair)
+        near.close()
+        far.close()
+
+    def _pass(
+        self, pair: _Pair, source: socket.socket, sink: socket.socket
+    ) -> None:
+        try:
+            while True:
+                data = source.recv(1 << 16)
+                if pair.silent:
+                    gevent.sleep(3600)
+                if not data:
+                    break
+                if self.delay_ms:
+                    gevent.sleep(self.delay_ms / 1000)
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            pair.reset()
+
+
+def _reset(sock: socket.socket) -> None:
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    except OSError:
+        return
+    sock.close()
+
+
+class _Control:
+    """Orders from tests: `cut`, `heal`, `reset`, `silence`, `delay_ms`.
+
+    All but the last take the name of a process that dials, or `*`.
+    """
+
+    def __init__(self, relay: Relay) -> None:
+        self._relay = relay
+
+    def on_post(self, request: falcon.Request, response: falcon.Response):
+        body = request.get_media()
+        relay = self._relay
+        if "cut" in body:
+            relay.cut.add(body["cut"])
+        if "heal" in body:
+            relay.cut.discard(body["heal"])
+        for pair in relay.chosen(body.get("silence", "")):
+            pair.silent = True
+        for order in ("cut", "reset"):
+            for pair in relay.chosen(body.get(order, "")):
+                pair.reset()
+        if "delay_ms" in body:
+            relay.delay_ms = float(body["delay_ms"])
+        response.media = {}
+
+    def on_get(self, request: falcon.Request, response: falcon.Response):
+        del request
+        response.media = {"names": self._relay.names()}
+
+
+def main() -> None:
+    """Parses the command line and serves."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--listen", type=int, required=True)
+    parser.add_argument("--target", type=int, required=True)
+    options = parser.parse_args()
+    relay = Relay(options.target)
+    listener = server.StreamServer((HOST, options.listen), relay.accept)
+    listener.start()
+    app = make_app()
+    app.add_route("/control", _Control(relay))
+    serve(app, options.port)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/site.py
+++ b/standins/site.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 import attrs
+import gevent
 import geventhttpclient
 import orjson
 import tomli_w
@@ -75,6 +76,7 @@
     http_port: int
     peer_port: int = 0
     data_centre: str = ""
+    command: tuple[str, ...] = ()
 
     def signal(self, number: int) -> None:
         """Sends a signal to the process."""
@@ -331,7 +333,7 @@
         while not condition():
             if time.monotonic() > end:
                 raise TimeoutError(f"gave up waiting for {what}")
-            time.sleep(_POLL_S)
+            gevent.sleep(_POLL_S)
 
     def stop(self, name: str) -> int:
         """Stops a process by SIGTERM and returns its exit code."""
@@ -339,6 +341,17 @@
         process.signal(signal.SIGTERM)
         return process.popen.wait(_READY_S)
 
+    def restart(self, name: str) -> int:
+        """Stops a process by SIGTERM and starts it again.
+
+        Returns:
+            The exit code of the process that was stopped.
+        """
+        code = self.stop(name)
+        process = self.processes[name]
+        self._spawn(process, list(process.command))
+        return code
+
     def close(self) -> None:
         """Ends every process."""
         running = [p for p in self.processes.values() if p.popen.poll() is None]
@@ -378,6 +391,11 @@
         settings: dict[str, Any],
     ) -> RunningProcess:
         peer_port, http_port = self.ports.take(), self.ports.take()
+        settings = dict(settings)
+        reach_port = peer_port
+        if settings.pop("relay", False):
+            reach_port = self._start_relay(name, peer_port)
+            settings["advertised_port"] = reach_port
         table = {
             "instance": name,
             "data_centre": data_centre,
@@ -399,17 +417,26 @@
             str(path),
         ]
         process = RunningProcess(
-            name, role, None, http_port, peer_port, data_centre
+            name, role, None, http_port, reach_port, data_centre
         )
         self._spawn(process, command)
         self.list_instance(name)
         return process
 
+    def _start_relay(self, name: str, target: int) -> int:
+        """Puts a relay before a program; returns the port to reach it by."""
+        port, listen = self.ports.take(), self.ports.take()
+        options = (f"--listen={listen}", f"--target={target}")
+        self._standin(f"relay-{name}", "relay", port, options)
+        self.wait_http(port, "/control")
+        return listen
+
     def _spawn(self, process: RunningProcess, command: list[str]) -> None:
         with open(self.folder / f"{process.name}.log", "ab") as output:
             process.popen = subprocess.Popen(
                 command, stdout=output, stderr=subprocess.STDOUT
             )
+        process.command = tuple(command)
         self.processes[process.name] = process
 
 
--- /dev/null
+++ b/standins/tests/test_recovery.py
@@ -0,0 +1,253 @@
+"""Faults of stages, links and entries over real processes."""
+
+import signal
+
+import pytest
+
+from standins.callers import Caller
+from standins.site import EngineSpec, EntrySpec, make_site
+
+_ACCOUNT = "school-1"
+_TOKENS = 300
+_BEFORE_FAULT = 20
+_BOUNDS = ((0, 12), (12, 24))
+_PROMPT = "two planets rise over the autumn dome"
+
+
+def _start(site, relays=()):
+    site.start_platform()
+    site.add_account(_ACCOUNT, streams=100)
+    site.publish()
+    for place in ("a", "b"):
+        for number, (first, end) in enumerate(_BOUNDS):
+            name = f"{place}-{number}"
+            site.start_engine(
+                EngineSpec(
+                    name=name,
+                    data_centre=f"muscat-{place}",
+                    first_layer=first,
+                    end_layer=end,
+                    side={"relay": name in relays, "drain_ms": 4000},
+                )
+            )
+    site.start_entry(EntrySpec(name="entry-a", data_centre="muscat-a"))
+    site.wait_ready()
+
+
+@pytest.fixture(scope="module")
+def site():
+    with make_site() as running:
+        _start(running, relays=("a-0", "a-1"))
+        yield running
+
+
+@pytest.fixture(autouse=True)
+def _whole(site):
+    """Begins with every side known, ends with no stream kept anywhere."""
+    for name in ("side-a-0", "side-a-1", "side-b-0", "side-b-1"):
+        process = site.processes[name]
+        if process.popen.poll() is not None:
+            site.restart(name)
+    site.wait_ready()
+    yield
+    site.wait_for(
+        lambda: all(
+            site.metric(name, "caroblug_streams") == 0
+            for name, process in site.processes.items()
+            if process.role == "side" and process.popen.poll() is None
+        ),
+        "the end of every stream",
+    )
+    assert _repeated(site) == 0
+
+
+def _ask(site, seed, tokens=_TOKENS, entry="entry-a"):
+    return Caller(site, entry, _ACCOUNT, _PROMPT, tokens, seed)
+
+
+def _opened(site):
+    return {
+        name: site.metric(name, "caroblug_streams_opened_total")
+        for name in site.processes
+        if name.startswith("side-")
+    }
+
+
+def _begin(site, seed, tokens=_TOKENS):
+    """Returns a caller whose tokens flow, and the sides of its chain."""
+    before = _opened(site)
+    caller = _ask(site, seed, tokens)
+    caller.wait_parts(_BEFORE_FAULT)
+    now = _opened(site)
+    used = sorted(
+        (name for name in now if now[name] > before[name]),
+        key=lambda name: name[-1],
+    )
+    assert len(used) == len(_BOUNDS)
+    return caller, used
+
+
+def _engine(side):
+    return side.replace("side", "engine")
+
+
+def _layers_run(site, side):
+    return site.observe(_engine(side))["layers_run"]
+
+
+def _repeated(site):
+    return sum(
+        site.observe(name)["repeated"]
+        for name, process in site.processes.items()
+        if process.role == "engine"
+    )
+
+
+def _recovered(site):
+    return site.metric("entry-a", "caroblug_streams_recovered_total")
+
+
+def test_crash_of_a_stage_runs_nothing_twice(site):
+    """A caller waits while layers that still live run again.
+
+    The last stage's side process is killed; the first stage feeds the
+    replacement from its journal, and its engine runs each position once.
+    """
+    before = {s: _layers_run(site, s) for s in _opened(site)}
+    caller, (first, last) = _begin(site, 11)
+    site.processes[last].kill()
+    assert caller.join().right
+    layers = 12 * (len(caller.prompt_tokens()) + _TOKENS - 1)
+    assert _layers_run(site, first) - before[first] == layers
+
+
+def test_frozen_stage_is_replaced_and_wakes_harmlessly(site):
+    """A caller's stream hangs although every connection is open.
+
+    A side process is stopped, so that its kernel still accepts; it answers
+    on no connection and is replaced. Awake again it holds an old attempt,
+    which its peers refuse and which it then forgets.
+    """
+    caller, (_, last) = _begin(site, 12)
+    site.processes[last].signal(signal.SIGSTOP)
+    assert caller.join().right
+    site.processes[last].signal(signal.SIGCONT)
+    site.wait_for(
+        lambda: site.metric(last, "caroblug_streams") == 0,
+        "the old attempt's end",
+    )
+    site.wait_ready()
+    assert _ask(site, 13, 30).join().right
+
+
+def test_hung_engine_is_found_by_its_side(site):
+    """A caller's stream hangs while every side process answers.
+
+    An engine hangs behind a side process that lives; the side takes it for
+    lost, tells the entry, and offers the engine again once it answers.
+    """
+    caller, (first, _) = _begin(site, 14)
+    site.control(_engine(first), {"hang": True})
+    assert caller.join().right
+    site.control(_engine(first), {"hang": False})
+    site.wait_http(site.processes[first].http_port, "/readyz")
+
+
+def test_cut_link_between_two_sides(site):
+    """A caller's stream hangs while the entry reaches every stage.
+
+    The link between two sides is cut; only they notice. The side that sends
+    tells the entry, and the stage it can't reach is replaced.
+    """
+    caller, used = _begin(site, 15)
+    assert used == ["side-a-0", "side-a-1"]
+    site.control("relay-side-a-1", {"cut": "side-a-0"})
+    site.control("relay-side-a-0", {"cut": "side-a-1"})
+    assert caller.join().right
+    site.control("relay-side-a-1", {"heal": "side-a-0"})
+    site.control("relay-side-a-0", {"heal": "side-a-1"})
+    assert _repeated(site) == 0
+
+
+@pytest.mark.parametrize("order", ["silence", "reset"])
+def test_lost_connections_disturb_nothing(site, order):
+    """A caller's stream is moved although all of its stages live.
+
+    Every connection through two relays goes silent for good, or is reset,
+    while new ones work; what was lost is sent again on a new connection,
+    and no stream needs another attempt.
+    """
+    recovered = _recovered(site)
+    caller, _ = _begin(site, 16)
+    for relay in ("relay-side-a-0", "relay-side-a-1"):
+        site.control(relay, {order: "*"})
+    assert caller.join().right
+    assert _recovered(site) == recovered
+
+
+def test_two_faults_at_once(site):
+    """A caller's stream hangs for good after a second fault.
+
+    One stage is killed and the other frozen at the same moment: no stage
+    lives on, and a whole new chain runs the prompt again.
+    """
+    caller, (first, last) = _begin(site, 17)
+    site.processes[first].signal(signal.SIGSTOP)
+    site.processes[last].kill()
+    assert caller.join().right
+    site.processes[first].signal(signal.SIGCONT)
+
+
+def test_streams_of_a_dead_entry_end(site):
+    """Engines go on for callers who are gone.
+
+    An entry is killed with a stream running; its sides lose the connection
+    and forget the stream.
+    """
+    site.start_entry(EntrySpec(name="entry-b", data_centre="muscat-b"))
+    site.wait_ready()
+    caller = _ask(site, 18, 5000, entry="entry-b")
+    caller.wait_parts(_BEFORE_FAULT)
+    site.processes.pop("entry-b").kill()
+    site.wait_for(
+        lambda: all(
+            site.metric(name, "caroblug_streams") == 0 for name in _opened(site)
+        ),
+        "the end of the dead entry's streams",
+    )
+    assert not caller.join().right
+
+
+def test_leaving_side_hands_its_streams_on(site):
+    """A caller's stream is cut short by a restart.
+
+    A side process is told to stop and its drain is shorter than a stream;
+    before it ends, another stage takes over, fed from the journal.
+    """
+    caller, (_, last) = _begin(site, 19, 1500)
+    assert site.stop(last) == 0
+    assert caller.join().right
+    assert site.metric("entry-a", "caroblug_streams_handed_on_total") >= 1
+
+
+def test_listed_as_leaving_gets_nothing_new(site):
+    """A stream is opened on an instance that is about to vanish.
+
+    The platform lists an instance as leaving; its side does not know, and
+    goes on to report itself. The entry believes the list.
+    """
+    caller, (first, _) = _begin(site, 20, 30)
+    caller.join()
+    site.list_instance(first, "leaving")
+    site.wait_for(
+        lambda: site.metric("entry-a", "caroblug_listed_leaving") == 1,
+        "the list's change",
+    )
+    before = _opened(site)[first]
+    assert _ask(site, 21, 30).join().right
+    assert _opened(site)[first] == before
+    site.list_instance(first)
+    site.wait_for(
+        lambda: site.metric("entry-a", "caroblug_listed_leaving") == 0,
+        "the list's change",
+    )
