--- a/caroblug/entry/_chains.py
+++ b/caroblug/entry/_chains.py
@@ -4,9 +4,17 @@
 
 import attrs
 
-from caroblug.core.routing import Chain, ChainChooser, EngineView, Stage
+from caroblug.core.routing import (
+    Chain,
+    ChainChooser,
+    EngineView,
+    LatencyTable,
+    Stage,
+    check_deadline,
+)
 from caroblug.entry._directory import Directory
-from caroblug.utils import Clock
+from caroblug.entry._stream_request import StreamRequest
+from caroblug.utils import Clock, Ran, RefusalType, Refused
 
 _BROKEN_MS = 5000
 _CHOICES = 4
@@ -18,6 +26,7 @@
     Args:
         directory: What is known of the engines.
         chooser: Chooses whole chains.
+        latencies: Latencies between data centres.
         clock: Source of time.
         data_centre: Where this entry runs.
     """
@@ -26,11 +35,13 @@
         self,
         directory: Directory,
         chooser: ChainChooser,
+        latencies: LatencyTable,
         clock: Clock,
         data_centre: str,
     ) -> None:
         self._directory = directory
         self._chooser = chooser
+        self._latencies = latencies
         self._clock = clock
         self._data_centre = data_centre
         self._broken: dict[tuple[str, str], int] = {}
@@ -62,19 +73,23 @@
         }
 
     def pick(
-        self, model: str, layers: int, excluded: Collection[str]
+        self, request: StreamRequest, excluded: Collection[str]
     ) -> Chain | None:
         """Returns a whole chain, or None if there is none.
 
         A chain over a broken link is better than none: the link may have
         healed.
         """
-        engines = self._directory.engines(model)
+        engines = self._directory.engines(request.model)
         avoided = set(excluded)
 
         def _choose(*also: str) -> Chain | None:
             return self._chooser.choose(
-                engines, layers, self._data_centre, avoided | set(also)
+                engines,
+                request.layers,
+                self._data_centre,
+                avoided | set(also),
+                request.prompt,
             )
 
         first = chain = _choose()
@@ -90,6 +105,29 @@
             chain = chain or _choose()
         return first
 
+    def refuse_late(
+        self, chain: Chain, request: StreamRequest
+    ) -> Refused | None:
+        """Refuses a new request whose deadline can't be met."""
+        views = self._directory.views(chain)
+        if len(views) < len(chain.stages):
+            return None
+        late = check_deadline(
+            views,
+            self._latencies,
+            len(request.prompt),
+            request.max_tokens,
+            request.deadline_ms,
+        )
+        if late is None:
+            return None
+        return Refused(
+            RefusalType.DEADLINE_EXCEEDED,
+            "the deadline can't be met at the present load",
+            Ran.NO,
+            late.retry_after_ms,
+        )
+
     def replace(
         self, chain: Chain, model: str, excluded: Collection[str]
     ) -> Chain | None:
--- a/caroblug/entry/_completions.py
+++ b/caroblug/entry/_completions.py
@@ -3,11 +3,12 @@
 from collections.abc import Iterator
 from typing import Any
 
+import attrs
 import falcon
 import orjson
 
-from caroblug.core.limits import Admission
 from caroblug.core.state import Bundle
+from caroblug.entry._admission import Permit, StreamAdmission
 from caroblug.entry._door import Door
 from caroblug.entry._feed import Feed
 from caroblug.entry._refusals import refusal_body, write_refusal
@@ -16,15 +17,28 @@
     make_stream_request,
     parse_completion,
 )
-from caroblug.entry._shapes import ChatShape, Shape, TextShape
+from caroblug.entry._shapes import (
+    ChatShape,
+    Shape,
+    TextShape,
+    make_chunk_template,
+)
 from caroblug.entry._streams import EntryStreams, RunningStream
 from caroblug.entry._tokenizer import Tokenizer, make_tokenizer
-from caroblug.utils import Clock, Metrics, Refused
+from caroblug.utils import CALLERS_OWN, Clock, Metrics, Refused
 
 _SSE_TYPE = "text/event-stream"
 _SSE_DONE = b"data: [DONE]\n\n"
 
 
+@attrs.frozen
+class _Asked:
+    """A request body that was read and parsed."""
+
+    completion: Completion
+    body_bytes: int
+
+
 class Completions:
     """`POST /v1/chat/completions` and `POST /v1/completions`."""
 
@@ -32,7 +46,7 @@
         self,
         door: Door,
         streams: EntryStreams,
-        admission: Admission,
+        admission: StreamAdmission,
         clock: Clock,
         metrics: Metrics,
         *,
@@ -56,17 +70,21 @@
             return
         head, account = entered
         group = head.bundle.client_accounts[account].group
-        begun = self._begin(request, head.bundle, account)
+        asked = self._read(request, head.bundle)
+        if isinstance(asked, Refused):
+            self._refuse(response, asked, group)
+            return
+        completion = asked.completion
+        begun = self._begin(asked, head.bundle, account)
         if isinstance(begun, Refused):
             self._refuse(response, begun, group)
+            self._count_refused(completion, head.bundle, account, begun)
             return
-        completion, stream = begun
+        stream, permit = begun
         tokenizer = make_tokenizer(
             head.bundle.models[completion.model].vocabulary
         )
-        feed = Feed(
-            stream, self._streams, self._admission, self._clock, self._metrics
-        )
+        feed = Feed(stream, self._streams, permit, self._clock, self._metrics)
         feed.begin(since_ms, group)
         if completion.stream:
             response.content_type = _SSE_TYPE
@@ -74,27 +92,35 @@
             return
         self._answer_whole(response, feed, tokenizer, group)
 
-    def _begin(
-        self, request: falcon.Request, bundle: Bundle, account: str
-    ) -> tuple[Completion, RunningStream] | Refused:
-        body = self._door.read_body(request, bundle)
+    def _read(
+        self, request: falcon.Request, bundle: Bundle
+    ) -> _Asked | Refused:
+        body = self._door.read_body(request, bundle.limits.body_bytes)
         if isinstance(body, Refused):
             return body
         completion = parse_completion(body)
         if isinstance(completion, Refused):
             return completion
-        wanted = make_stream_request(completion, bundle, account)
+        return _Asked(completion, len(body))
+
+    def _begin(
+        self, asked: _Asked, bundle: Bundle, account: str
+    ) -> tuple[RunningStream, Permit] | Refused:
+        wanted = make_stream_request(
+            asked.completion, bundle, account, asked.body_bytes
+        )
         if isinstance(wanted, Refused):
             return wanted
-        allowed = bundle.client_accounts[account].streams
-        refused = self._admission.admit(account, allowed)
-        if refused is not None:
-            return refused
-        stream = self._streams.start(wanted)
+        permit = self._admission.admit(wanted, bundle)
+        if isinstance(permit, Refused):
+            return permit
+        stream = self._streams.start(permit.request)
         if isinstance(stream, Refused):
-            self._admission.release(account)
+            permit.close(generated=0)
             return stream
-        return completion, stream
+        stream.on_end = lambda: permit.close(stream.tokens.generated)
+        self._admission.on_open(stream.chain.instances)
+        return stream, permit
 
     def _answer_whole(
         self,
@@ -111,6 +137,25 @@
             tokens.extend(part)
         response.media = self._shape.whole(feed.stream, tokenizer, tokens)
 
+    def _count_refused(
+        self,
+        completion: Completion,
+        bundle: Bundle,
+        account: str,
+        refused: Refused,
+    ) -> None:
+        """Counts a request refused at the door under its model."""
+        if completion.model not in bundle.models:
+            return
+        self._metrics.count(
+            "requests",
+            service=completion.model,
+            group=bundle.client_accounts[account].group,
+            outcome=refused.type.value,
+        )
+        if refused.type not in CALLERS_OWN:
+            self._metrics.count_bad(account)
+
     def _refuse(
         self, response: falcon.Response, refused: Refused, group: str
     ) -> None:
@@ -140,12 +185,13 @@
         self._feed.close()
 
     def _make_events(self) -> Iterator[bytes]:
+        template = make_chunk_template(self._shape, self._feed.stream)
+        decode = self._tokenizer.decode
         for part in self._feed:
             if isinstance(part, Refused):
                 yield _event(refusal_body(part))
                 return
-            text = self._tokenizer.decode(part)
-            yield _event(self._shape.chunk(self._feed.stream, text))
+            yield template.event(decode(part))
         yield _event(self._shape.chunk(self._feed.stream, "", "length"))
         yield _SSE_DONE
 
--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -1,15 +1,20 @@
 """The entry program: wires its parts together."""
 
+import random
+from collections.abc import Sequence
+
 import falcon
 import gevent
 
-from caroblug.core.limits import Admission, RetryBudget, RetryRule
-from caroblug.core.routing import ShortestWaitChooser
-from caroblug.core.state import BundleFold, Head
+from caroblug.core.limits import RetryBudget, RetryRule
+from caroblug.core.routing import LatencyTable, make_chooser
+from caroblug.core.state import Head
 from caroblug.entry._api import make_app
 from caroblug.entry._chains import ChainPicker
 from caroblug.entry._directory import Directory
 from caroblug.entry._door import Door
+from caroblug.entry._limits import EntryLimits
+from caroblug.entry._links import LinkProber
 from caroblug.entry._plain import PlainClient
 from caroblug.entry._settings import EntrySettings
 from caroblug.entry._streams import (
@@ -17,19 +22,21 @@
     RecoveryPolicy,
     RecoveryWay,
 )
+from caroblug.entry._subset import Subset
 from caroblug.gen.wire import ttypes as wire
 from caroblug.node import (
-    BundleFollower,
     Lifetime,
     NodeHttp,
     add_node_routes,
+    add_status_route,
+    make_fleet,
 )
 from caroblug.transport import (
+    InstanceRecord,
     InstancesUnavailable,
     PeerAddress,
     PeerHandler,
     make_instance_list,
-    make_log_service,
     make_peer_network,
 )
 from caroblug.utils import (
@@ -65,19 +72,30 @@
                 host=settings.reach_host,
                 port=settings.reach_port,
             ),
-            settings.shared_key.encode(),
+            settings.shared_keys[0].encode(),
             self,
             self._clock,
             self.metrics,
             settings.make_timing(),
         )
-        self.bundles = BundleFollower(
-            make_log_service(settings.log.host, settings.log.port),
-            BundleFold(settings.operators, settings.signatures),
+        self.fleet = make_fleet(
+            settings,
+            "entry",
+            self.network,
+            self._clock,
             self.metrics,
             self._on_head,
         )
+        self.latencies = LatencyTable()
+        self.prober = LinkProber(
+            settings.data_centre, self.network, self.latencies, self._clock
+        )
+        self.subset = Subset(settings.instance, settings.subset)
+        self.bundles = self.fleet.bundles
         self.directory = Directory(self._clock, settings.report_age_ms)
+        self.limits = EntryLimits(
+            settings, self.network, self.bundles, self._clock, self.metrics
+        )
         self.streams = EntryStreams(
             wire.StageRef(
                 settings.instance,
@@ -90,13 +108,15 @@
             self.directory,
             ChainPicker(
                 self.directory,
-                ShortestWaitChooser(),
+                make_chooser(settings.chooser, random.Random(), self.latencies),
+                self.latencies,
                 self._clock,
                 settings.data_centre,
             ),
             self._clock,
             self.metrics,
             _make_policy(settings),
+            self.limits.suspects,
         )
         self.plain = PlainClient(self.network, self.directory, self.metrics)
         self._instances = make_instance_list(
@@ -115,19 +135,25 @@
         self.network.start(settings.host, settings.peer_port)
         http = NodeHttp(settings.host, settings.http_port, self._make_app())
         http.start()
-        gevent.spawn(self.bundles.run)
+        self.fleet.start(self.lifetime.leave)
         gevent.spawn(self._follow_instances)
+        gevent.spawn(self._probe_links)
+        self.limits.start()
         log_state("program.started", port=settings.http_port)
         self.lifetime.wait(lambda: None, self._busy)
         http.stop()
         self.network.stop()
 
     def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
-        """Takes a frame from a side process."""
-        del peer
+        """Takes a frame from a side process or another entry."""
+        self.fleet.on_frame(peer, frame)
+        self.limits.on_frame(peer, frame)
         for report in frame.reports or ():
             self.directory.on_report(report)
+            self.subset.on_report(report)
             self.metrics.gauge("known_sides", len(self.directory))
+        for probe in frame.probes or ():
+            self.prober.on_probe(peer, probe)
         for token in frame.tokens or ():
             self.streams.on_token(token)
         for refusal in frame.refusals or ():
@@ -137,11 +163,14 @@
 
     def on_peer_up(self, peer: PeerAddress) -> None:
         """Waits for the peer's first report."""
+        self.fleet.on_peer_up(peer)
 
     def on_peer_lost(self, peer: PeerAddress, reason: str) -> None:
         """Recovers what ran at the peer."""
         del reason
+        self.fleet.on_peer_lost(peer)
         self.directory.forget(peer.instance)
+        self.limits.on_peer_lost(peer.instance)
         self.metrics.gauge("known_sides", len(self.directory))
         self.streams.on_peer_lost(peer.instance)
         self.plain.on_peer_lost(peer.instance)
@@ -151,11 +180,17 @@
             Door(self.bundles, self.lifetime),
             self.streams,
             self.plain,
-            Admission(self.settings.streams),
+            self.limits.admission,
             self._clock,
             self.metrics,
         )
         add_node_routes(app, self.metrics, lambda: self.ready)
+        add_status_route(
+            app,
+            lambda: self.fleet.status(
+                self.ready, len(self.streams) + len(self.plain)
+            ),
+        )
         return app
 
     def _busy(self) -> bool:
@@ -173,18 +208,31 @@
                 leaving = {r.instance for r in listed if r.leaving}
                 self.directory.on_listed(leaving)
                 self.metrics.gauge("listed_leaving", len(leaving))
-                for record in listed:
-                    if record.role == _SIDE_ROLE and not record.leaving:
-                        self._connect(
-                            PeerAddress(
-                                record.instance, record.host, record.port
-                            )
-                        )
+                self.limits.on_listed(listed)
+                self._connect_subset(listed)
             gevent.sleep(self.settings.instances_ms / 1000)
 
-    def _connect(self, peer: PeerAddress) -> None:
-        if not self.network.is_connected(peer.instance):
-            self.network.send(peer)
+    def _connect_subset(self, listed: Sequence[InstanceRecord]) -> None:
+        live = {
+            record.instance: record
+            for record in listed
+            if record.role == _SIDE_ROLE and not record.leaving
+        }
+        wanted = self.subset.wanted(live)
+        for instance in sorted(wanted):
+            record = live[instance]
+            if not self.network.is_connected(instance):
+                self.network.send(
+                    PeerAddress(instance, record.host, record.port)
+                )
+        for instance in live.keys() - wanted:
+            if not self.directory.own_streams(instance):
+                self.network.disconnect(instance)
+
+    def _probe_links(self) -> None:
+        while True:
+            gevent.sleep(self.settings.probe_ms / 1000)
+            self.prober.probe()
 
 
 def _make_policy(settings: EntrySettings) -> RecoveryPolicy:
--- a/caroblug/entry/_streams.py
+++ b/caroblug/entry/_streams.py
@@ -2,6 +2,7 @@
 
 import enum
 import secrets
+from collections.abc import Callable
 
 import attrs
 from gevent import queue
@@ -11,6 +12,8 @@
 from caroblug.core.routing import Chain
 from caroblug.entry._chains import ChainPicker
 from caroblug.entry._directory import Directory
+from caroblug.entry._stream_request import StreamRequest
+from caroblug.entry._suspects import SuspectClient
 from caroblug.gen.wire import ttypes as wire
 from caroblug.transport import PeerAddress, PeerNetwork
 from caroblug.utils import (
@@ -24,31 +27,12 @@
 
 _STREAM_BYTES = 8
 _RETRY_AFTER_MS = 1000
-
-
-@attrs.frozen(kw_only=True)
-class StreamRequest:
-    """A completion that was admitted.
-
-    Attributes:
-        client_account: Whose request it is.
-        weight: The account's share relative to others.
-        model: The model.
-        layers: Its number of layers.
-        prompt: The prompt's tokens.
-        max_tokens: Tokens to generate.
-        deadline_ms: How long it may take.
-        seed: Seed of the sampling.
-    """
-
-    client_account: str
-    weight: float
-    model: str
-    layers: int
-    prompt: list[int]
-    max_tokens: int
-    deadline_ms: int
-    seed: int
+_UNREAD = Refused(
+    RefusalType.LIMIT_REACHED,
+    "the caller does not read its answer",
+    Ran.YES,
+    _RETRY_AFTER_MS,
+)
 
 
 class RunningStream:
@@ -73,12 +57,17 @@
         self.excluded: set[str] = set()
         self.failures = 0
         self.output: queue.Queue = queue.Queue()
+        self.on_end: Callable[[], None] = _nothing
 
     def rename(self) -> None:
         """Takes the next name at the stages."""
         self.wire_name = f"{self.name}-{self.tokens.attempt}"
 
 
+def _nothing() -> None:
+    """Does nothing."""
+
+
 class RecoveryWay(enum.StrEnum):
     """What is tried first when a stage is lost."""
 
@@ -112,6 +101,7 @@
         clock: Source of time.
         metrics: Where attempts are counted.
         policy: How streams are recovered.
+        suspects: What is known of requests that crash engines.
     """
 
     def __init__(
@@ -123,6 +113,7 @@
         clock: Clock,
         metrics: Metrics,
         policy: RecoveryPolicy,
+        suspects: SuspectClient,
     ) -> None:
         self._own = own
         self._network = network
@@ -131,6 +122,7 @@
         self._clock = clock
         self._metrics = metrics
         self._policy = policy
+        self._suspects = suspects
         self._streams: dict[str, RunningStream] = {}
 
     def __len__(self) -> int:
@@ -141,17 +133,27 @@
         name = secrets.token_hex(_STREAM_BYTES)
         end_ms = self._clock.now_ms() + request.deadline_ms
         stream = RunningStream(name, request, end_ms)
-        chain = self._picker.pick(request.model, request.layers, ())
-        if chain is None:
-            return _no_chain(Ran.NO)
+        chain = self._begin(request)
+        if isinstance(chain, Refused):
+            return chain
         self._streams[name] = stream
         self._open(stream, chain)
         return stream
 
+    def _begin(self, request: StreamRequest) -> Chain | Refused:
+        quarantined = self._suspects.refusal(request.fingerprint, Ran.NO)
+        if quarantined is not None:
+            return quarantined
+        chain = self._picker.pick(request, ())
+        if chain is None:
+            return _no_chain(Ran.NO)
+        return self._picker.refuse_late(chain, request) or chain
+
     def end(self, stream: RunningStream) -> None:
         """Ends a stream at every stage; ending it twice does nothing."""
         if self._streams.pop(stream.wire_name, None) is None:
             return
+        stream.on_end()
         self._use(stream, None)
         if stream.tokens.complete:
             self._policy.budget.on_success(stream.request.client_account)
@@ -164,9 +166,13 @@
         released = stream.tokens.on_token(token.position, token.token)
         if released:
             stream.output.put(released)
+            length = token.position + 1
+            self._suspects.on_progress(stream.request.fingerprint, length)
         if stream.tokens.complete:
             stream.output.put(None)
             self.end(stream)
+        elif stream.output.qsize() > stream.request.unread_tokens:
+            self._give_up(stream, _UNREAD)
 
     def on_refusal(self, refusal: wire.StageRefusal) -> None:
         """Takes a stage's refusal; an older attempt's is dropped.
@@ -230,10 +236,7 @@
                 stream.chain, stream.request.model, stream.excluded
             )
         if chain is None:
-            request = stream.request
-            chain = self._picker.pick(
-                request.model, request.layers, stream.excluded
-            )
+            chain = self._picker.pick(stream.request, stream.excluded)
         if chain is None:
             self._give_up(stream, _no_chain(Ran.UNKNOWN))
             return
@@ -245,6 +248,11 @@
 
         The caller gets its final answer at once, with when to come back.
         """
+        quarantined = self._suspects.refusal(
+            stream.request.fingerprint, Ran.UNKNOWN
+        )
+        if quarantined is not None:
+            return quarantined
         stream.failures += 1
         if stream.failures >= self._policy.attempts:
             return Refused(
@@ -313,6 +321,8 @@
             seed=request.seed,
             entry=self._own,
             weight=request.weight,
+            fingerprint=request.fingerprint,
+            alone_until=self._suspects.alone_until(request.fingerprint),
         )
 
     def _use(self, stream: RunningStream, chain: Chain | None) -> None:
--- a/caroblug/side/_pump.py
+++ b/caroblug/side/_pump.py
@@ -1,13 +1,20 @@
-"""Feeds one engine: fair order, full batches, one unit per stream."""
+"""Feeds one engine: fair order, bounded batches, one unit per stream."""
 
 import collections
-from collections.abc import Callable, Sequence
+import sys
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 import gevent
 from gevent import event
 
-from caroblug.core.limits import FairQueue
+from caroblug.core.limits import (
+    AccountWeights,
+    ItemQueue,
+    SoloQueue,
+    Turn,
+    make_queue,
+)
 from caroblug.transport import (
     EngineClient,
     EngineFailed,
@@ -16,14 +23,21 @@
 )
 from caroblug.utils import Clock, Metrics
 
+NEVER_MS = sys.maxsize
+
+_CHUNKS_PER_BATCH = 4
+_BATCHES_AHEAD = 2
+
 
-@attrs.frozen
+@attrs.define
 class _Waiting:
     item: EngineItem
     client_account: str
     cost: float
     weight: float
     since_ms: int
+    end_ms: int
+    alone: bool
 
 
 class EnginePump:
@@ -34,9 +48,11 @@
         clock: Source of time.
         metrics: Where waits and batches are recorded.
         on_results: Called with the results of a batch.
-        on_failed: Called with the sessions of a batch that had no answer.
+        on_failed: Called when a batch had no answer, with every session in
+            the engine and one past its last position there.
         batch: Positions in one batch.
-        batches: Batches in the engine at once.
+        batches: Calls to the engine at once.
+        queue: Kind of queue, one of `QUEUE_KINDS`.
     """
 
     def __init__(
@@ -45,70 +61,138 @@
         clock: Clock,
         metrics: Metrics,
         on_results: Callable[[Sequence[EngineResult]], None],
-        on_failed: Callable[[Sequence[str], str], None],
+        on_failed: Callable[[Mapping[str, int], EngineFailed], None],
         batch: int,
         batches: int,
+        queue: str,
     ) -> None:
         self.batch = batch
         self.batches = batches
         self._engine = engine
         self._clock = clock
         self._metrics = metrics
+        self._record_wait_ms = metrics.recorder("queue_wait")
         self._on_results = on_results
         self._on_failed = on_failed
-        self._queue: FairQueue[_Waiting] = FairQueue()
+        self._queue: ItemQueue[_Waiting] = make_queue(queue)
+        self._suspects: SoloQueue[_Waiting] = SoloQueue()
+        self._weights = AccountWeights()
+        self._in_engine: dict[str, int] = {}
         self._held: dict[str, collections.deque[_Waiting]] = {}
         self._ended: list[str] = []
         self._dropped: set[str] = set()
         self._wake = event.Event()
         self._running = 0
+        self._positions_waiting = 0
+        self._positions_running = 0
 
     @property
     def waiting(self) -> int:
         """Items that wait."""
-        return len(self._queue) + sum(len(h) for h in self._held.values())
+        queued = len(self._queue) + len(self._suspects)
+        return queued + sum(len(h) for h in self._held.values())
 
     @property
     def running(self) -> int:
         """Items in the engine."""
         return self._running
 
+    @property
+    def backlog(self) -> int:
+        """Positions that wait or are in the engine."""
+        return self._positions_waiting + self._positions_running
+
+    @property
+    def chunk(self) -> int:
+        """Positions of one stream that go to the engine at once."""
+        return max(1, self.batch // _CHUNKS_PER_BATCH)
+
+    @property
+    def in_engine(self) -> Mapping[str, int]:
+        """Sessions in the engine, with one past their last position there."""
+        return dict(self._in_engine)
+
+    @property
+    def client_accounts(self) -> int:
+        """Accounts with streams here."""
+        return len(self._weights)
+
     def start(self) -> None:
-        """Starts one greenlet for each batch that may be in the engine."""
+        """Starts one greenlet for each call that may be under way."""
         for _ in range(self.batches):
             gevent.spawn(self._work)
 
     def submit(
-        self, client_account: str, item: EngineItem, cost: float, weight: float
+        self,
+        client_account: str,
+        item: EngineItem,
+        cost: float,
+        weight: float,
+        end_ms: int = NEVER_MS,
+        *,
+        alone: bool = False,
     ) -> None:
-        """Queues an item.
+        """Queues an item, a long one in chunks.
 
         Guards against two units of one stream in the engine at once, which
         could be run out of order: a stream's next unit is held until the one
-        before it has been answered.
+        before it has been answered. Guards also against a long prompt that
+        would hold up every other stream's next token for its whole prefill:
+        between two chunks the others have their turn.
+
+        Args:
+            client_account: Whose item it is.
+            item: The item.
+            cost: Its cost in weighted tokens, > 0.
+            weight: Weight of one of the account's streams, > 0.
+            end_ms: Time after which it is of no use.
+            alone: Whether nothing else may be in the engine with it.
         """
-        waiting = _Waiting(
-            item, client_account, cost, weight, self._clock.now_ms()
+        account_weight = self._weights.on_stream(
+            client_account, item.session, weight
         )
-        held = self._held.get(item.session)
-        if held is not None:
-            held.append(waiting)
-            return
-        self._held[item.session] = collections.deque()
-        self._enqueue(waiting)
+        length = len(item.inputs)
+        self._positions_waiting += length
+        now_ms = self._clock.now_ms()
+        for part in _parts_of(item, self.chunk):
+            self._hold(
+                _Waiting(
+                    part,
+                    client_account,
+                    cost * len(part.inputs) / length,
+                    account_weight,
+                    now_ms,
+                    end_ms,
+                    alone,
+                )
+            )
 
     def end(self, session: str) -> None:
         """Drops what waits of a stream and lets the engine free its cache."""
-        if session in self._held:
+        held = self._held.get(session)
+        if held is not None:
             self._dropped.add(session)
-            self._held[session].clear()
+            self._positions_waiting -= sum(len(w.item.inputs) for w in held)
+            held.clear()
+        self._weights.on_end(session)
         self._ended.append(session)
         self._wake.set()
 
+    def _hold(self, waiting: _Waiting) -> None:
+        held = self._held.get(waiting.item.session)
+        if held is not None:
+            held.append(waiting)
+            return
+        self._held[waiting.item.session] = collections.deque()
+        self._enqueue(waiting)
+
     def _enqueue(self, waiting: _Waiting) -> None:
-        self._queue.put(
-            waiting.client_account, waiting, waiting.cost, waiting.weight
-        )
+        if waiting.alone:
+            self._suspects.put(waiting)
+        else:
+            self._queue.put(
+                waiting.client_account, waiting, waiting.cost, waiting.weight
+            )
         self._wake.set()
 
     def _work(self) -> None:
@@ -118,44 +202,100 @@
             if not items and not self._ended:
                 self._wake.clear()
                 continue
-            ended, self._ended = self._ended, []
-            self._running += len(items)
-            outcome = self._engine.run(items, ended)
-            self._running -= len(items)
-            self._metrics.count("engine_batches")
-            self._metrics.count("engine_items", len(items))
-            self._finish(items, outcome)
+            self._run(items)
+            self._wake.set()
+
+    def _run(self, items: Sequence[EngineItem]) -> None:
+        ended, self._ended = self._ended, []
+        positions = sum(len(item.inputs) for item in items)
+        self._running += len(items)
+        self._positions_running += positions
+        for item in items:
+            self._in_engine[item.session] = _end_of(item)
+        outcome = self._engine.run(items, ended)
+        self._running -= len(items)
+        self._positions_running -= positions
+        self._metrics.count("engine_batches")
+        self._metrics.count("engine_items", len(items))
+        self._metrics.count("engine_positions", positions)
+        self._finish(items, outcome)
 
     def _take(self) -> list[EngineItem]:
+        """Takes a batch in fair order, or a suspect's item alone."""
+        turn = self._suspects.turn(self._running, len(self._queue))
+        if turn is Turn.NOBODY:
+            return []
+        if turn is Turn.SUSPECT:
+            return self._take_suspect()
+        return self._take_batch()
+
+    def _take_suspect(self) -> list[EngineItem]:
+        waiting = self._suspects.get()
+        if self._is_wanted(waiting):
+            return [waiting.item]
+        self._suspects.on_done()
+        return []
+
+    def _take_batch(self) -> list[EngineItem]:
+        """Takes what fits into one batch and into the engine.
+
+        The last item may be over by less than a chunk.
+        """
         items: list[EngineItem] = []
-        positions = 0
-        now_ms = self._clock.now_ms()
-        while len(self._queue) and positions < self.batch:
+        ahead = self.batch * _BATCHES_AHEAD
+        room = min(self.batch, ahead - self._positions_running)
+        while len(self._queue) and room > 0:
             waiting = self._queue.get()
-            if waiting.item.session in self._dropped:
-                self._release(waiting.item.session)
+            if not self._is_wanted(waiting):
                 continue
             items.append(waiting.item)
-            positions += len(waiting.item.inputs)
-            self._metrics.record_ms("queue_wait", now_ms - waiting.since_ms)
+            room -= len(waiting.item.inputs)
         return items
 
+    def _is_wanted(self, waiting: _Waiting) -> bool:
+        """Tells whether an item still is to run; lets go of it if not.
+
+        Guards against work for a caller that no longer waits: an item past
+        its deadline would cost the engine as much as a useful one.
+        """
+        now_ms = self._clock.now_ms()
+        self._record_wait_ms(now_ms - waiting.since_ms)
+        self._positions_waiting -= len(waiting.item.inputs)
+        session = waiting.item.session
+        if session in self._dropped:
+            self._release(session)
+            return False
+        if now_ms >= waiting.end_ms:
+            self._metrics.count("items_expired")
+            self._drop_held(session)
+            return False
+        return True
+
     def _finish(
         self,
         items: Sequence[EngineItem],
         outcome: tuple[EngineResult, ...] | EngineFailed,
     ) -> None:
+        self._suspects.on_done()
         if isinstance(outcome, EngineFailed):
+            in_engine = self.in_engine
             for item in items:
-                self._held.pop(item.session, None)
-                self._dropped.discard(item.session)
-            self._on_failed([i.session for i in items], outcome.message)
+                self._in_engine.pop(item.session, None)
+                self._drop_held(item.session)
+            self._on_failed(in_engine, outcome)
             return
+        for item in items:
+            self._in_engine.pop(item.session, None)
         wanted = [r for r in outcome if r.session not in self._dropped]
         for item in items:
             self._release(item.session)
         self._on_results(wanted)
 
+    def _drop_held(self, session: str) -> None:
+        for waiting in self._held.pop(session, ()):
+            self._positions_waiting -= len(waiting.item.inputs)
+        self._dropped.discard(session)
+
     def _release(self, session: str) -> None:
         """Lets the stream's next unit be queued."""
         held = self._held.get(session)
@@ -168,3 +308,23 @@
             self._held.pop(session, None)
             return
         self._enqueue(held.popleft())
+
+
+def _parts_of(item: EngineItem, chunk: int) -> list[EngineItem]:
+    """Returns an item cut into parts of at most `chunk` positions."""
+    length = len(item.inputs)
+    if length <= chunk:
+        return [item]
+    return [
+        attrs.evolve(
+            item,
+            position=item.position + start,
+            inputs=item.inputs[start : start + chunk],
+        )
+        for start in range(0, length, chunk)
+    ]
+
+
+def _end_of(item: EngineItem) -> int:
+    """Returns one past an item's last position."""
+    return item.position + len(item.inputs)
--- a/caroblug/side/_streams.py
+++ b/caroblug/side/_streams.py
@@ -1,11 +1,13 @@
 """The streams at one side process: messages in, effects out."""
 
-from collections.abc import Sequence
+import functools
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 
 from caroblug.core import recovery
 from caroblug.core.recovery import StageFailure, StageStream
+from caroblug.core.state import Sharing
 from caroblug.gen.wire import ttypes as wire
 from caroblug.side._pump import EnginePump
 from caroblug.transport import (
@@ -18,11 +20,18 @@
 
 _RETRY_AFTER_MS = 200
 _DEADLINE_SLACK_MS = 5000
+_ADDRESSES = 4096
+_LEAST_COST = 0.001
 
 
 def address_of(ref: wire.StageRef) -> PeerAddress:
     """Returns the address that a stage reference names."""
-    return PeerAddress(ref.instance, ref.host, ref.port)
+    return _make_address(ref.instance, ref.host, ref.port)
+
+
+@functools.lru_cache(maxsize=_ADDRESSES)
+def _make_address(instance: str, host: str, port: int) -> PeerAddress:
+    return PeerAddress(instance, host, port)
 
 
 @attrs.define
@@ -79,6 +88,7 @@
         clock: Source of time.
         metrics: Where streams are counted.
         journal_positions: Outputs kept per stream.
+        sharing: Returns the weights of prompt and generated tokens.
     """
 
     def __init__(
@@ -89,6 +99,7 @@
         clock: Clock,
         metrics: Metrics,
         journal_positions: int,
+        sharing: Callable[[], Sharing],
     ) -> None:
         self._instance = instance
         self._network = network
@@ -96,12 +107,23 @@
         self._clock = clock
         self._metrics = metrics
         self._journal_positions = journal_positions
+        self._sharing = sharing
         self._streams: dict[str, _Entry] = {}
         self._by_session: dict[str, str] = {}
+        self._positions = 0
 
     def __len__(self) -> int:
         return len(self._streams)
 
+    @property
+    def positions(self) -> int:
+        """Positions of all open streams together, those to come included.
+
+        Bounds the memory of queues and journals when this stage is slow: no
+        stream can bring more than its `max_length`.
+        """
+        return self._positions
+
     def on_open(self, opened: wire.OpenStream, refusal: str = "") -> None:
         """Opens a stream or a newer attempt of it.
 
@@ -179,6 +201,16 @@
             if name is not None:
                 self._on_result(name, self._streams[name], result)
 
+    def requests_of(
+        self, sessions: Mapping[str, int]
+    ) -> list[tuple[wire.OpenStream, int]]:
+        """Returns the open messages of sessions, with their positions."""
+        return [
+            (self._streams[name].opened, position)
+            for session, position in sessions.items()
+            if (name := self._by_session.get(session)) is not None
+        ]
+
     def on_engine_lost(self, message: str) -> None:
         """Gives up every stream: the engine's caches are gone."""
         for name, known in list(self._streams.items()):
@@ -251,6 +283,7 @@
         entry = _Entry(stream, opened, self._end_ms(opened), session)
         self._streams[opened.stream] = entry
         self._by_session[session] = opened.stream
+        self._positions += opened.max_length
         self._metrics.count("streams_opened")
         self._metrics.gauge("streams", len(self._streams))
         return entry
@@ -261,6 +294,7 @@
     def _forget(self, name: str) -> None:
         known = self._streams.pop(name)
         self._watch(known, "")
+        self._positions -= known.opened.max_length
         del self._by_session[known.session]
         self._metrics.gauge("streams", len(self._streams))
         self._pump.end(known.session)
@@ -345,13 +379,26 @@
             effect.inputs,
             known.opened.seed,
         )
+        opened = known.opened
         self._pump.submit(
-            known.opened.client_account,
+            opened.client_account,
             item,
-            float(len(effect.inputs)),
-            known.opened.weight,
+            self._cost(opened, effect),
+            opened.weight,
+            known.end_ms - _DEADLINE_SLACK_MS,
+            alone=effect.position < (opened.alone_until or 0),
         )
 
+    def _cost(self, opened: wire.OpenStream, effect: recovery.RunUnit) -> float:
+        """Returns the weighted tokens of a unit."""
+        sharing = self._sharing()
+        positions = len(effect.inputs)
+        prompt = opened.prompt_length - effect.position
+        prompt = min(max(prompt, 0), positions)
+        cost = sharing.prompt_weight * prompt
+        cost += sharing.generated_weight * (positions - prompt)
+        return max(cost, _LEAST_COST)
+
 
 def _same_layers(known: _Entry, opened: wire.OpenStream) -> bool:
     """Tells whether the kept outputs and cache fit the new chain."""
@@ -381,5 +428,6 @@
         seed=opened.seed,
         entry=opened.entry,
         weight=opened.weight,
+        alone_until=opened.alone_until,
         sends_from=forward.sends_from,
     )
--- a/caroblug/transport/__init__.py
+++ b/caroblug/transport/__init__.py
@@ -34,6 +34,10 @@
     make_peer_network,
 )
 from caroblug.transport._sessions import Timing
+from caroblug.transport._suspicions import (
+    suspicion_from_wire,
+    suspicion_to_wire,
+)
 
 __all__ = [
     "Appended",
@@ -65,4 +69,6 @@
     "make_instance_list",
     "make_log_service",
     "make_peer_network",
+    "suspicion_from_wire",
+    "suspicion_to_wire",
 ]
--- a/caroblug/transport/_peers.py
+++ b/caroblug/transport/_peers.py
@@ -134,6 +134,12 @@
             self._begin_dial(session)
         self._queue(session, messages)
 
+    def disconnect(self, instance: str) -> None:
+        """Ends the session with a peer that is not needed now."""
+        session = self._sessions.get(instance)
+        if session is not None:
+            self._lose(session, "not needed")
+
     def broadcast(self, role: str, *messages: object) -> None:
         """Queues messages for every connected peer of a role."""
         for session in list(self._sessions.values()):
--- a/caroblug/transport/_sessions.py
+++ b/caroblug/transport/_sessions.py
@@ -29,6 +29,15 @@
     wire.PlainCall: "calls",
     wire.PlainReply: "replies",
     wire.Heartbeat: "heartbeats",
+    wire.LinkProbe: "probes",
+    wire.BundleAdvert: "bundle_adverts",
+    wire.BundleFetch: "bundle_fetches",
+    wire.BundleSections: "bundle_sections",
+    wire.ShareDemand: "demands",
+    wire.ShareGrant: "grants",
+    wire.Suspicion: "suspicions",
+    wire.RunRequest: "run_requests",
+    wire.RunAdmitted: "run_admitted",
 }
 
 
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Sequence
 from typing import Any
 
 import gevent
@@ -10,6 +11,7 @@
 from standins import reference
 from standins.site import MODEL, Site
 
+_BALANCER_S = 0.05
 _WORDS = ("autumn", "comet", "dome", "eclipse", "galaxy", "meteor", "nebula")
 
 
@@ -68,6 +70,13 @@
         """Whether the text is the whole right answer."""
         return self.text == self.expected()
 
+    @property
+    def failure(self) -> str:
+        """What was wrong with the answer; empty if nothing was."""
+        if self.right:
+            return ""
+        return self.broken or str(self.refusal) or "wrong text"
+
     def prompt_tokens(self) -> list[int]:
         """Returns the prompt as the entry encodes it."""
         model = self._site.bundle["models"][MODEL]
@@ -121,3 +130,62 @@
         if content:
             self.arrivals.append(time.monotonic())
             self._parts.append(content)
+
+
+class Load:
+    """Callers who come one after the other until they are stopped.
+
+    Args:
+        site: Where they ask.
+        account: Their client account.
+        entries: Entries behind the balancer; one that is not ready is left
+            out.
+        tokens: Tokens of each answer.
+        at_once: Answers at any time.
+    """
+
+    def __init__(
+        self,
+        site: Site,
+        account: str,
+        entries: Sequence[str],
+        tokens: int,
+        at_once: int = 4,
+    ) -> None:
+        self._site = site
+        self._account = account
+        self._entries = entries
+        self._tokens = tokens
+        self._callers: list[Caller] = []
+        self._stopped = False
+        self._greenlets = [
+            gevent.spawn(self._ask, number) for number in range(at_once)
+        ]
+
+    def stop(self) -> list[Caller]:
+        """Waits for the last answers and returns every caller."""
+        self._stopped = True
+        gevent.joinall(self._greenlets)
+        return self._callers
+
+    def _ask(self, number: int) -> None:
+        generator = random.Random(number)
+        while not self._stopped:
+            entry = self._ready_entry(generator)
+            caller = Caller(
+                self._site,
+                entry,
+                self._account,
+                make_prompt(generator, 8),
+                self._tokens,
+                generator.randrange(1, 1000),
+            )
+            self._callers.append(caller)
+            caller.join()
+
+    def _ready_entry(self, generator: random.Random) -> str:
+        while True:
+            for entry in generator.sample(self._entries, len(self._entries)):
+                if self._site.is_ready(entry):
+                    return entry
+            gevent.sleep(_BALANCER_S)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -3,7 +3,8 @@
 It batches continuously: each iteration takes what waits, up to a number of
 positions, and takes a fixed time plus a time for each position. It keeps one
 cache per stream and layer, and never refuses a position that it has already
-run: as on a real engine, that spoils the cache, and the answer shows it.
+run: as on a real engine, that spoils the cache, and the answer shows it. A
+session that it does not hold, as after a restart, is an error.
 """
 
 from gevent import monkey
@@ -51,6 +52,7 @@
     def __init__(self, options: argparse.Namespace) -> None:
         self.options = options
         self.step_ms = options.step_ms
+        self._poison_state = bytes.fromhex(options.poison_state)
         self.hung = False
         self.layers_run = 0
         self.repeated = 0
@@ -106,18 +108,32 @@
     def _take(self) -> list[_Waiting]:
         self._waiting.sort(key=lambda w: w.item.get("priority", 0))
         batch: list[_Waiting] = []
-        positions = 0
-        while self._waiting and positions < self.options.batch:
-            batch.append(self._waiting.pop(0))
-            positions += len(batch[-1].item["inputs"])
+        left: list[_Waiting] = []
+        room = self.options.batch
+        for waiting in self._waiting:
+            length = len(waiting.item["inputs"])
+            if length <= room or not batch:
+                batch.append(waiting)
+                room -= length
+            else:
+                left.append(waiting)
+        self._waiting = left
         return batch
 
     def _run(self, item: dict[str, Any]) -> dict[str, Any]:
-        session = self._sessions.setdefault(item["session"], _Session())
+        name = item["session"]
+        if item["position"] > 0 and name not in self._sessions:
+            return {
+                "session": name,
+                "position": item["position"],
+                "length": 0,
+                "error": "the session is not known",
+            }
+        session = self._sessions.setdefault(name, _Session())
         states = []
         for offset, value in enumerate(item["inputs"]):
             position = item["position"] + offset
-            state = self._input(value)
+            state = self._input(value, position)
             for layer in range(item["first_layer"], item["end_layer"]):
                 state = self._run_layer(session, layer, position, state)
             states.append(state)
@@ -125,10 +141,18 @@
                 gevent.sleep(0)
         return self._answer(item, states)
 
-    def _input(self, value: int | str) -> bytes:
+    def _input(self, value: int | str, position: int) -> bytes:
         if isinstance(value, str):
-            return base64.b64decode(value)
-        if value == self.options.poison_token:
+            state = base64.b64decode(value)
+            if state == self._poison_state:
+                os.kill(os.getpid(), signal.SIGKILL)
+            return state
+        options = self.options
+        # A generated token may be equal to the poison; only a prompt strikes.
+        if (
+            value == options.poison_token
+            and position == options.poison_position
+        ):
             os.kill(os.getpid(), signal.SIGKILL)
         return reference.embed(value)
 
@@ -222,6 +246,8 @@
     parser.add_argument("--step-ms", type=float, default=2.0)
     parser.add_argument("--position-ms", type=float, default=0.05)
     parser.add_argument("--poison-token", type=int, default=-1)
+    parser.add_argument("--poison-state", default="")
+    parser.add_argument("--poison-position", type=int, default=1)
     options = parser.parse_args()
     engine = Engine(options)
     gevent.spawn(engine.loop)
--- a/standins/site.py
+++ b/standins/site.py
@@ -228,6 +228,7 @@
             "role": process.role,
             "host": HOST,
             "port": process.peer_port,
+            "http_port": process.http_port,
             "data_centre": process.data_centre,
             "state": state,
         }
@@ -311,6 +312,10 @@
         """Waits until a server answers 200."""
         self.wait_for(lambda: self._is_ok(port, path), f"port {port}{path}")
 
+    def is_ready(self, name: str) -> bool:
+        """Tells whether a program says that it is ready."""
+        return self._is_ok(self.processes[name].http_port, "/readyz")
+
     def wait_ready(self) -> None:
         """Waits until every program is ready and every chain is known."""
         for process in self.processes.values():
@@ -339,18 +344,8 @@
         """Stops a process by SIGTERM and returns its exit code."""
         process = self.processes[name]
         process.signal(signal.SIGTERM)
-        return process.popen.wait(_READY_S)
-
-    def restart(self, name: str) -> int:
-        """Stops a process by SIGTERM and starts it again.
-
-        Returns:
-            The exit code of the process that was stopped.
-        """
-        code = self.stop(name)
-        process = self.processes[name]
-        self._spawn(process, list(process.command))
-        return code
+        self.wait_for(lambda: process.popen.poll() is not None, f"{name}")
+        return process.popen.returncode
 
     def close(self) -> None:
         """Ends every process."""
@@ -431,12 +426,17 @@
         self.wait_http(port, "/control")
         return listen
 
+    def restart(self, name: str) -> None:
+        """Starts a process that has ended again, as it was."""
+        process = self.processes[name]
+        self._spawn(process, list(process.command))
+
     def _spawn(self, process: RunningProcess, command: list[str]) -> None:
+        process.command = tuple(command)
         with open(self.folder / f"{process.name}.log", "ab") as output:
             process.popen = subprocess.Popen(
                 command, stdout=output, stderr=subprocess.STDOUT
             )
-        process.command = tuple(command)
         self.processes[process.name] = process
 
 
--- a/standins/tests/test_recovery.py
+++ b/standins/tests/test_recovery.py
@@ -4,13 +4,14 @@
 
 import pytest
 
-from standins.callers import Caller
+from standins.callers import Caller, Load
 from standins.site import EngineSpec, EntrySpec, make_site
 
 _ACCOUNT = "school-1"
 _TOKENS = 300
 _BEFORE_FAULT = 20
 _BOUNDS = ((0, 12), (12, 24))
+_SIDES = ("side-a-0", "side-a-1", "side-b-0", "side-b-1")
 _PROMPT = "two planets rise over the autumn dome"
 
 
@@ -27,7 +28,7 @@
                     data_centre=f"muscat-{place}",
                     first_layer=first,
                     end_layer=end,
-                    side={"relay": name in relays, "drain_ms": 4000},
+                    side={"relay": name in relays, "drain_ms": 2500},
                 )
             )
     site.start_entry(EntrySpec(name="entry-a", data_centre="muscat-a"))
@@ -44,7 +45,7 @@
 @pytest.fixture(autouse=True)
 def _whole(site):
     """Begins with every side known, ends with no stream kept anywhere."""
-    for name in ("side-a-0", "side-a-1", "side-b-0", "side-b-1"):
+    for name in _SIDES:
         process = site.processes[name]
         if process.popen.poll() is not None:
             site.restart(name)
@@ -224,30 +225,48 @@
     A side process is told to stop and its drain is shorter than a stream;
     before it ends, another stage takes over, fed from the journal.
     """
-    caller, (_, last) = _begin(site, 19, 1500)
+    caller, (_, last) = _begin(site, 19, 800)
     assert site.stop(last) == 0
     assert caller.join().right
     assert site.metric("entry-a", "caroblug_streams_handed_on_total") >= 1
 
 
 def test_listed_as_leaving_gets_nothing_new(site):
-    """A stream is opened on an instance that is about to vanish.
+    """A stream is cut off on an instance that the platform takes away.
 
-    The platform lists an instance as leaving; its side does not know, and
-    goes on to report itself. The entry believes the list.
+    The list says that an instance leaves before its side process knows. The
+    entry opens nothing new there, the side drains by itself, and callers
+    who come meanwhile see nothing of it.
     """
-    caller, (first, _) = _begin(site, 20, 30)
-    caller.join()
+    caller, (first, _) = _begin(site, 20)
     site.list_instance(first, "leaving")
     site.wait_for(
         lambda: site.metric("entry-a", "caroblug_listed_leaving") == 1,
         "the list's change",
     )
-    before = _opened(site)[first]
-    assert _ask(site, 21, 30).join().right
-    assert _opened(site)[first] == before
+    before = site.metric(first, "caroblug_streams_opened_total")
+    later = [_ask(site, 30 + number, 60) for number in range(4)]
+    assert all(c.join().right for c in later)
+    assert site.metric(first, "caroblug_streams_opened_total") == before
+    assert caller.join().right
+    assert site.processes[first].popen.wait(30) == 0
     site.list_instance(first)
-    site.wait_for(
-        lambda: site.metric("entry-a", "caroblug_listed_leaving") == 0,
-        "the list's change",
-    )
+
+
+def test_rolling_restart_cuts_nothing_short(site):
+    """A caller's stream breaks whenever the fleet is updated.
+
+    Every side and every entry is restarted, one after the other, while
+    callers come to whichever entry says that it is ready.
+    """
+    site.start_entry(EntrySpec(name="entry-b", data_centre="muscat-b"))
+    site.wait_ready()
+    load = Load(site, _ACCOUNT, ("entry-a", "entry-b"), tokens=40)
+    for name in (*_SIDES, "entry-a", "entry-b"):
+        assert site.stop(name) == 0
+        site.restart(name)
+        site.wait_ready()
+    callers = load.stop()
+    assert len(callers) >= 20
+    assert [c.failure for c in callers if c.failure] == []
+    site.processes.pop("entry-b").kill()
--- a/thrift/caroblug.thrift
+++ b/thrift/caroblug.thrift
@@ -49,6 +49,8 @@
   15: double weight
   /** First position the previous stage sends of its own accord. */
   30: i32 sends_from
+  /** Positions before this one run with nothing else in the engine. */
+  60: i32 alone_until
 }
 
 /** Hidden states for consecutive positions, starting at `position`. */
@@ -109,6 +111,14 @@
   11: i32 bundle_version
   12: string host
   13: i32 port
+  /** Streams open at this engine, from every entry. */
+  20: i32 streams
+  /** Positions that wait or run. */
+  21: i32 backlog
+  /** Client accounts with streams open here. */
+  60: i32 client_accounts
+  /** Time until the next report; one that is late is no longer believed. */
+  70: i32 interval_ms
 }
 
 struct Header {
@@ -148,6 +158,91 @@
   1: i64 sequence
 }
 
+// Area: routing.
+
+/** Measures a link: sent back by the peer with `answer` set. */
+struct LinkProbe {
+  /** The asker's own clock; of no meaning to the peer. */
+  1: i64 sent_ms
+  2: bool answer
+}
+
+// Bundles.
+
+/** What a process says about its bundle in force; version 0 is none. */
+struct BundleAdvert {
+  1: i32 version
+  2: string digest
+  /** Where in the log this version was accepted. */
+  3: i64 offset
+  /** How long ago the log's end was reached, as far as the sender knows. */
+  4: i64 log_age_ms
+}
+
+/** Asks a peer for its head, or just for some sections. */
+struct BundleFetch {
+  1: string digest
+  /** Digest of the head that the asker has; its sections are left out. */
+  2: string base
+  /** Content hashes; if any, only these sections are sent. */
+  3: list<string> hashes
+}
+
+/** A head's record, and sections by content hash; both may be partial. */
+struct BundleSections {
+  1: string digest
+  2: i64 offset
+  /** The record without sections; empty if only sections were asked for. */
+  3: binary record
+  4: map<string, binary> sections
+}
+
+// Limits.
+
+/** What an entry reports of an account to the account's home. */
+struct ShareDemand {
+  1: string client_account
+  2: i32 streams
+  3: double used
+}
+
+/** What an entry may use of an account until the term ends. */
+struct ShareGrant {
+  1: string client_account
+  2: i32 streams
+  3: double tokens
+  4: i32 total
+  5: i32 term_ms
+}
+
+/** A request that was in an engine, or a plain service, as it crashed. */
+struct Suspicion {
+  1: string fingerprint
+  2: string client_account
+  3: string crash
+  /** Whether the request has since run on past that place. */
+  4: bool cleared
+  5: i64 remaining_ms
+  /** One past the last position that was in the engine; 0 for a call. */
+  6: i32 position
+}
+
+/** Asks an account's home whether a request may run now, or leaves. */
+struct RunRequest {
+  1: string fingerprint
+  2: i64 number
+  3: bool leave
+  /** Whether it has run its whole prompt; said when it leaves. */
+  4: bool proved
+}
+
+/** Lets a request run, with what is known against it. */
+struct RunAdmitted {
+  1: string fingerprint
+  2: i64 number
+  3: list<Suspicion> known
+}
+
 struct Frame {
   1: list<OpenStream> opens
   2: list<Need> needs
@@ -163,4 +258,13 @@
   30: i64 number
   /** Every number up to this one has been received. */
   31: i64 acknowledged
+  20: list<LinkProbe> probes
+  40: list<BundleAdvert> bundle_adverts
+  41: list<BundleFetch> bundle_fetches
+  42: list<BundleSections> bundle_sections
+  60: list<ShareDemand> demands
+  61: list<ShareGrant> grants
+  62: list<Suspicion> suspicions
+  63: list<RunRequest> run_requests
+  64: list<RunAdmitted> run_admitted
 }
