--- a/caroblug/side/_pump.py
+++ b/caroblug/side/_pump.py
@@ -25,8 +25,9 @@
 
 NEVER_MS = sys.maxsize
 
-_CHUNKS_PER_BATCH = 4
+_CHUNKS_PER_BATCH = 2
 _BATCHES_AHEAD = 2
+_PAID_COST = 1e-9
 
 
 @attrs.define
@@ -239,7 +240,9 @@
     def _take_batch(self) -> list[EngineItem]:
         """Takes what fits into one batch and into the engine.
 
-        The last item may be over by less than a chunk.
+        An item that does not fit whole is cut: were it sent whole, the engine
+        would run its end in another batch, and the call's other results would
+        wait for that.
         """
         items: list[EngineItem] = []
         ahead = self.batch * _BATCHES_AHEAD
@@ -248,10 +251,38 @@
             waiting = self._queue.get()
             if not self._is_wanted(waiting):
                 continue
-            items.append(waiting.item)
-            room -= len(waiting.item.inputs)
+            item = waiting.item
+            if len(item.inputs) > room:
+                item = self._cut(waiting, room)
+            items.append(item)
+            room -= len(item.inputs)
+        if room > 0:
+            self._extend(items, room)
         return items
 
+    def _extend(self, items: list[EngineItem], room: int) -> None:
+        """Adds held chunks to their streams' items: nobody else waits."""
+        for index, item in enumerate(items):
+            held = self._held[item.session]
+            while held and len(held[0].item.inputs) <= room:
+                more = held.popleft().item.inputs
+                room -= len(more)
+                self._positions_waiting -= len(more)
+                item = attrs.evolve(item, inputs=item.inputs + more)
+            items[index] = item
+
+    def _cut(self, waiting: _Waiting, room: int) -> EngineItem:
+        """Returns the part that fits; the rest is the stream's next unit."""
+        item = waiting.item
+        rest = attrs.evolve(
+            waiting,
+            item=_part_of(item, room, len(item.inputs)),
+            cost=_PAID_COST,
+        )
+        self._held[item.session].appendleft(rest)
+        self._positions_waiting += len(rest.item.inputs)
+        return _part_of(item, 0, room)
+
     def _is_wanted(self, waiting: _Waiting) -> bool:
         """Tells whether an item still is to run; lets go of it if not.
 
@@ -316,15 +347,20 @@
     if length <= chunk:
         return [item]
     return [
-        attrs.evolve(
-            item,
-            position=item.position + start,
-            inputs=item.inputs[start : start + chunk],
-        )
+        _part_of(item, start, start + chunk)
         for start in range(0, length, chunk)
     ]
 
 
+def _part_of(item: EngineItem, start: int, end: int) -> EngineItem:
+    """Returns the part of an item from one input to another."""
+    return attrs.evolve(
+        item,
+        position=item.position + start,
+        inputs=item.inputs[start:end],
+    )
+
+
 def _end_of(item: EngineItem) -> int:
     """Returns one past an item's last position."""
     return item.position + len(item.inputs)
