--- a/caroblug/core/recovery/_stage.py
+++ b/caroblug/core/recovery/_stage.py
@@ -78,6 +78,11 @@
         """The newest attempt known; 0 before the first open."""
         return self._attempt
 
+    @property
+    def tokens(self) -> list[int]:
+        """Tokens that the first stage has, prompt included."""
+        return list(self._tokens)
+
     @property
     def done(self) -> int:
         """Positions that the engine has run."""
--- a/caroblug/transport/_links.py
+++ b/caroblug/transport/_links.py
@@ -25,6 +25,7 @@
     """One authenticated connection.
 
     Attributes:
+        sock: The connection's socket.
         peer: What the other end says of itself.
         their_session: The session that the other end named.
         wake: Set when there is something to write.
@@ -53,19 +54,19 @@
         self.resend = True
         self.received_ms = now_ms
         self.closed = False
-        self._sock = sock
+        self.sock = sock
         self._sender = sender
         self._checker = checker
 
     def write(self, payload: bytes) -> None:
         """Sends a payload; raises OSError."""
-        self._sock.sendall(
+        self.sock.sendall(
             framing.pack_payload(payload, self._sender.code(payload))
         )
 
     def read(self) -> bytes | None:
         """Returns the next payload, None at the end; raises FrameError."""
-        received = framing.read_payload(self._sock)
+        received = framing.read_payload(self.sock)
         if received is None:
             return None
         self._checker.check(*received)
@@ -75,7 +76,7 @@
         """Closes the connection, also under a write that is blocked."""
         self.closed = True
         self.wake.set()
-        self._sock.close()
+        self.sock.close()
 
 
 def greet(
--- a/standins/links.py
+++ b/standins/links.py
@@ -74,19 +74,17 @@
 
     table: dict[str, tuple[float, float]] = {}
 
-    def _shake(self, sock: socket.socket, *, dialled: bool) -> Any:
-        link = super()._shake(sock, dialled=dialled)
+    def _add(self, session: Any, link: Any) -> None:
         own, other = self._hello.data_centre, link.peer.data_centre
-        if own == other:
-            return link
-        ends = [self.table[own], self.table[other]]
-        bounds = [bound for _, bound in ends if bound]
-        link.sock = DelayedSocket(
-            link.sock,
-            max(latency_ms for latency_ms, _ in ends),
-            min(bounds, default=0.0),
-        )
-        return link
+        if own != other:
+            ends = [self.table[own], self.table[other]]
+            bounds = [bound for _, bound in ends if bound]
+            link.sock = DelayedSocket(
+                link.sock,
+                max(latency_ms for latency_ms, _ in ends),
+                min(bounds, default=0.0),
+            )
+        super()._add(session, link)
 
 
 def main() -> None:
