--- a/caroblug/entry/_plain.py
+++ b/caroblug/entry/_plain.py
@@ -94,7 +94,7 @@
             return self._await(sendings, hedging)
         finally:
             for identity in sendings.open:
-                self._waiting.pop(identity, None)
+                self._forget(identity)
 
     def on_reply(self, reply: wire.PlainReply) -> None:
         """Takes a reply; one that nobody waits for is dropped."""
@@ -163,11 +163,18 @@
         self._waiting[call.call] = _Waiting(
             instance, self._clock.now_ms(), sendings.inbox
         )
+        self._network.watch(instance)
         self._network.send(view.address, call)
         return True
 
-    def _end(self, identity: str, reply: wire.PlainReply | None) -> None:
+    def _forget(self, identity: str) -> _Waiting | None:
         waiting = self._waiting.pop(identity, None)
+        if waiting is not None:
+            self._network.watch(waiting.instance, -1)
+        return waiting
+
+    def _end(self, identity: str, reply: wire.PlainReply | None) -> None:
+        waiting = self._forget(identity)
         if waiting is not None:
             waiting.inbox.put(_Reply(waiting.instance, waiting.sent_ms, reply))
 
--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -6,16 +6,22 @@
 import falcon
 import gevent
 
+from caroblug.core.limits import RetryBudget, RetryRule
 from caroblug.core.routing import LatencyTable, make_chooser
 from caroblug.core.state import Head
 from caroblug.entry._api import make_app
+from caroblug.entry._chains import ChainPicker
 from caroblug.entry._directory import Directory
 from caroblug.entry._door import Door
 from caroblug.entry._limits import EntryLimits
 from caroblug.entry._links import LinkProber
 from caroblug.entry._plain import PlainClient
 from caroblug.entry._settings import EntrySettings
-from caroblug.entry._streams import EntryStreams
+from caroblug.entry._streams import (
+    EntryStreams,
+    RecoveryPolicy,
+    RecoveryWay,
+)
 from caroblug.entry._subset import Subset
 from caroblug.gen.wire import ttypes as wire
 from caroblug.node import (
@@ -41,6 +47,7 @@
 )
 
 _SIDE_ROLE = "side"
+_REFILL_S = 60
 
 
 class EntryServer(PeerHandler):
@@ -54,15 +61,22 @@
         self.settings = settings
         self.metrics: Metrics = make_metrics()
         self._clock = MonotonicClock()
-        self.lifetime = Lifetime(self._clock, settings.drain_ms)
+        self.lifetime = Lifetime(
+            self._clock, settings.drain_ms, settings.linger_ms
+        )
         self.network = make_peer_network(
-            wire.Hello(settings.instance, "entry", settings.data_centre),
+            wire.Hello(
+                settings.instance,
+                "entry",
+                settings.data_centre,
+                host=settings.reach_host,
+                port=settings.reach_port,
+            ),
             settings.shared_keys[0].encode(),
             self,
             self._clock,
             self.metrics,
-            settings.heartbeat_ms,
-            settings.silence_ms,
+            settings.make_timing(),
         )
         self.fleet = make_fleet(
             settings,
@@ -84,16 +98,24 @@
         )
         self.streams = EntryStreams(
             wire.StageRef(
-                settings.instance, settings.host, settings.peer_port, 0, 0
+                settings.instance,
+                settings.reach_host,
+                settings.reach_port,
+                0,
+                0,
             ),
             self.network,
             self.directory,
-            make_chooser(settings.chooser, random.Random(), self.latencies),
+            ChainPicker(
+                self.directory,
+                make_chooser(settings.chooser, random.Random(), self.latencies),
+                self.latencies,
+                self._clock,
+                settings.data_centre,
+            ),
             self._clock,
             self.metrics,
-            settings.data_centre,
-            settings.attempts,
-            self.latencies,
+            _make_policy(settings),
             self.limits.suspects,
         )
         self.plain = PlainClient(
@@ -151,6 +173,7 @@
         self.fleet.on_peer_lost(peer)
         self.directory.forget(peer.instance)
         self.limits.on_peer_lost(peer.instance)
+        self.metrics.gauge("known_sides", len(self.directory))
         self.streams.on_peer_lost(peer.instance)
         self.plain.on_peer_lost(peer.instance)
 
@@ -184,6 +207,9 @@
             if isinstance(listed, InstancesUnavailable):
                 self.metrics.count("instance_list_failures")
             else:
+                leaving = {r.instance for r in listed if r.leaving}
+                self.directory.on_listed(leaving)
+                self.metrics.gauge("listed_leaving", len(leaving))
                 self.limits.on_listed(listed)
                 self._connect_subset(listed)
             gevent.sleep(self.settings.instances_ms / 1000)
@@ -211,6 +237,16 @@
             self.prober.probe()
 
 
+def _make_policy(settings: EntrySettings) -> RecoveryPolicy:
+    budget = RetryBudget(
+        RetryRule(settings.account_retries),
+        RetryRule(settings.retries, per_s=settings.retries / _REFILL_S),
+    )
+    return RecoveryPolicy(
+        settings.attempts, RecoveryWay(settings.recovery), budget
+    )
+
+
 def serve(settings: EntrySettings) -> None:
     """Runs the entry program."""
     EntryServer(settings).run()
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -17,6 +17,7 @@
     make_fleet,
 )
 from caroblug.side._crashes import Crashes
+from caroblug.side._engine_watch import WatchedEngine
 from caroblug.side._once import make_plain_calls
 from caroblug.side._plain import PlainCalls
 from caroblug.side._pump import EnginePump
@@ -40,7 +41,7 @@
 
 _ENTRY_ROLE = "entry"
 _REPORT_BYTES = 110
-_DESCRIBE_S = 0.2
+_DESCRIBE_S = 0.1
 
 
 class SideServer(PeerHandler):
@@ -54,16 +55,23 @@
         self.settings = settings
         self.metrics: Metrics = make_metrics()
         self._clock = MonotonicClock()
-        self.lifetime = Lifetime(self._clock, settings.drain_ms)
-        hello = wire.Hello(settings.instance, "side", settings.data_centre)
+        self.lifetime = Lifetime(
+            self._clock, settings.drain_ms, settings.linger_ms
+        )
+        hello = wire.Hello(
+            settings.instance,
+            "side",
+            settings.data_centre,
+            host=settings.reach_host,
+            port=settings.reach_port,
+        )
         self.network = make_peer_network(
             hello,
             settings.shared_keys[0].encode(),
             self,
             self._clock,
             self.metrics,
-            settings.heartbeat_ms,
-            settings.silence_ms,
+            settings.make_timing(),
         )
         self.fleet = make_fleet(
             settings,
@@ -113,7 +121,7 @@
             self._calls.start()
         gevent.spawn(self._report_forever)
         log_state("program.started", port=settings.peer_port)
-        self.lifetime.wait(self._report, self._busy)
+        self.lifetime.wait(self._report, self._busy, self._hand_on)
         self.network.stop()
         http.stop()
 
@@ -140,9 +148,11 @@
             self.network.send(peer, self._make_report())
 
     def on_peer_lost(self, peer: PeerAddress, reason: str) -> None:
-        """Leaves the streams alone: the entry decides about them."""
+        """Lets the entries know which streams this cuts."""
         del reason
         self.fleet.on_peer_lost(peer)
+        if self._streams is not None:
+            self._streams.on_peer_lost(peer.instance)
 
     def _make_backend(self) -> None:
         settings = self.settings
@@ -151,10 +161,16 @@
                 settings, self.network, self._clock, self.metrics
             )
             return
-        self._engine = make_engine_client(
-            settings.engine.host,
-            settings.engine.port,
-            settings.engine_timeout_ms,
+        address = settings.engine
+        self._engine = WatchedEngine(
+            make_engine_client(
+                address.host, address.port, settings.engine_timeout_ms
+            ),
+            make_engine_client(
+                address.host, address.port, settings.engine_probe_ms
+            ),
+            self._clock,
+            settings.engine_probe_ms,
         )
         self._pump = EnginePump(
             self._engine,
@@ -214,6 +230,10 @@
             return self._calls.busy
         return self._running() > 0
 
+    def _hand_on(self) -> None:
+        if self._streams is not None:
+            self._streams.hand_on()
+
     def _on_head(self, head: Head) -> None:
         if self._calls is not None:
             self._calls.on_head(head)
@@ -240,7 +260,7 @@
             )
         message = failed.message
         if self._description is not None:
-            log_state("engine.lost", message=message)
+            log_state("engine.lost", reason=message)
             self.metrics.count("engine_lost")
         self._description = None
         self._report()
@@ -287,8 +307,8 @@
             data_centre=settings.data_centre,
             leaving=self.lifetime.leaving or not self._is_up(),
             bundle_version=head.version if head else 0,
-            host=settings.host,
-            port=settings.peer_port,
+            host=settings.reach_host,
+            port=settings.reach_port,
             interval_ms=self._report_interval_ms(),
         )
         if settings.plain is not None:
--- a/caroblug/side/_settings.py
+++ b/caroblug/side/_settings.py
@@ -25,6 +25,7 @@
         plain: The plain service.
         batches: Calls to the engine at once.
         engine_timeout_ms: How long one batch may take.
+        engine_probe_ms: How long the engine may take to say what it is.
         report_ms: Least time between load reports.
         report_bytes_per_s: Budget of all load reports.
         queue: Order of waiting work; `fifo` is a baseline for measurements.
@@ -39,6 +40,7 @@
     plain: PlainSettings | None = None
     batches: int = count(1, 16, "Calls to the engine at once.", 4)
     engine_timeout_ms: int = duration_ms("How long a batch may take.", 10_000)
+    engine_probe_ms: int = duration_ms("How long a describe may take.", 250)
     report_ms: int = duration_ms("Least time between load reports.", 200)
     report_bytes_per_s: int = count(
         100, 1_000_000, "Budget of all load reports, in bytes a second.", 2000
