Make the benchmark's fleet need its links

Cause: in the fleet measured first, each data centre's own chains reached the whole bound, so that links hardly mattered. A stream's chunk is sent by one call of the socket.

--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -46,7 +46,7 @@
 FLEET = (
     Accelerator("muscat-a", 0, 8, 400),
     Accelerator("muscat-a", 8, 16, 240),
-    Accelerator("muscat-a", 16, 24, 400),
+    Accelerator("muscat-a", 16, 24, 180),
     Accelerator("muscat-a", 0, 24, 160),
     Accelerator("muscat-b", 0, 12, 300),
     Accelerator("muscat-b", 12, 24, 200),
@@ -54,7 +54,7 @@
     Accelerator("muscat-b", 0, 8, 120),
     Accelerator("muscat-b", 16, 24, 240),
     Accelerator("muscat-c", 0, 12, 300),
-    Accelerator("muscat-c", 12, 24, 120),
+    Accelerator("muscat-c", 16, 24, 120),
     Accelerator("muscat-c", 8, 24, 160),
     Accelerator("muscat-c", 0, 10, 80),
 )
--- a/caroblug/core/routing/_flow.py
+++ b/caroblug/core/routing/_flow.py
@@ -24,7 +24,7 @@
 _LOWEST_LINK_COST = 1
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class EngineGroup:
     """Engines that hold the same layers in the same data centre.
 
@@ -39,7 +39,7 @@
     end_layer: int
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class Place:
     """A place in a token's way: layers below `layer` have run."""
 
--- a/caroblug/core/routing/_flow_chooser.py
+++ b/caroblug/core/routing/_flow_chooser.py
@@ -49,11 +49,13 @@
 
     Attributes:
         signature: What they were computed from.
+        groups: Group of each instance.
         local: Over the own data centre's engines only.
         whole: Over every engine.
     """
 
     signature: _Signature
+    groups: Mapping[str, EngineGroup]
     local: FlowPlan
     whole: FlowPlan
 
@@ -97,7 +99,8 @@
         allowed = [e for e in usable if e.instance not in excluded]
         members: dict[EngineGroup, list[EngineView]] = {}
         for engine in allowed:
-            members.setdefault(group_of(engine), []).append(engine)
+            group = plans.groups[engine.instance]
+            members.setdefault(group, []).append(engine)
         hashes = prefix_hashes(prompt)
         local = self._best(plans.local, members, layers, hashes)
         whole = self._best(plans.whole, members, layers, hashes)
@@ -118,6 +121,7 @@
         links = self._links({e.data_centre for e in usable})
         plans = _Plans(
             signature,
+            {e.instance: group_of(e) for e in usable},
             make_plan(local, layers),
             make_plan(usable, layers, links),
         )
--- a/caroblug/node/_http.py
+++ b/caroblug/node/_http.py
@@ -96,6 +96,24 @@
     app.add_route("/status", _Status(status))
 
 
+class _Handler(pywsgi.WSGIHandler):
+    """Sends small pieces by one call.
+
+    `sendall` of a gevent socket asks the kernel for the buffer's size and
+    cuts the data each time, which doubles the cost of a streamed token.
+    """
+
+    def _sendall(self, data: bytearray) -> None:
+        """Sends a piece; what does not fit or fails is left to gevent."""
+        try:
+            sent = self.socket.send(data)
+        except OSError:
+            sent = 0
+        self.response_length += sent
+        if sent < len(data):
+            super()._sendall(data[sent:])
+
+
 class NodeHttp:
     """A WSGI server of one program.
 
@@ -107,7 +125,11 @@
 
     def __init__(self, host: str, port: int, app: falcon.App) -> None:
         self._server = pywsgi.WSGIServer(
-            listen(host, port), app, log=None, error_log=None
+            listen(host, port),
+            app,
+            log=None,
+            error_log=None,
+            handler_class=_Handler,
         )
 
     def start(self) -> None:
