--- a/caroblug/core/routing/_estimate.py
+++ b/caroblug/core/routing/_estimate.py
@@ -81,13 +81,12 @@
 def round_ms(engines: Sequence[EngineView], table: LatencyTable) -> float:
     """Returns the expected time of a new stream's token round, in ms.
 
-    The stage with the longest queue counts whole, with one position of every
-    stream open there: streams gather at it, and while they wait there they
-    don't wait at the others, which only add their own step.
+    Each stage counts with the positions that wait or run there now, not with
+    the streams open there: streams gather at the slowest stage of their own
+    chains, and an engine that many pass through may be idle all the same.
     """
-    longest = max((1 + e.load) * position_ms(e) for e in engines)
-    steps = sum(position_ms(e) for e in engines)
-    return longest + steps + links_ms(engines, table)
+    queues = sum((1 + e.queue) * position_ms(e) for e in engines)
+    return queues + links_ms(engines, table)
 
 
 def check_deadline(
--- a/caroblug/core/routing/_flow_chooser.py
+++ b/caroblug/core/routing/_flow_chooser.py
@@ -32,7 +32,7 @@
 from caroblug.core.routing._search import make_stage, usable_engines
 from caroblug.core.routing._types import Chain, EngineView
 
-_DRAWS = 2
+_DRAWS = 4
 _TOKENS_AHEAD = 32
 _SPILL = 1.1
 _CHANGE_OF_LATENCY = 2.0
@@ -239,7 +239,7 @@
 
 
 def _wait_ms(engine: EngineView) -> float:
-    return (1 + engine.load) * position_ms(engine)
+    return (1 + engine.queue) * position_ms(engine)
 
 
 def _make_chain(engines: Sequence[EngineView], layers: int) -> Chain:
--- a/caroblug/core/routing/_types.py
+++ b/caroblug/core/routing/_types.py
@@ -91,5 +91,17 @@
         the same least loaded engine and go there, so what this entry has
         opened and closed since the report is added.
         """
-        since = self.own_streams - self.own_at_report
-        return max(self.own_streams, self.streams + since, 0)
+        return max(self.own_streams, self.streams + self._since_report, 0)
+
+    @property
+    def queue(self) -> int:
+        """Positions that a new stream's position waits for.
+
+        The last report's, put right like `load`: a stream opened since has
+        one position there sooner or later.
+        """
+        return max(0, self.backlog + self._since_report)
+
+    @property
+    def _since_report(self) -> int:
+        return self.own_streams - self.own_at_report
--- a/caroblug/side/_pump.py
+++ b/caroblug/side/_pump.py
@@ -28,6 +28,9 @@
 _CHUNKS_PER_BATCH = 2
 _BATCHES_AHEAD = 2
 _PAID_COST = 1e-9
+_EAGER_CALLS = 4
+_GATHER_S = 0.002
+_STEP_POSITIONS = 2
 
 
 @attrs.define
@@ -84,6 +87,7 @@
         self._dropped: set[str] = set()
         self._wake = event.Event()
         self._running = 0
+        self._calls = 0
         self._positions_waiting = 0
         self._positions_running = 0
 
@@ -197,22 +201,49 @@
         self._wake.set()
 
     def _work(self) -> None:
+        """Makes one call after the other.
+
+        A step goes to the engine at once while few calls are under way: held
+        back until one of them ends, it would miss the start of the engine's
+        next batch and wait for a whole one more. With more calls under way
+        the engine has enough to do, and gathering for a moment keeps the
+        calls full.
+
+        Steps and chunks go in calls of their own: a call is answered when its
+        last item has run, and a chunk may be left for the engine's next batch.
+        """
         while True:
             self._wake.wait()
+            if self._calls >= _EAGER_CALLS:
+                gevent.sleep(_GATHER_S)
             items = self._take()
             if not items and not self._ended:
                 self._wake.clear()
                 continue
-            self._run(items)
-            self._wake.set()
+            self._on_taken(items)
+            steps = [i for i in items if len(i.inputs) <= _STEP_POSITIONS]
+            chunks = [i for i in items if len(i.inputs) > _STEP_POSITIONS]
+            if chunks:
+                gevent.spawn(self._call, chunks)
+            if steps or self._ended:
+                self._call(steps)
+
+    def _call(self, items: Sequence[EngineItem]) -> None:
+        self._calls += 1
+        self._run(items)
+        self._calls -= 1
+        self._wake.set()
 
-    def _run(self, items: Sequence[EngineItem]) -> None:
-        ended, self._ended = self._ended, []
-        positions = sum(len(item.inputs) for item in items)
+    def _on_taken(self, items: Sequence[EngineItem]) -> None:
+        """Counts items before any other greenlet takes more."""
         self._running += len(items)
-        self._positions_running += positions
+        self._positions_running += sum(len(i.inputs) for i in items)
         for item in items:
             self._in_engine[item.session] = _end_of(item)
+
+    def _run(self, items: Sequence[EngineItem]) -> None:
+        ended, self._ended = self._ended, []
+        positions = sum(len(item.inputs) for item in items)
         outcome = self._engine.run(items, ended)
         self._running -= len(items)
         self._positions_running -= positions
--- a/caroblug/side/_settings.py
+++ b/caroblug/side/_settings.py
@@ -35,7 +35,7 @@
 
     engine: Address | None = None
     plain: PlainSettings | None = None
-    batches: int = count(1, 16, "Calls to the engine at once.", 4)
+    batches: int = count(1, 16, "Calls to the engine at once.", 16)
     engine_timeout_ms: int = duration_ms("How long a batch may take.", 10_000)
     report_ms: int = duration_ms("Least time between load reports.", 200)
     report_bytes_per_s: int = count(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -116,14 +116,13 @@
                 gevent.sleep(0.05)
             for waiting in batch:
                 waiting.result.set(self._run(waiting.item))
-                if self.options.timings:
-                    self._note(waiting)
+            if self.options.timings:
+                self._note(batch)
 
-    def _note(self, waiting: _Waiting) -> None:
-        """Keeps when an item was here, by the machine's monotonic clock."""
-        self.timings.append(
-            (waiting.item["session"], waiting.since, time.monotonic())
-        )
+    def _note(self, batch: list[_Waiting]) -> None:
+        """Keeps when items were here, by the machine's monotonic clock."""
+        now = time.monotonic()
+        self.timings.extend((w.item["session"], w.since, now) for w in batch)
 
     def _take(self) -> list[_Waiting]:
         self._waiting.sort(key=lambda w: w.item.get("priority", 0))
