--- a/caroblug/core/state/_bundle.py
+++ b/caroblug/core/state/_bundle.py
@@ -49,6 +49,8 @@
         timeout_ms: How long one call may take.
         calls: Calls that one account may have open at one entry.
         body_bytes: Largest request body; 0 takes the one of `[limits]`.
+        remember_ms: For how long an idempotency key is remembered; the log
+            service must keep its records for longer than this.
     """
 
     idempotent_methods: list[str] = attrs.field(
@@ -57,6 +59,11 @@
     timeout_ms: int = duration_ms("How long one call may take.", 5000)
     calls: int = count(1, 100_000, "Calls open at once.", 256)
     body_bytes: int = count(0, _MAX_BODY_BYTES, "Largest request body.", 0)
+    remember_ms: int = duration_ms("How long a key is remembered.", 1_800_000)
+
+    def __attrs_post_init__(self) -> None:
+        if self.remember_ms <= self.timeout_ms:
+            raise ValueError("remember_ms must be more than timeout_ms")
 
 
 @attrs.frozen
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -17,7 +17,8 @@
     make_fleet,
 )
 from caroblug.side._crashes import Crashes
-from caroblug.side._plain import DirectCaller, PlainCalls
+from caroblug.side._once import make_plain_calls
+from caroblug.side._plain import PlainCalls
 from caroblug.side._pump import EnginePump
 from caroblug.side._settings import SideSettings
 from caroblug.side._streams import StageStreams, address_of
@@ -40,7 +41,6 @@
 _ENTRY_ROLE = "entry"
 _REPORT_BYTES = 110
 _DESCRIBE_S = 0.2
-_PLAIN_TIMEOUT_MS = 5000
 
 
 class SideServer(PeerHandler):
@@ -109,6 +109,8 @@
         self.fleet.start(self.lifetime.leave)
         if self._engine is not None:
             gevent.spawn(self._watch_engine)
+        if self._calls is not None:
+            self._calls.start()
         gevent.spawn(self._report_forever)
         log_state("program.started", port=settings.peer_port)
         self.lifetime.wait(self._report, self._busy)
@@ -145,10 +147,9 @@
     def _make_backend(self) -> None:
         settings = self.settings
         if settings.plain is not None:
-            caller = DirectCaller(
-                settings.plain.host, settings.plain.port, _PLAIN_TIMEOUT_MS
+            self._calls = make_plain_calls(
+                settings, self.network, self._clock, self.metrics
             )
-            self._calls = PlainCalls(caller, self.network, self.metrics)
             return
         self._engine = make_engine_client(
             settings.engine.host,
@@ -209,10 +210,13 @@
         return len(work)
 
     def _busy(self) -> bool:
+        if self._calls is not None:
+            return self._calls.busy
         return self._running() > 0
 
     def _on_head(self, head: Head) -> None:
-        del head
+        if self._calls is not None:
+            self._calls.on_head(head)
         self._report()
 
     def _sharing(self) -> Sharing:
