--- a/caroblug/side/tests/test_pump.py
+++ b/caroblug/side/tests/test_pump.py
@@ -150,3 +150,22 @@
     done.set()
     bench.settle()
     assert list(bench.pump.in_engine) == ["suspect"]
+
+
+def test_step_is_not_called_together_with_a_chunk():
+    """A caller's next word comes a whole batch late, though its step has run.
+
+    The engine left the chunk that went with it for its next batch, and a
+    call is answered when its last item has run.
+    """
+    bench = _Bench()
+    bench.submit("long", 0, 4)
+    bench.submit("short", 0, 1)
+    bench.settle()
+    called = [
+        {item.session for item in items} for items, _ in bench.engine.calls
+    ]
+    assert sorted(called, key=sorted) == [{"long"}, {"short"}]
+    while bench.engine.calls:
+        bench.end_call()
+    assert bench.pump.backlog == 0
