--- a/caroblug/side/_settings.py
+++ b/caroblug/side/_settings.py
@@ -38,7 +38,7 @@
 
     engine: Address | None = None
     plain: PlainSettings | None = None
-    batches: int = count(1, 16, "Calls to the engine at once.", 4)
+    batches: int = count(1, 16, "Calls to the engine at once.", 16)
     engine_timeout_ms: int = duration_ms("How long a batch may take.", 10_000)
     engine_probe_ms: int = duration_ms("How long a describe may take.", 250)
     report_ms: int = duration_ms("Least time between load reports.", 200)
