--- a/caroblug/bundle/_commands.py
+++ b/caroblug/bundle/_commands.py
@@ -25,6 +25,7 @@
     join_sections,
     make_key,
     make_record,
+    section_hash,
     sign_record,
     split_sections,
     verified_signers,
@@ -129,11 +130,8 @@
             "on; compare with `diff` and edit the bundle by hand",
             FAILED,
         )
-    held = record.sections | {
-        record.manifest[name]: body
-        for name, body in split_sections(base).items()
-        if name in record.manifest
-    }
+    held = {section_hash(b): b for b in split_sections(base).values()}
+    held.update(record.sections)
     if any(key not in held for key in record.manifest.values()):
         return _complain("the record lacks sections of its parent")
     mine = join_sections({n: held[k] for n, k in record.manifest.items()})
--- a/caroblug/bundle/_log.py
+++ b/caroblug/bundle/_log.py
@@ -143,6 +143,8 @@
                 if isinstance(found, Accepted):
                     return attrs.evolve(found, appends=appends)
                 return found
+            elif appends:
+                return Rejected("is in the log but is not the head")
             else:
                 outcome = self._log.append(BUNDLE_STREAM, encode_record(record))
                 if not isinstance(outcome, LogUnavailable):
--- a/caroblug/core/state/_spread.py
+++ b/caroblug/core/state/_spread.py
@@ -79,20 +79,15 @@
     Four are of its own data centre. Connections carry both ways, so that a
     group apart needs all of its members to choose within it: for eight
     instances in two halves that is a chance under 1e-10. One more lies in
-    another data centre.
+    another data centre, or as many as make up the peers that an instance
+    must hear in an outage.
     """
     others = [m for m in view.members if m.instance != own.instance]
     near = [m for m in others if m.data_centre == own.data_centre]
     chosen = rank_members(own.instance, near)[:_NEAR]
     far = [m for m in others if m.data_centre != own.data_centre]
-    places: set[str] = set()
-    for member in rank_members(own.instance, far):
-        if len(places) == _FAR:
-            break
-        if member.data_centre not in places:
-            places.add(member.data_centre)
-            chosen.append(member)
-    return list({m.instance: m for m in chosen}.values())
+    fewest = max(_FAR, _NEEDED_PEERS - len(chosen))
+    return chosen + rank_members(own.instance, far)[:fewest]
 
 
 class Spread:
