--- a/caroblug/transport/_engine.py
+++ b/caroblug/transport/_engine.py
@@ -10,6 +10,7 @@
 from caroblug.transport._http import HttpFailed, JsonHttp
 
 _OK = 200
+_CONNECTIONS = 16
 
 
 @attrs.frozen
@@ -86,8 +87,7 @@
 
     Attributes:
         message: What was seen.
-        crashed: Whether it went away while it had the batch, rather than
-            stayed silent or refused.
+        crashed: Whether it is gone, rather than silent or unwilling.
     """
 
     message: str
@@ -116,14 +116,16 @@
 class HttpEngineClient(EngineClient):
     """An engine over HTTP and JSON."""
 
-    def __init__(self, host: str, port: int, timeout_ms: int) -> None:
-        self._client = JsonHttp(host, port, timeout_ms, connections=8)
+    def __init__(
+        self, host: str, port: int, timeout_ms: int, connections: int
+    ) -> None:
+        self._client = JsonHttp(host, port, timeout_ms, connections)
 
     def describe(self) -> EngineDescription | EngineFailed:
         """Returns what the engine says of itself."""
         answer = self._client.request("GET", "/v1/engine")
         if isinstance(answer, HttpFailed):
-            return EngineFailed(answer.message)
+            return EngineFailed(answer.message, not answer.timed_out)
         try:
             body = answer.json()
             return EngineDescription(
@@ -185,7 +187,10 @@
 
 
 def make_engine_client(
-    host: str, port: int, timeout_ms: int = 10_000
+    host: str,
+    port: int,
+    timeout_ms: int = 10_000,
+    connections: int = _CONNECTIONS,
 ) -> EngineClient:
     """Returns a client of the engine at an address."""
-    return HttpEngineClient(host, port, timeout_ms)
+    return HttpEngineClient(host, port, timeout_ms, connections)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -15,6 +15,7 @@
 import base64
 import os
 import signal
+import time
 from typing import Any
 
 import attrs
@@ -26,6 +27,7 @@
 from standins._serve import make_app, serve
 
 _POSITIONS_AT_ONCE = 256
+_CATCH_UP_S = 0.02
 
 
 @attrs.define
@@ -52,6 +54,7 @@
     def __init__(self, options: argparse.Namespace) -> None:
         self.options = options
         self.step_ms = options.step_ms
+        self._poison_state = bytes.fromhex(options.poison_state)
         self.hung = False
         self.layers_run = 0
         self.repeated = 0
@@ -89,16 +92,24 @@
         self._sessions.pop(session, None)
 
     def loop(self) -> None:
-        """Runs iterations for ever."""
+        """Runs iterations for ever.
+
+        An iteration that follows another at once begins when that one was due
+        to end, so that a busy machine's late timers don't lower the capacity.
+        """
+        free_at = 0.0
         while True:
-            self._wake.wait()
+            if not self._wake.is_set():
+                self._wake.wait()
+                free_at = time.monotonic()
             batch = self._take()
             if not batch:
                 self._wake.clear()
                 continue
             positions = sum(len(w.item["inputs"]) for w in batch)
             ms = self.step_ms + positions * self.options.position_ms
-            gevent.sleep(ms / 1000)
+            free_at = max(free_at, time.monotonic() - _CATCH_UP_S) + ms / 1000
+            gevent.sleep(max(0.0, free_at - time.monotonic()))
             while self.hung:
                 gevent.sleep(0.05)
             for waiting in batch:
@@ -142,7 +153,10 @@
 
     def _input(self, value: int | str, position: int) -> bytes:
         if isinstance(value, str):
-            return base64.b64decode(value)
+            state = base64.b64decode(value)
+            if state == self._poison_state:
+                os.kill(os.getpid(), signal.SIGKILL)
+            return state
         options = self.options
         # A generated token may be equal to the poison; only a prompt strikes.
         if (
@@ -242,6 +256,7 @@
     parser.add_argument("--step-ms", type=float, default=2.0)
     parser.add_argument("--position-ms", type=float, default=0.05)
     parser.add_argument("--poison-token", type=int, default=-1)
+    parser.add_argument("--poison-state", default="")
     parser.add_argument("--poison-position", type=int, default=1)
     options = parser.parse_args()
     engine = Engine(options)
