--- /dev/null
+++ b/benchmarks/bundle_spread.py
@@ -0,0 +1,240 @@
+"""From the log's acceptance of a bundle to its being in force everywhere.
+
+Real followers over real sockets, up to 25 in a process; the log service and
+the instance list are stand-ins. `p100_ms_N` is the time to the last of N
+instances, the median over the changes; `bytes_per_node` is what an instance
+sends for one change among 200, idle traffic taken off. Lines before the last
+give messages, log reads and idle traffic.
+"""
+
+import argparse
+import base64
+import statistics
+import subprocess
+import sys
+import threading
+import time
+
+import attrs
+import orjson
+import tomli_w
+
+from benchmarks._result import Result, print_result
+from caroblug.core.state import hash_key
+from standins.site import HOST, SHARED_KEY, Site, make_site
+
+_SIZES = (10, 50, 200)
+_CHANGES = 5
+_PER_PROCESS = 25
+_PLACES = 4
+_ACCOUNTS = 1800
+_IDLE_S = 5.0
+_BOUND_S = 60.0
+_MS_PER_S = 1000
+
+
+@attrs.define
+class _Sent:
+    bytes: float = 0.0
+    frames: float = 0.0
+    reads: float = 0.0
+    ready: float = 0.0
+    links: float = 0.0
+    cpu_ms: float = 0.0
+
+    def per_node(self, before: "_Sent", nodes: int) -> "_Sent":
+        """Returns what one node has added since."""
+        return _Sent(
+            *(
+                (getattr(self, f.name) - getattr(before, f.name)) / nodes
+                for f in attrs.fields(_Sent)
+            )
+        )
+
+
+class _Nodes:
+    """Followers in several processes."""
+
+    def __init__(self, site: Site, count: int) -> None:
+        self.count = count
+        self._seen: dict[int, dict[str, float]] = {}
+        self._answers: list[_Sent] = []
+        self._changed = threading.Condition()
+        self._processes = []
+        tables = [self._settings(site, number) for number in range(count)]
+        for table in tables:
+            self._list(site, table)
+        for first in range(0, count, _PER_PROCESS):
+            self._start(tables[first : first + _PER_PROCESS])
+
+    def _settings(self, site: Site, number: int) -> dict:
+        return {
+            "instance": f"node-{number:03d}",
+            "data_centre": f"place-{number % _PLACES}",
+            "host": HOST,
+            "peer_port": site.ports.take(),
+            "http_port": 0,
+            "shared_key": SHARED_KEY,
+            "operators": site.operator_keys,
+            "log": {"host": HOST, "port": site.log_port},
+            "instance_list": {"host": HOST, "port": site.instances_port},
+        }
+
+    def _list(self, site: Site, table: dict) -> None:
+        record = {
+            "instance": table["instance"],
+            "role": "side",
+            "host": HOST,
+            "port": table["peer_port"],
+            "data_centre": table["data_centre"],
+            "state": "live",
+        }
+        site.http(site.instances_port, "POST", "/instances", record)
+
+    def _start(self, tables: list[dict]) -> None:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "standins.followers"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+        )
+        process.stdin.write(orjson.dumps(tables) + b"\n")
+        process.stdin.flush()
+        self._processes.append(process)
+        threading.Thread(
+            target=self._read, args=(process,), daemon=True
+        ).start()
+
+    def _read(self, process: subprocess.Popen) -> None:
+        for line in process.stdout:
+            words = line.split()
+            with self._changed:
+                if words[0] == b"sent":
+                    self._answers.append(_Sent(*map(float, words[1:])))
+                else:
+                    seen = self._seen.setdefault(int(words[0]), {})
+                    seen[words[1].decode()] = float(words[2])
+                self._changed.notify_all()
+
+    def last_ms(self, version: int) -> float:
+        """Returns when the last node had a version in force."""
+
+        def _all() -> bool:
+            return len(self._seen.get(version, ())) == self.count
+
+        with self._changed:
+            if not self._changed.wait_for(_all, _BOUND_S):
+                raise TimeoutError(f"version {version} is not everywhere")
+            return max(self._seen[version].values())
+
+    def sent(self) -> _Sent:
+        """Returns what all nodes have sent so far."""
+        with self._changed:
+            self._answers.clear()
+        for process in self._processes:
+            process.stdin.write(b"bytes\n")
+            process.stdin.flush()
+
+        def _all() -> bool:
+            return len(self._answers) == len(self._processes)
+
+        with self._changed:
+            if not self._changed.wait_for(_all, _BOUND_S):
+                raise TimeoutError("a process of nodes gave no answer")
+            rows = [attrs.astuple(a) for a in self._answers]
+        return _Sent(*(sum(column) for column in zip(*rows, strict=True)))
+
+    def close(self) -> None:
+        """Ends every process."""
+        for process in self._processes:
+            process.kill()
+            process.wait()
+
+
+def _publish(site: Site, number: int) -> float:
+    """Publishes one changed account; returns when the log had taken it."""
+    rules = site.bundle["client_accounts"]
+    rules["account-7"]["streams"] = number
+    path = site.folder / "bundle.toml"
+    record = site.folder / f"bundle-{number}.record"
+    path.write_text(tomli_w.dumps(site.bundle))
+    key = str(site.folder / "operator-0.key")
+    options = site.log_options()
+    site.bundle_command(
+        "sign", str(path), "--key", key, "--out", str(record), *options
+    )
+    data = record.read_bytes()
+    body = {"data": base64.b64encode(data).decode()}
+    answer = site.http(site.log_port, "POST", "/streams/caroblug.bundles", body)
+    if answer.status != 201:
+        raise RuntimeError(f"the log answered {answer.status}")
+    return time.monotonic() * _MS_PER_S
+
+
+def _wait_ready(nodes: _Nodes) -> None:
+    end = time.monotonic() + _BOUND_S
+    while nodes.sent().ready < nodes.count:
+        if time.monotonic() > end:
+            raise TimeoutError("not all nodes are ready")
+        time.sleep(0.5)
+
+
+def measure(count: int, changes: int) -> tuple[float, float]:
+    """Returns the median time to the last node and bytes per change."""
+    with make_site() as site:
+        site.start_platform()
+        for number in range(_ACCOUNTS):
+            name = f"account-{number}"
+            key_hash = hash_key(f"{name}:key", f"{number:016x}")
+            site.bundle["client_accounts"][name] = {"key_hashes": [key_hash]}
+        nodes = _Nodes(site, count)
+        try:
+            _publish(site, 1)
+            nodes.last_ms(1)
+            _wait_ready(nodes)
+            time.sleep(_IDLE_S)
+            first = nodes.sent()
+            time.sleep(_IDLE_S)
+            idle = nodes.sent().per_node(first, count)
+            times = []
+            before, began = nodes.sent(), time.monotonic()
+            for number in range(2, 2 + changes):
+                accepted_ms = _publish(site, number)
+                times.append(nodes.last_ms(number) - accepted_ms)
+            took_s = time.monotonic() - began
+            after = nodes.sent()
+            change = after.per_node(before, count)
+        finally:
+            nodes.close()
+    idle_bytes_s = idle.bytes / _IDLE_S
+    per_change = (change.bytes - idle_bytes_s * took_s) / changes
+    print(
+        f"{count} nodes: last in force after "
+        f"{[round(t) for t in times]} ms; "
+        f"idle per node and s: {idle_bytes_s:.0f} bytes, "
+        f"{idle.frames / _IDLE_S:.2f} frames, "
+        f"{idle.reads / _IDLE_S:.2f} log reads, "
+        f"{idle.cpu_ms / _IDLE_S:.2f} ms of processor; "
+        f"per node and change: {per_change:.0f} bytes; "
+        f"{after.links / count:.1f} connections per node",
+        flush=True,
+    )
+    return statistics.median(times), per_change
+
+
+def main() -> None:
+    """Measures all sizes."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=_SIZES)
+    parser.add_argument("--changes", type=int, default=_CHANGES)
+    options = parser.parse_args()
+    figures = {}
+    for count in options.sizes:
+        last_ms, change_bytes = measure(count, options.changes)
+        figures[f"p100_ms_{count}"] = round(last_ms, 1)
+    figures["bytes_per_node"] = round(change_bytes)
+    print_result(Result("bundle_spread", options.changes, figures))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/followers.py
@@ -0,0 +1,94 @@
+"""Many followers of bundles in one process, over real sockets.
+
+Reads the nodes' settings as one JSON line. Then prints one line for each new
+head at a node: version, node, time in ms of the machine's monotonic clock.
+The order `bytes` is answered by the bytes and messages sent by all nodes.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys
+import time
+
+import gevent
+import orjson
+from gevent.fileobject import FileObject
+
+from caroblug.core.state import Head
+from caroblug.gen.wire import ttypes as wire
+from caroblug.node import Address, NodeSettings, make_fleet
+from caroblug.transport import PeerAddress, PeerHandler, make_peer_network
+from caroblug.utils import MonotonicClock, make_metrics
+
+_HEARTBEAT_MS = 10_000
+_SILENCE_MS = 30_000
+_NS_PER_MS = 1_000_000
+_CLOCK = MonotonicClock()
+
+
+class _Node(PeerHandler):
+    """One follower."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self.settings = settings
+        self.metrics = make_metrics()
+        self.network = make_peer_network(
+            wire.Hello(settings.instance, "side", settings.data_centre),
+            settings.shared_key.encode(),
+            self,
+            _CLOCK,
+            self.metrics,
+            _HEARTBEAT_MS,
+            _SILENCE_MS,
+        )
+        self.fleet = make_fleet(
+            settings, "side", self.network, _CLOCK, self.metrics, self._on_head
+        )
+
+    def start(self) -> None:
+        self.network.start(self.settings.host, self.settings.peer_port)
+        self.fleet.start(lambda: None)
+
+    def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
+        self.fleet.on_frame(peer, frame)
+
+    def on_peer_up(self, peer: PeerAddress) -> None:
+        self.fleet.on_peer_up(peer)
+
+    def on_peer_lost(self, peer: PeerAddress, reason: str) -> None:
+        self.fleet.on_peer_lost(peer)
+
+    def _on_head(self, head: Head) -> None:
+        now_ms = time.monotonic_ns() / _NS_PER_MS
+        print(f"{head.version} {self.settings.instance} {now_ms}", flush=True)
+
+
+def main() -> None:
+    """Runs until standard input ends."""
+    orders = FileObject(sys.stdin.buffer, "rb")
+    nodes = []
+    for table in orjson.loads(orders.readline()):
+        addresses = {
+            key: Address(**table.pop(key)) for key in ("log", "instance_list")
+        }
+        nodes.append(_Node(NodeSettings(**addresses, **table)))
+    for node in nodes:
+        node.start()
+        gevent.sleep(0.01)
+    for _ in orders:
+        sent = sum(n.metrics.value("frame_bytes_sent") for n in nodes)
+        frames = sum(n.metrics.value("frames_sent") for n in nodes)
+        reads = sum(n.metrics.value("bundle_log_reads") for n in nodes)
+        ready = sum(n.fleet.bundles.ready for n in nodes)
+        links = sum(len(n.network.peers) for n in nodes)
+        cpu_ms = time.process_time() * 1000
+        print(
+            f"sent {sent} {frames} {reads} {ready} {links} {cpu_ms}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
