--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -94,7 +94,9 @@
             self.latencies,
             self.limits.suspects,
         )
-        self.plain = PlainClient(self.network, self.directory, self.metrics)
+        self.plain = PlainClient(
+            self.network, self.directory, self._clock, self.metrics
+        )
 
     @property
     def ready(self) -> bool:
