--- a/caroblug/entry/_stream_request.py
+++ b/caroblug/entry/_stream_request.py
@@ -9,7 +9,8 @@
 
     Attributes:
         client_account: Whose request it is.
-        weight: The account's share relative to others.
+        weight: The stream's weight: its part of the account's.
+        account_weight: The account's share relative to others.
         model: The model.
         layers: Its number of layers.
         prompt: The prompt's tokens.
@@ -30,3 +31,4 @@
     seed: int
     fingerprint: str = ""
     unread_tokens: int = 1024
+    account_weight: float = 1.0
--- a/caroblug/entry/_streams.py
+++ b/caroblug/entry/_streams.py
@@ -321,6 +321,7 @@
             seed=request.seed,
             entry=self._own,
             weight=request.weight,
+            account_weight=request.account_weight,
             fingerprint=request.fingerprint,
             alone_until=self._suspects.alone_until(request.fingerprint),
         )
--- a/caroblug/transport/_engine.py
+++ b/caroblug/transport/_engine.py
@@ -10,7 +10,7 @@
 from caroblug.transport._http import HttpFailed, JsonHttp
 
 _OK = 200
-_CONNECTIONS = 16
+_CONNECTIONS = 32
 
 
 @attrs.frozen
--- a/thrift/caroblug.thrift
+++ b/thrift/caroblug.thrift
@@ -51,6 +51,8 @@
   30: i32 sends_from
   /** Positions before this one run with nothing else in the engine. */
   60: i32 alone_until
+  /** The account's weight, which its streams at one engine never exceed. */
+  61: double account_weight
 }
 
 /** Hidden states for consecutive positions, starting at `position`. */
