--- a/standins/tests/test_once.py
+++ b/standins/tests/test_once.py
@@ -285,9 +285,14 @@
     def _look_up():
         return site.call(entry, _ACCOUNT, "GET", "/services/booking/seats")
 
+    def _look_ups(plain):
+        return site.observe(plain)["runs"].get("", 0)
+
+    before = {plain: _look_ups(plain) for plain in _plains(site)}
     for _ in range(30):
         assert _look_up().status == 200
-    site.control(_plains(site)[0], {"delay_ms": 2000})
+    used = max(before, key=lambda plain: _look_ups(plain) - before[plain])
+    site.control(used, {"delay_ms": 2000})
     for _ in range(4):
         assert _look_up().status == 200
     resends = site.metric(entry, "caroblug_plain_resends_total")
