Order engines to follow the bundle, under a lease

Cause: an engine could only be changed by hand. Change: [placements.ENGINE] in the bundle; a side process whose engine differs takes no new stream, waits for its streams, asks the weight store, takes the lease and orders the whole state, then looks again. Lease records carry the bundle's version, so that one that wakes up with an old bundle cannot order. Tried and failed: a late order held back by a fixed delay landed before the successor's order on a busy machine; the stand-in now holds it until told.

--- a/caroblug/core/state/_bundle.py
+++ b/caroblug/core/state/_bundle.py
@@ -14,6 +14,7 @@
     name,
     number,
     structure_table,
+    text,
 )
 
 _MAX_LAYERS = 1024
@@ -158,6 +159,31 @@
     share: float = number(0.5, 0.99999, "Share that must be good.")
 
 
+@attrs.frozen
+class Placement:
+    """What one engine is to hold, as a whole state.
+
+    Attributes:
+        model: The model.
+        version: Version of its weights; empty for the engine's own.
+        adapter: Adapter over the weights; empty for none.
+        first_layer: First layer it holds.
+        end_layer: One past the last layer it holds.
+        role: What it does of a stream.
+    """
+
+    model: str = name("The model.")
+    first_layer: int = count(0, _MAX_LAYERS, "First layer it holds.")
+    end_layer: int = count(1, _MAX_LAYERS, "One past the last layer.")
+    version: str = text("Version of its weights.", "", low=0, high=64)
+    adapter: str = text("Adapter over the weights.", "", low=0, high=64)
+    role: str = choice(("any", "prefill", "decode"), "Its part.", "any")
+
+    def __attrs_post_init__(self) -> None:
+        if self.end_layer <= self.first_layer:
+            raise ValueError("end_layer must be more than first_layer")
+
+
 @attrs.frozen
 class Bundle:
     """One whole configuration, as operators write it in TOML."""
@@ -169,6 +195,7 @@
     sharing: Sharing = attrs.field(factory=Sharing)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     objectives: list[Objective] = attrs.field(factory=list)
+    placements: dict[str, Placement] = attrs.field(factory=dict)
 
 
 def parse_bundle(toml: str, file: str = "bundle") -> Bundle | SettingsRejected:
--- a/caroblug/core/state/_leases.py
+++ b/caroblug/core/state/_leases.py
@@ -18,6 +18,7 @@
         attempt: Counts the holder's records.
         after: Number of the lease that this one follows; -1 for the first.
         term_ms: How long the lease lasts; 0 frees it.
+        version: Version of the bundle that the holder follows.
     """
 
     engine: str
@@ -25,6 +26,7 @@
     attempt: int
     after: int
     term_ms: int
+    version: int
 
 
 @attrs.frozen
@@ -57,6 +59,7 @@
             int(body["attempt"]),
             int(body["after"]),
             int(body["term_ms"]),
+            int(body["version"]),
         )
     except (KeyError, TypeError, ValueError):
         return None
@@ -97,9 +100,19 @@
             return
         # After the whole stream has expired, the first record kept begins
         # anew: every lease before it has ended long ago.
-        if self._lease is None or record.after == self._lease.number:
+        if self._lease is None or self._follows(record, self._lease):
             self._lease = Lease(offset, record)
 
+    def _follows(self, record: LeaseRecord, lease: Lease) -> bool:
+        """Tells whether a record may follow a lease.
+
+        Guards against a side process that wakes up with the bundle of an
+        hour ago, takes a free lease and orders what was in force then.
+        """
+        if record.version < lease.record.version:
+            return False
+        return record.after == lease.number
+
     def skip_to(self, offset: int) -> None:
         """Passes over records that have expired unread."""
         self._next_offset = max(self._next_offset, offset)
@@ -119,6 +132,11 @@
     ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outdated:
+    """The engine was ordered by a newer bundle than the own one."""
+
+
 class LeaseHolder:
     """One side process's part in the lease of its engine.
 
@@ -151,7 +169,9 @@
             self._seen = self._fold.lease
             self._seen_ms = now_ms
 
-    def next(self, now_ms: int) -> LeaseRecord | Held | WaitOut:
+    def next(
+        self, now_ms: int, version: int
+    ) -> LeaseRecord | Held | WaitOut | Outdated:
         """Returns a record to append, the lease, or how long to wait.
 
         After a record has been appended, or may have been, the log must be
@@ -161,15 +181,19 @@
         if number is not None:
             return Held(number)
         lease = self._seen
+        if lease is not None and version < lease.record.version:
+            return Outdated()
         if lease is not None and not self._is_over(lease, now_ms):
             return WaitOut(self._ends_ms(lease) - now_ms)
         after = -1 if lease is None else lease.number
-        return self._make(now_ms, after, self._term_ms)
+        return self._make(now_ms, after, self._term_ms, version)
 
     def release(self, now_ms: int) -> LeaseRecord | None:
         """Returns the record that frees the lease; None if it isn't held."""
         number = self.number(now_ms)
-        return None if number is None else self._make(now_ms, number, 0)
+        if number is None:
+            return None
+        return self._make(now_ms, number, 0, self._seen.record.version)
 
     def number(self, now_ms: int) -> int | None:
         """Returns the number for an order sent right now, if it may be.
@@ -185,7 +209,9 @@
             return None
         return lease.number
 
-    def _make(self, now_ms: int, after: int, term_ms: int) -> LeaseRecord:
+    def _make(
+        self, now_ms: int, after: int, term_ms: int, version: int
+    ) -> LeaseRecord:
         self._attempt += 1
         self._began_ms = {
             attempt: began_ms
@@ -194,7 +220,12 @@
         }
         self._began_ms[self._attempt] = now_ms
         return LeaseRecord(
-            self._engine, self._holder, self._attempt, after, term_ms
+            self._engine,
+            self._holder,
+            self._attempt,
+            after,
+            term_ms,
+            version,
         )
 
     def _is_over(self, lease: Lease, now_ms: int) -> bool:
--- a/caroblug/core/state/tests/test_leases.py
+++ b/caroblug/core/state/tests/test_leases.py
@@ -14,6 +14,7 @@
     LeaseFold,
     LeaseHolder,
     LeaseRecord,
+    Outdated,
     decode_lease,
     encode_lease,
 )
@@ -66,7 +67,7 @@
         at = self.sides[side]
         now_ms = at.clock(self.now_ms)
         record = at.holder.release(now_ms) if release else None
-        record = record or at.holder.next(now_ms)
+        record = record or at.holder.next(now_ms, 1)
         if not isinstance(record, LeaseRecord):
             return
         data = encode_lease(record)
@@ -85,7 +86,7 @@
         records = []
         for side in sides[:2]:
             at = self.sides[side]
-            record = at.holder.next(at.clock(self.now_ms))
+            record = at.holder.next(at.clock(self.now_ms), 1)
             if isinstance(record, LeaseRecord):
                 records.append(encode_lease(record))
         self.log.extend(records)
@@ -113,7 +114,7 @@
     def check(self, side):
         """The look at the clock; a pause may follow before the send."""
         at = self.sides[side]
-        held = at.holder.next(at.clock(self.now_ms))
+        held = at.holder.next(at.clock(self.now_ms), 1)
         at.checked = held.number if isinstance(held, Held) else None
 
     @stateful.rule(side=st.integers(0, _SIDES - 1))
@@ -149,13 +150,32 @@
     """
     log = []
     paused, next_one = _Side("paused", 1.0), _Side("next", 1.0)
-    log.append(encode_lease(paused.holder.next(0)))
+    log.append(encode_lease(paused.holder.next(0, 1)))
     paused.read(log, 1)
-    assert paused.holder.next(2) == Held(0)
+    assert paused.holder.next(2, 1) == Held(0)
     next_one.read(log, 500)
     assert paused.holder.number(_TERM_MS) is None
     waited_ms = 500 + _TERM_MS * 11 // 10
-    log.append(encode_lease(next_one.holder.next(waited_ms)))
+    log.append(encode_lease(next_one.holder.next(waited_ms, 1)))
     next_one.read(log, waited_ms)
-    assert next_one.holder.next(waited_ms) == Held(1)
+    assert next_one.holder.next(waited_ms, 1) == Held(1)
     assert paused.holder.number(waited_ms) is None
+
+
+def test_holder_with_an_old_bundle_does_not_order():
+    """An engine goes back to the layers of an hour ago, for a moment.
+
+    A side process wakes up before it has read the newer bundle and finds the
+    lease free; whoever freed it had followed a newer bundle.
+    """
+    log = []
+    newer, old = _Side("newer", 1.0), _Side("old", 1.0)
+    log.append(encode_lease(newer.holder.next(0, 2)))
+    newer.read(log, 1)
+    early = encode_lease(LeaseRecord(_ENGINE, "old", 1, 0, _TERM_MS, 1))
+    log.append(early)
+    log.append(encode_lease(newer.holder.release(2)))
+    old.read(log, 3)
+    assert old.holder.next(9 * _TERM_MS, 1) == Outdated()
+    assert old.fold.lease.record.holder == "newer"
+    assert isinstance(old.holder.next(9 * _TERM_MS, 2), LeaseRecord)
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -18,6 +18,7 @@
 )
 from caroblug.side._crashes import Crashes
 from caroblug.side._once import make_plain_calls
+from caroblug.side._orders import OrderKeeper, Target, make_order_keeper
 from caroblug.side._plain import PlainCalls
 from caroblug.side._pump import EnginePump
 from caroblug.side._settings import SideSettings
@@ -86,6 +87,7 @@
         self._pump: EnginePump | None = None
         self._streams: StageStreams | None = None
         self._calls: PlainCalls | None = None
+        self._keeper: OrderKeeper | None = None
         self._make_backend()
 
     @property
@@ -109,6 +111,7 @@
         self.fleet.start(self.lifetime.leave)
         if self._engine is not None:
             gevent.spawn(self._watch_engine)
+            gevent.spawn(self._keeper.run)
         if self._calls is not None:
             self._calls.start()
         gevent.spawn(self._report_forever)
@@ -176,6 +179,14 @@
             self._sharing,
         )
         self._pump.start()
+        self._keeper = make_order_keeper(
+            settings,
+            self._target,
+            lambda: len(self._streams) > 0,
+            self._on_ordered,
+            self._clock,
+            self.metrics,
+        )
 
     def _on_stream_messages(
         self, streams: StageStreams, frame: wire.Frame
@@ -192,7 +203,7 @@
             streams.on_cancel(cancel)
 
     def _refusal(self, opened: wire.OpenStream) -> str:
-        if self.lifetime.leaving:
+        if self.lifetime.leaving or self._is_changing():
             return StageFailure.LEAVING
         if self._streams.positions >= self.settings.positions:
             return StageFailure.OVERLOADED
@@ -202,6 +213,26 @@
             return StageFailure.QUARANTINED
         return "" if self._is_up() else StageFailure.ENGINE_FAILED
 
+    def _target(self) -> Target | None:
+        head = self.bundles.head
+        if head is None or self.lifetime.leaving:
+            return None
+        name = self.settings.engine_name or self.settings.instance
+        placement = head.bundle.placements.get(name)
+        return placement and Target(head.version, placement)
+
+    def _on_ordered(self) -> None:
+        """Forgets the engine's description, which is read anew."""
+        self._description = None
+        self._report()
+
+    def _takes_none(self) -> bool:
+        leaving = self.lifetime.leaving or self._is_changing()
+        return leaving or not self._is_up()
+
+    def _is_changing(self) -> bool:
+        return self._keeper is not None and self._keeper.changing
+
     def _is_up(self) -> bool:
         return self._calls is not None or self._description is not None
 
@@ -285,7 +316,7 @@
             instance=settings.instance,
             role="side",
             data_centre=settings.data_centre,
-            leaving=self.lifetime.leaving or not self._is_up(),
+            leaving=self._takes_none(),
             bundle_version=head.version if head else 0,
             host=settings.host,
             port=settings.peer_port,
--- a/caroblug/side/_settings.py
+++ b/caroblug/side/_settings.py
@@ -29,6 +29,10 @@
         report_bytes_per_s: Budget of all load reports.
         queue: Order of waiting work; `fifo` is a baseline for measurements.
         journal_positions: Outputs kept per stream for a new next stage.
+        engine_name: Name of the engine in the bundle's placements; the
+            instance's own name if empty. A successor has the same.
+        weight_store: The weight store; without one, engines load freely.
+        lease_ms: How long a lease of the engine lasts.
         intent_interval_ms: Least time between two appends of intents; all
             owners together must stay under the log service's rate.
         positions: Positions of all open streams together, prompts and answers
@@ -53,6 +57,10 @@
 
     intent_interval_ms: int = duration_ms("Time between appends.", 10)
 
+    engine_name: str = text("Name in the bundle.", "", low=0, high=63)
+    weight_store: Address | None = None
+    lease_ms: int = duration_ms("How long a lease of the engine lasts.", 5000)
+
     def __attrs_post_init__(self) -> None:
         if (self.engine is None) == (self.plain is None):
             raise ValueError("give either [engine] or [plain]")
--- a/caroblug/transport/__init__.py
+++ b/caroblug/transport/__init__.py
@@ -27,6 +27,13 @@
     Records,
     make_log_service,
 )
+from caroblug.transport._orders import (
+    EngineOrders,
+    OrderFailed,
+    OrderFenced,
+    OrderTaken,
+    make_engine_orders,
+)
 from caroblug.transport._peers import (
     PeerAddress,
     PeerHandler,
@@ -37,6 +44,13 @@
     suspicion_from_wire,
     suspicion_to_wire,
 )
+from caroblug.transport._weights import (
+    Reserved,
+    WeightsBusy,
+    WeightStore,
+    WeightsUnavailable,
+    make_weight_store,
+)
 
 __all__ = [
     "Appended",
@@ -44,6 +58,7 @@
     "EngineDescription",
     "EngineFailed",
     "EngineItem",
+    "EngineOrders",
     "EngineResult",
     "FrameError",
     "HttpAnswer",
@@ -52,21 +67,30 @@
     "HttpInstanceList",
     "HttpLogService",
     "InstanceList",
-    "JsonHttp",
     "InstanceRecord",
     "InstancesUnavailable",
+    "JsonHttp",
     "LogRecord",
     "LogService",
     "LogUnavailable",
+    "OrderFailed",
+    "OrderFenced",
+    "OrderTaken",
     "PeerAddress",
     "PeerHandler",
     "PeerNetwork",
     "Records",
+    "Reserved",
     "Sealer",
+    "WeightStore",
+    "WeightsBusy",
+    "WeightsUnavailable",
     "make_engine_client",
+    "make_engine_orders",
     "make_instance_list",
     "make_log_service",
     "make_peer_network",
+    "make_weight_store",
     "suspicion_from_wire",
     "suspicion_to_wire",
 ]
--- a/docs/make_settings.py
+++ b/docs/make_settings.py
@@ -9,6 +9,7 @@
     Limits,
     ModelRule,
     Objective,
+    Placement,
     ServiceRule,
     Sharing,
 )
@@ -30,6 +31,7 @@
     ("Bundle: `[limits]`", Limits),
     ("Bundle: `[sharing]`", Sharing),
     ("Bundle: `[[objectives]]`", Objective),
+    ("Bundle: `[placements.ENGINE]`", Placement),
 )
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -27,6 +27,8 @@
 
 _POSITIONS_AT_ONCE = 256
 
+_STATE = ("model", "first_layer", "end_layer", "version", "adapter", "role")
+
 
 @attrs.define
 class _Session:
@@ -54,6 +56,12 @@
         self.step_ms = options.step_ms
         self._poison_state = bytes.fromhex(options.poison_state)
         self.hung = False
+        self.arrived = 0
+        self.orders = 0
+        self.fenced = 0
+        self.holds_orders = False
+        self.landing = event.Event()
+        self._highest = -1
         self.layers_run = 0
         self.repeated = 0
         self._sessions: dict[str, _Session] = {}
@@ -67,6 +75,9 @@
             "model": options.model,
             "first_layer": options.first_layer,
             "end_layer": options.end_layer,
+            "version": options.version,
+            "adapter": options.adapter,
+            "role": options.role,
             "layers": options.layers,
             "tokens_per_s": self.capacity(),
             "batch": options.batch,
@@ -78,6 +89,22 @@
         iteration_ms = self.step_ms + options.batch * options.position_ms
         return options.batch * 1000 / iteration_ms
 
+    def order(self, body: dict[str, Any]) -> bool:
+        """Takes a whole state; False if its number is an old one."""
+        self.arrived += 1
+        if self.holds_orders:
+            self.landing.wait()
+        if body["number"] < self._highest and self.options.check_fence:
+            self.fenced += 1
+            return False
+        self._highest = max(self._highest, body["number"])
+        self.orders += 1
+        state = {key: body[key] for key in _STATE}
+        if state != {key: getattr(self.options, key) for key in _STATE}:
+            self._sessions.clear()
+        vars(self.options).update(state)
+        return True
+
     def submit(self, item: dict[str, Any]) -> event.AsyncResult:
         """Queues an item for the next iterations."""
         result: event.AsyncResult = event.AsyncResult()
@@ -209,8 +236,20 @@
         response.media = {"results": [result.get() for result in waiting]}
 
 
+class _Orders:
+    def __init__(self, engine: Engine) -> None:
+        self._engine = engine
+
+    def on_post(self, request: falcon.Request, response: falcon.Response):
+        if not self._engine.order(request.get_media()):
+            response.status = falcon.HTTP_409
+
+
 class _Control:
-    """Orders from tests: `crash`, `hang`, `wake`, `step_ms`."""
+    """Orders from tests: `crash`, `hang`, `step_ms`, and of late orders.
+
+    With `holds_orders`, an order that arrives waits for `land`.
+    """
 
     def __init__(self, engine: Engine) -> None:
         self._engine = engine
@@ -221,6 +260,10 @@
             os.kill(os.getpid(), signal.SIGKILL)
         if "hang" in body:
             self._engine.hung = bool(body["hang"])
+        if "holds_orders" in body:
+            self._engine.holds_orders = bool(body["holds_orders"])
+        if body.get("land"):
+            self._engine.landing.set()
         if "step_ms" in body:
             self._engine.step_ms = float(body["step_ms"])
         response.media = {}
@@ -230,6 +273,9 @@
         response.media = {
             "layers_run": self._engine.layers_run,
             "repeated": self._engine.repeated,
+            "arrived": self._engine.arrived,
+            "orders": self._engine.orders,
+            "fenced": self._engine.fenced,
         }
 
 
@@ -248,12 +294,19 @@
     parser.add_argument("--poison-token", type=int, default=-1)
     parser.add_argument("--poison-state", default="")
     parser.add_argument("--poison-position", type=int, default=1)
+    parser.add_argument("--version", default="")
+    parser.add_argument("--adapter", default="")
+    parser.add_argument("--role", default="any")
+    parser.add_argument(
+        "--check-fence", action=argparse.BooleanOptionalAction, default=True
+    )
     options = parser.parse_args()
     engine = Engine(options)
     gevent.spawn(engine.loop)
     app = make_app()
     app.add_route("/v1/engine", _Describe(engine))
     app.add_route("/v1/run", _Run(engine))
+    app.add_route("/v1/orders", _Orders(engine))
     app.add_route("/control", _Control(engine))
     serve(app, options.port)
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -161,6 +161,13 @@
         engine = {"engine": {"host": HOST, "port": port}}
         self.start_side(spec.name, spec.data_centre, engine | spec.side)
 
+    def start_weights(self, *options: str) -> dict[str, Any]:
+        """Starts the weight store and returns its address."""
+        port = self.ports.take()
+        self._standin("weights", "weights", port, options)
+        self.wait_http(port, "/control")
+        return {"host": HOST, "port": port}
+
     def start_plain(self, spec: PlainSpec) -> None:
         """Starts a plain service and its side process, and lists it."""
         port = self.ports.take()
--- /dev/null
+++ b/standins/tests/test_orders.py
@@ -0,0 +1,138 @@
+"""Orders to engines over real processes."""
+
+import signal
+
+import pytest
+
+from caroblug.entry._tokenizer import make_tokenizer
+from standins import reference
+from standins.site import MODEL, EngineSpec, EntrySpec, make_site
+
+_ACCOUNT = "school-1"
+_PLACE = "muscat-a"
+_LEASE_MS = 1000
+
+
+def _placement(end_layer, version="v1"):
+    return {
+        "model": MODEL,
+        "first_layer": 0,
+        "end_layer": end_layer,
+        "version": version,
+    }
+
+
+def _start(site, engines, options=()):
+    """Starts engines whose side processes ask a weight store."""
+    site.start_platform()
+    site.add_account(_ACCOUNT)
+    site.publish()
+    store = site.start_weights("--loads=1", "--period-s=1.5")
+    for number in range(engines):
+        site.start_engine(
+            EngineSpec(
+                name=f"a-{number}",
+                data_centre=_PLACE,
+                first_layer=0,
+                end_layer=12,
+                options=options,
+                side={"weight_store": store, "lease_ms": _LEASE_MS},
+            )
+        )
+
+
+def _version(site, engine="engine-a-0"):
+    port = site.processes[engine].http_port
+    return site.http(port, "GET", "/v1/engine").json()["version"]
+
+
+def _expected(site):
+    model = site.bundle["models"][MODEL]
+    tokenizer = make_tokenizer(model["vocabulary"])
+    prompt = tokenizer.encode("user: two planets rise")
+    tokens = reference.expected_tokens(
+        prompt, 8, model["layers"], model["vocabulary"], 3
+    )
+    return tokenizer.decode(tokens)
+
+
+def test_engines_follow_the_bundle_at_the_weight_stores_rate():
+    """A bundle gives half a model's engines the other half of its layers.
+
+    All engines want weights at once; the store lets one in at a time, and
+    says when to come back. Then whole answers are served.
+    """
+    with make_site() as site:
+        _start(site, 3)
+        site.start_entry(EntrySpec(name="entry-a", data_centre=_PLACE))
+        site.wait_ready()
+        for number in range(3):
+            site.bundle.setdefault("placements", {})[f"side-a-{number}"] = (
+                _placement(24)
+            )
+        site.publish()
+        for number in range(3):
+            site.wait_for(
+                lambda n=number: _version(site, f"engine-a-{n}") == "v1",
+                f"engine {number}",
+            )
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": "two planets rise"}],
+            "max_tokens": 8,
+            "seed": 3,
+        }
+
+        def _answer():
+            return site.call(
+                "entry-a", _ACCOUNT, "POST", "/v1/chat/completions", body
+            )
+
+        site.wait_for(lambda: _answer().status == 200, "an answer")
+        content = _answer().json()["choices"][0]["message"]["content"]
+        assert content == _expected(site)
+        store = site.observe("weights")
+        assert store["given"] == 3
+        assert store["early"] == 0
+
+
+@pytest.mark.parametrize("option", ["--check-fence", "--no-check-fence"])
+def test_late_order_of_a_paused_holder_does_no_harm(option):
+    """An engine falls back to the weights of the bundle before.
+
+    A side process is stopped while its order is on the way. Its successor
+    waits out the lease and orders the newer bundle's state; then the late
+    order arrives. An engine that checks refuses it; at one that ignores
+    numbers the successor sees the wrong state and orders again.
+    """
+    with make_site() as site:
+        _start(site, 1, (option,))
+        site.wait_ready()
+        site.control("engine-a-0", {"holds_orders": True})
+        site.bundle["placements"] = {"side-a-0": _placement(12, "v1")}
+        site.publish()
+        site.wait_for(
+            lambda: site.observe("engine-a-0")["arrived"] == 1, "the order"
+        )
+        site.processes["side-a-0"].signal(signal.SIGSTOP)
+        site.control("engine-a-0", {"holds_orders": False})
+        site.bundle["placements"] = {"side-a-0": _placement(12, "v2")}
+        site.publish()
+        engine = {"host": "127.0.0.1"}
+        engine["port"] = site.processes["engine-a-0"].http_port
+        settings = {"engine_name": "side-a-0", "lease_ms": _LEASE_MS}
+        site.start_side("again", _PLACE, {"engine": engine, **settings})
+        site.wait_for(lambda: _version(site) == "v2", "the successor's order")
+
+        site.control("engine-a-0", {"land": True})
+
+        def _has_landed():
+            seen = site.observe("engine-a-0")
+            if option == "--check-fence":
+                return seen["fenced"] == 1
+            return seen["orders"] >= 3 and _version(site) == "v2"
+
+        site.wait_for(_has_landed, "the late order and its mending")
+        site.processes["side-a-0"].signal(signal.SIGCONT)
+        site.wait_http(site.processes["side-a-0"].http_port, "/readyz")
+        assert _version(site) == "v2"
