Serve on while an order waits, and give up streams that were ordered over

Cause: an engine took no new stream while it waited for the weight store or through a log outage; and streams ran on over a late order of a paused predecessor, with their caches lost. Ruled out: going on with the streams: their answers would be wrong. Change: leave and the log come first, then the drain, the lease, the order. A state that changed without an own order gives the streams up for recovery. Tried and failed: the first look after an own order took a late order's state for its own; the ordered state is now what that look expects. The test failed on this before. Guards taken out, each test then seen to fail, and put back: the lease's own clock, the record that follows the lease in force, waiting out, its margin, an old bundle in the fold and at the holder, the look after the order, Retry-After. Taking out the report of no new streams alone is not seen: the side process refuses them by itself as well.

--- a/caroblug/side/_lease.py
+++ b/caroblug/side/_lease.py
@@ -46,6 +46,10 @@
         """The number for an order sent right now, if it may be."""
         return self._holder.number(self._clock.now_ms())
 
+    def refresh(self) -> bool:
+        """Reads the log to its end; False while that is not possible."""
+        return self._read()
+
     def acquire(self, version: int) -> bool:
         """Tries to take the lease once; False while it cannot be had.
 
--- a/caroblug/side/_orders.py
+++ b/caroblug/side/_orders.py
@@ -56,6 +56,7 @@
         target: Returns the engine's placement in the bundle in force.
         busy: Tells whether streams still run on the engine.
         on_ordered: Called after an order, done or not.
+        on_changed: Called when somebody else has changed the engine.
         clock: Source of time.
         metrics: Where orders are counted.
     """
@@ -68,6 +69,7 @@
         target: Callable[[], Target | None],
         busy: Callable[[], bool],
         on_ordered: Callable[[], None],
+        on_changed: Callable[[], None],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -79,13 +81,15 @@
         self._on_ordered = on_ordered
         self._clock = clock
         self._metrics = metrics
+        self._on_changed = on_changed
         self._changing = False
+        self._seen: Placement | None = None
         self._ticket: tuple[Placement, str] | None = None
         self._not_before_ms = 0
 
     @property
     def changing(self) -> bool:
-        """Whether an order is due: the engine takes no new stream."""
+        """Whether an order is about to be given: no new stream is taken."""
         return self._changing
 
     def run(self) -> None:
@@ -98,18 +102,45 @@
         target = self._target()
         state = self._orders.state() if target is not None else None
         if target is None or state == target.placement:
+            if target is not None:
+                self._look(state)
             self._set_changing(False)
             self._lease.release()
             return
         if isinstance(state, OrderFailed):
             return
-        self._set_changing(True)
-        if self._busy() or self._clock.now_ms() < self._not_before_ms:
+        self._look(state)
+        ticket = self._prepare(target.placement)
+        self._set_changing(ticket is not None)
+        if ticket is None or self._busy():
             return
-        ticket = self._reserve(target.placement)
-        if ticket is not None and self._lease.acquire(target.version):
+        if self._lease.acquire(target.version):
             self._send(target.placement, ticket)
 
+    def _look(self, state: Placement) -> None:
+        """Notes the engine's state, and whether somebody else changed it.
+
+        Guards against streams that run on over a late order of a paused
+        predecessor: the engine has lost their caches, and their answers
+        would be wrong from there.
+        """
+        seen, self._seen = self._seen, state
+        if seen is not None and seen != state:
+            self._metrics.count("engine_changed_by_others")
+            self._on_changed()
+
+    def _prepare(self, placement: Placement) -> str | None:
+        """Returns the store's ticket once an order could follow.
+
+        Until then the engine goes on to serve what it holds: also while the
+        log service is down, or many engines wait for the weight store.
+        """
+        if self._clock.now_ms() < self._not_before_ms:
+            return None
+        if not self._lease.refresh():
+            return None
+        return self._reserve(placement)
+
     def _reserve(self, placement: Placement) -> str | None:
         """Returns the store's ticket, asked for once; None if not yet."""
         if self._weights is None:
@@ -141,8 +172,11 @@
         kind = type(outcome).__name__.lower()
         self._metrics.count("engine_orders", outcome=kind)
         log_state("engine.ordered", model=placement.model, outcome=kind)
+        self._seen = None
         if isinstance(outcome, OrderTaken):
             self._ticket = None
+            # A late order may land before the next look, which must see it.
+            self._seen = placement
         self._on_ordered()
 
     def _set_changing(self, changing: bool) -> None:
@@ -156,6 +190,7 @@
     target: Callable[[], Target | None],
     busy: Callable[[], bool],
     on_ordered: Callable[[], None],
+    on_changed: Callable[[], None],
     clock: Clock,
     metrics: Metrics,
 ) -> OrderKeeper:
@@ -175,6 +210,7 @@
         target,
         busy,
         on_ordered,
+        on_changed,
         clock,
         metrics,
     )
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -184,6 +184,7 @@
             self._target,
             lambda: len(self._streams) > 0,
             self._on_ordered,
+            self._on_changed,
             self._clock,
             self.metrics,
         )
@@ -226,6 +227,11 @@
         self._description = None
         self._report()
 
+    def _on_changed(self) -> None:
+        """Gives up the streams: they run on elsewhere."""
+        failed = EngineFailed("the engine was ordered by somebody else")
+        self._on_engine_lost(self._pump.in_engine, failed)
+
     def _takes_none(self) -> bool:
         leaving = self.lifetime.leaving or self._is_changing()
         return leaving or not self._is_up()
--- a/standins/tests/test_orders.py
+++ b/standins/tests/test_orders.py
@@ -133,6 +133,10 @@
             return seen["orders"] >= 3 and _version(site) == "v2"
 
         site.wait_for(_has_landed, "the late order and its mending")
+        seen = site.metric(
+            "side-again", "caroblug_engine_changed_by_others_total"
+        )
+        assert (seen >= 1) == (option == "--no-check-fence")
         site.processes["side-a-0"].signal(signal.SIGCONT)
         site.wait_http(site.processes["side-a-0"].http_port, "/readyz")
         assert _version(site) == "v2"
