Say when a key's window is not under the log's retention

Cause: a bundle may ask for a longer window than the log keeps records for; keys would be forgotten early without a word. Change: a log line on each such bundle.

--- a/caroblug/side/_once.py
+++ b/caroblug/side/_once.py
@@ -29,7 +29,7 @@
 )
 from caroblug.side._settings import SideSettings
 from caroblug.transport import PeerNetwork, make_log_service
-from caroblug.utils import Clock, Metrics, Ran, RefusalType
+from caroblug.utils import Clock, Metrics, Ran, RefusalType, log_state
 
 _RETRY_AFTER_MS = 1000
 _KEPT_BODY_BYTES = 16 * 1024
@@ -47,11 +47,17 @@
         direct: Makes the calls.
         journal: Intents and outcomes of this service.
         metrics: Where verdicts are counted.
+        retention_ms: How long the log keeps its records.
     """
 
     def __init__(
-        self, direct: DirectCaller, journal: CallJournal, metrics: Metrics
+        self,
+        direct: DirectCaller,
+        journal: CallJournal,
+        metrics: Metrics,
+        retention_ms: int,
     ) -> None:
+        self._retention_ms = retention_ms
         self._direct = direct
         self._journal = journal
         self._metrics = metrics
@@ -68,6 +74,12 @@
 
     def on_rule(self, rule: ServiceRule) -> None:
         """Takes the window from a new bundle."""
+        if rule.remember_ms >= self._retention_ms:
+            log_state(
+                "calls.window_too_long",
+                remember_ms=rule.remember_ms,
+                log_retention_ms=self._retention_ms,
+            )
         self._journal.set_window(rule.remember_ms)
 
     def call(self, call: wire.PlainCall) -> wire.PlainReply:
@@ -274,5 +286,5 @@
         ServiceRule().remember_ms,
     )
     direct = DirectCaller(plain.host, plain.port, _SERVICE_TIMEOUT_MS)
-    caller = OnceCaller(direct, journal, metrics)
+    caller = OnceCaller(direct, journal, metrics, settings.log_retention_ms)
     return PlainCalls(plain.service, caller, network, metrics)
