--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -17,6 +17,7 @@
     estimate_wait_ms,
 )
 from caroblug.core.limits._retry_after import RetryAfter
+from caroblug.core.limits._retry_budget import RetryBudget, RetryRule
 from caroblug.core.limits._run_gate import RunGate, Ticket
 from caroblug.core.limits._shares import (
     AccountRule,
@@ -45,6 +46,8 @@
     "ItemQueue",
     "OpenedSince",
     "RetryAfter",
+    "RetryBudget",
+    "RetryRule",
     "RunGate",
     "SoloQueue",
     "Suspicion",
--- a/caroblug/core/limits/_shares.py
+++ b/caroblug/core/limits/_shares.py
@@ -254,10 +254,17 @@
         return held is not None and _in_term(held, now_ms)
 
     def on_grant(self, client_account: str, grant: Grant, now_ms: int) -> None:
-        """Takes a grant from the account's home."""
+        """Takes a grant from the account's home.
+
+        Guards against an account that was idle when its home was lost: the
+        last grant was for nothing, and would refuse all that comes.
+        """
         held = self._held.get(client_account)
         if held is None:
             return
+        if not (held.reported or held.open or held.used):
+            del self._held[client_account]
+            return
         held.grant = grant
         held.got_ms = now_ms
         held.filled_ms = now_ms
--- a/caroblug/core/limits/tests/test_shares.py
+++ b/caroblug/core/limits/tests/test_shares.py
@@ -46,11 +46,13 @@
 
     @rule(entry=_entry, home=_home, wanted=st.integers(0, 40))
     def report(self, entry, home, wanted):
+        self.entries[entry].touch(_ACCOUNT, _RULE, self.now_ms)
         demand = self.entries[entry].report(_ACCOUNT, self.now_ms, wanted)
         grant = self.homes[home].on_demand(
             entry, _ACCOUNT, demand, _RULE, self.now_ms
         )
         self.entries[entry].on_grant(_ACCOUNT, grant, self.now_ms)
+        self.entries[entry].touch(_ACCOUNT, _RULE, self.now_ms)
 
     @rule(entry=_entry)
     def lose_report(self, entry):
@@ -109,6 +111,7 @@
         demand = shares.report(_ACCOUNT, now_ms)
         grant = home.on_demand(name, _ACCOUNT, demand, _RULE, now_ms)
         shares.on_grant(_ACCOUNT, grant, now_ms)
+        shares.touch(_ACCOUNT, _RULE, now_ms)
 
 
 @given(st.lists(st.integers(0, 8), min_size=2, max_size=8))
@@ -166,6 +169,24 @@
         assert grant.tokens >= 10.0
 
 
+def test_idle_account_is_served_after_its_home_is_lost():
+    """An account that paused is refused everywhere once its home has died.
+
+    Its last report was that it had nothing open; the grant for that was
+    nothing, and no other one can come.
+    """
+    home = HomeShares(_TERM_MS)
+    shares = EntryShares(_TERM_MS)
+    shares.on_listed(4)
+    for now_ms, wanted in ((0, 1), (100, 0)):
+        shares.touch(_ACCOUNT, _RULE, now_ms)
+        demand = shares.report(_ACCOUNT, now_ms, wanted)
+        grant = home.on_demand("entry-0", _ACCOUNT, demand, _RULE, now_ms)
+        shares.on_grant(_ACCOUNT, grant, now_ms)
+    shares.touch(_ACCOUNT, _RULE, 200)
+    assert shares.take(_ACCOUNT, _RULE, 200)
+
+
 def test_share_decays_without_its_home():
     home = HomeShares(_TERM_MS)
     shares = EntryShares(_TERM_MS)
--- a/caroblug/entry/_directory.py
+++ b/caroblug/entry/_directory.py
@@ -1,5 +1,7 @@
 """What one entry knows of the side processes, from their own reports."""
 
+from collections.abc import Collection
+
 import attrs
 
 from caroblug.core.routing import Chain, EngineView
@@ -32,6 +34,7 @@
         self._report_age_ms = report_age_ms
         self._engines: dict[str, EngineView] = {}
         self._plain: dict[str, PlainView] = {}
+        self._listed_leaving: frozenset[str] = frozenset()
         self._trusted_ms: dict[str, int] = {}
 
     def __len__(self) -> int:
@@ -39,19 +42,32 @@
 
     def on_report(self, report: wire.LoadReport) -> None:
         """Takes a load report."""
+        leaving = report.leaving or report.instance in self._listed_leaving
         self._trusted_ms[report.instance] = trusted_until_ms(
             report, self._clock.now_ms(), self._report_age_ms
         )
         if report.end_layer:
-            self._on_engine(report)
+            self._on_engine(report, leaving)
         elif report.target:
             address = PeerAddress(report.instance, report.host, report.port)
             self._plain[report.instance] = PlainView(
-                address, report.target, report.running or 0, report.leaving
+                address, report.target, report.running or 0, leaving
             )
         elif report.instance in self._engines:
             self._engines[report.instance].leaving = True
 
+    def on_listed(self, leaving: Collection[str]) -> None:
+        """Learns which instances the platform lists as leaving.
+
+        Guards against a side process that does not know that its instance
+        is taken away: it would go on to report itself as usable.
+        """
+        self._listed_leaving = frozenset(leaving)
+        for instance in self._listed_leaving:
+            for view in (self._engines, self._plain):
+                if instance in view:
+                    view[instance].leaving = True
+
     def forget(self, instance: str) -> None:
         """Drops an instance whose connection is lost."""
         self._engines.pop(instance, None)
@@ -99,7 +115,7 @@
     def _is_fresh(self, instance: str) -> bool:
         return self._clock.now_ms() <= self._trusted_ms[instance]
 
-    def _on_engine(self, report: wire.LoadReport) -> None:
+    def _on_engine(self, report: wire.LoadReport, leaving: bool) -> None:
         known = self._engines.get(report.instance)
         self._engines[report.instance] = EngineView(
             report.instance,
@@ -112,7 +128,7 @@
             report.tokens_per_s,
             report.waiting,
             report.running,
-            report.leaving,
+            leaving,
             known.own_streams if known else 0,
             report.streams or 0,
             report.backlog or 0,
--- a/caroblug/gen/wire/ttypes.py
+++ b/caroblug/gen/wire/ttypes.py
@@ -28,6 +28,7 @@
      - protocol
      - host
      - port
+     - session: The sender's session with this peer; see transport/_peers.py.
 
     """
 
@@ -39,10 +40,11 @@
         'protocol',
         'host',
         'port',
+        'session',
     )
 
 
-    def __init__(self, instance=None, role=None, data_centre=None, nonce=None, protocol=None, host=None, port=None,):
+    def __init__(self, instance=None, role=None, data_centre=None, nonce=None, protocol=None, host=None, port=None, session=None,):
         self.instance = instance
         self.role = role
         self.data_centre = data_centre
@@ -50,6 +52,7 @@
         self.protocol = protocol
         self.host = host
         self.port = port
+        self.session = session
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -95,6 +98,11 @@
                     self.port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRING:
+                    self.session = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -133,6 +141,10 @@
             oprot.writeFieldBegin('port', TType.I32, 7)
             oprot.writeI32(self.port)
             oprot.writeFieldEnd()
+        if self.session is not None:
+            oprot.writeFieldBegin('session', TType.STRING, 30)
+            oprot.writeString(self.session.encode('utf-8') if sys.version_info[0] == 2 else self.session)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -296,6 +308,7 @@
      - seed
      - entry
      - weight
+     - sends_from: First position the previous stage sends of its own accord.
      - alone_until: Positions before this one run with nothing else in the engine.
      - account_weight: The account's weight, which its streams at one engine never exceed.
 
@@ -317,12 +330,13 @@
         'seed',
         'entry',
         'weight',
+        'sends_from',
         'alone_until',
         'account_weight',
     )
 
 
-    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None, alone_until=None, account_weight=None,):
+    def __init__(self, stream=None, attempt=None, client_account=None, model=None, chain=None, stage=None, tokens=None, prompt_length=None, known_length=None, max_length=None, deadline_ms=None, fingerprint=None, seed=None, entry=None, weight=None, sends_from=None, alone_until=None, account_weight=None,):
         self.stream = stream
         self.attempt = attempt
         self.client_account = client_account
@@ -338,6 +352,7 @@
         self.seed = seed
         self.entry = entry
         self.weight = weight
+        self.sends_from = sends_from
         self.alone_until = alone_until
         self.account_weight = account_weight
 
@@ -437,6 +452,11 @@
                     self.weight = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.I32:
+                    self.sends_from = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             elif fid == 60:
                 if ftype == TType.I32:
                     self.alone_until = iprot.readI32()
@@ -523,6 +543,10 @@
             oprot.writeFieldBegin('weight', TType.DOUBLE, 15)
             oprot.writeDouble(self.weight)
             oprot.writeFieldEnd()
+        if self.sends_from is not None:
+            oprot.writeFieldBegin('sends_from', TType.I32, 30)
+            oprot.writeI32(self.sends_from)
+            oprot.writeFieldEnd()
         if self.alone_until is not None:
             oprot.writeFieldBegin('alone_until', TType.I32, 60)
             oprot.writeI32(self.alone_until)
@@ -877,18 +901,21 @@
     Attributes:
      - stream
      - attempt
+     - only_here: Whether only the receiving stage ends; it is no longer in the chain.
 
     """
 
     __slots__ = (
         'stream',
         'attempt',
+        'only_here',
     )
 
 
-    def __init__(self, stream=None, attempt=None,):
+    def __init__(self, stream=None, attempt=None, only_here=None,):
         self.stream = stream
         self.attempt = attempt
+        self.only_here = only_here
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -909,6 +936,11 @@
                     self.attempt = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.BOOL:
+                    self.only_here = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -927,6 +959,10 @@
             oprot.writeFieldBegin('attempt', TType.I32, 2)
             oprot.writeI32(self.attempt)
             oprot.writeFieldEnd()
+        if self.only_here is not None:
+            oprot.writeFieldBegin('only_here', TType.BOOL, 30)
+            oprot.writeBool(self.only_here)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -963,6 +999,7 @@
      - reason
      - message
      - retry_after_ms
+     - unreachable: The peer that the stage cannot reach, for `peer_unreachable`.
 
     """
 
@@ -973,16 +1010,18 @@
         'reason',
         'message',
         'retry_after_ms',
+        'unreachable',
     )
 
 
-    def __init__(self, stream=None, attempt=None, instance=None, reason=None, message=None, retry_after_ms=None,):
+    def __init__(self, stream=None, attempt=None, instance=None, reason=None, message=None, retry_after_ms=None, unreachable=None,):
         self.stream = stream
         self.attempt = attempt
         self.instance = instance
         self.reason = reason
         self.message = message
         self.retry_after_ms = retry_after_ms
+        self.unreachable = unreachable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1023,6 +1062,11 @@
                     self.retry_after_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRING:
+                    self.unreachable = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1057,6 +1101,10 @@
             oprot.writeFieldBegin('retry_after_ms', TType.I32, 6)
             oprot.writeI32(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.unreachable is not None:
+            oprot.writeFieldBegin('unreachable', TType.STRING, 30)
+            oprot.writeString(self.unreachable.encode('utf-8') if sys.version_info[0] == 2 else self.unreachable)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2826,6 +2874,8 @@
      - calls
      - replies
      - heartbeats
+     - number: Place in the sender's session, from 1; 0 for acknowledgements only.
+     - acknowledged: Every number up to this one has been received.
      - probes
      - bundle_adverts
      - bundle_fetches
@@ -2850,6 +2900,8 @@
         'replies',
         'heartbeats',
         'probes',
+        'number',
+        'acknowledged',
         'bundle_adverts',
         'bundle_fetches',
         'bundle_sections',
@@ -2861,7 +2913,7 @@
     )
 
 
-    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None, probes=None, bundle_adverts=None, bundle_fetches=None, bundle_sections=None, demands=None, grants=None, suspicions=None, run_requests=None, run_admitted=None,):
+    def __init__(self, opens=None, needs=None, steps=None, tokens=None, cancels=None, refusals=None, reports=None, calls=None, replies=None, heartbeats=None, number=None, acknowledged=None, probes=None, bundle_adverts=None, bundle_fetches=None, bundle_sections=None, demands=None, grants=None, suspicions=None, run_requests=None, run_admitted=None,):
         self.opens = opens
         self.needs = needs
         self.steps = steps
@@ -2872,6 +2924,8 @@
         self.calls = calls
         self.replies = replies
         self.heartbeats = heartbeats
+        self.number = number
+        self.acknowledged = acknowledged
         self.probes = probes
         self.bundle_adverts = bundle_adverts
         self.bundle_fetches = bundle_fetches
@@ -3001,6 +3055,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.I64:
+                    self.acknowledged = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.probes = []
@@ -3187,6 +3251,14 @@
                 iter182.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 30)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.acknowledged is not None:
+            oprot.writeFieldBegin('acknowledged', TType.I64, 31)
+            oprot.writeI64(self.acknowledged)
+            oprot.writeFieldEnd()
         if self.bundle_adverts is not None:
             oprot.writeFieldBegin('bundle_adverts', TType.LIST, 40)
             oprot.writeListBegin(TType.STRUCT, len(self.bundle_adverts))
@@ -3276,6 +3348,29 @@
     (5, TType.I32, 'protocol', None, None, ),  # 5
     (6, TType.STRING, 'host', 'UTF8', None, ),  # 6
     (7, TType.I32, 'port', None, None, ),  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.STRING, 'session', 'UTF8', None, ),  # 30
 )
 all_structs.append(StageRef)
 StageRef.thrift_spec = (
@@ -3318,7 +3413,7 @@
     None,  # 27
     None,  # 28
     None,  # 29
-    None,  # 30
+    (30, TType.I32, 'sends_from', None, None, ),  # 30
     None,  # 31
     None,  # 32
     None,  # 33
@@ -3379,6 +3474,34 @@
     None,  # 0
     (1, TType.STRING, 'stream', 'UTF8', None, ),  # 1
     (2, TType.I32, 'attempt', None, None, ),  # 2
+    None,  # 3
+    None,  # 4
+    None,  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.BOOL, 'only_here', None, None, ),  # 30
 )
 all_structs.append(StageRefusal)
 StageRefusal.thrift_spec = (
@@ -3389,6 +3512,30 @@
     (4, TType.STRING, 'reason', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'message', 'UTF8', None, ),  # 5
     (6, TType.I32, 'retry_after_ms', None, None, ),  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.STRING, 'unreachable', 'UTF8', None, ),  # 30
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
@@ -3604,8 +3751,8 @@
     None,  # 27
     None,  # 28
     None,  # 29
-    None,  # 30
-    None,  # 31
+    (30, TType.I64, 'number', None, None, ),  # 30
+    (31, TType.I64, 'acknowledged', None, None, ),  # 31
     None,  # 32
     None,  # 33
     None,  # 34
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -17,7 +17,9 @@
     make_fleet,
 )
 from caroblug.side._crashes import Crashes
+from caroblug.side._engine_watch import WatchedEngine
 from caroblug.side._once import make_plain_calls
+from caroblug.side._orders import OrderKeeper, Target, make_order_keeper
 from caroblug.side._plain import PlainCalls
 from caroblug.side._pump import EnginePump
 from caroblug.side._settings import SideSettings
@@ -40,7 +42,7 @@
 
 _ENTRY_ROLE = "entry"
 _REPORT_BYTES = 110
-_DESCRIBE_S = 0.2
+_DESCRIBE_S = 0.1
 
 
 class SideServer(PeerHandler):
@@ -54,16 +56,23 @@
         self.settings = settings
         self.metrics: Metrics = make_metrics()
         self._clock = MonotonicClock()
-        self.lifetime = Lifetime(self._clock, settings.drain_ms)
-        hello = wire.Hello(settings.instance, "side", settings.data_centre)
+        self.lifetime = Lifetime(
+            self._clock, settings.drain_ms, settings.linger_ms
+        )
+        hello = wire.Hello(
+            settings.instance,
+            "side",
+            settings.data_centre,
+            host=settings.reach_host,
+            port=settings.reach_port,
+        )
         self.network = make_peer_network(
             hello,
             settings.shared_keys[0].encode(),
             self,
             self._clock,
             self.metrics,
-            settings.heartbeat_ms,
-            settings.silence_ms,
+            settings.make_timing(),
         )
         self.fleet = make_fleet(
             settings,
@@ -86,6 +95,7 @@
         self._pump: EnginePump | None = None
         self._streams: StageStreams | None = None
         self._calls: PlainCalls | None = None
+        self._keeper: OrderKeeper | None = None
         self._make_backend()
 
     @property
@@ -109,11 +119,12 @@
         self.fleet.start(self.lifetime.leave)
         if self._engine is not None:
             gevent.spawn(self._watch_engine)
+            gevent.spawn(self._keeper.run)
         if self._calls is not None:
             self._calls.start()
         gevent.spawn(self._report_forever)
         log_state("program.started", port=settings.peer_port)
-        self.lifetime.wait(self._report, self._busy)
+        self.lifetime.wait(self._report, self._busy, self._hand_on)
         self.network.stop()
         http.stop()
 
@@ -140,9 +151,11 @@
             self.network.send(peer, self._make_report())
 
     def on_peer_lost(self, peer: PeerAddress, reason: str) -> None:
-        """Leaves the streams alone: the entry decides about them."""
+        """Lets the entries know which streams this cuts."""
         del reason
         self.fleet.on_peer_lost(peer)
+        if self._streams is not None:
+            self._streams.on_peer_lost(peer.instance)
 
     def _make_backend(self) -> None:
         settings = self.settings
@@ -151,10 +164,16 @@
                 settings, self.network, self._clock, self.metrics
             )
             return
-        self._engine = make_engine_client(
-            settings.engine.host,
-            settings.engine.port,
-            settings.engine_timeout_ms,
+        address = settings.engine
+        self._engine = WatchedEngine(
+            make_engine_client(
+                address.host, address.port, settings.engine_timeout_ms
+            ),
+            make_engine_client(
+                address.host, address.port, settings.engine_probe_ms
+            ),
+            self._clock,
+            settings.engine_probe_ms,
         )
         self._pump = EnginePump(
             self._engine,
@@ -176,6 +195,15 @@
             self._sharing,
         )
         self._pump.start()
+        self._keeper = make_order_keeper(
+            settings,
+            self._target,
+            lambda: len(self._streams) > 0,
+            self._on_ordered,
+            self._on_changed,
+            self._clock,
+            self.metrics,
+        )
 
     def _on_stream_messages(
         self, streams: StageStreams, frame: wire.Frame
@@ -192,7 +220,7 @@
             streams.on_cancel(cancel)
 
     def _refusal(self, opened: wire.OpenStream) -> str:
-        if self.lifetime.leaving:
+        if self.lifetime.leaving or self._is_changing():
             return StageFailure.LEAVING
         if self._streams.positions >= self.settings.positions:
             return StageFailure.OVERLOADED
@@ -202,6 +230,31 @@
             return StageFailure.QUARANTINED
         return "" if self._is_up() else StageFailure.ENGINE_FAILED
 
+    def _target(self) -> Target | None:
+        head = self.bundles.head
+        if head is None or self.lifetime.leaving:
+            return None
+        name = self.settings.engine_name or self.settings.instance
+        placement = head.bundle.placements.get(name)
+        return placement and Target(head.version, placement)
+
+    def _on_ordered(self) -> None:
+        """Forgets the engine's description, which is read anew."""
+        self._description = None
+        self._report()
+
+    def _on_changed(self) -> None:
+        """Gives up the streams: they run on elsewhere."""
+        failed = EngineFailed("the engine was ordered by somebody else")
+        self._on_engine_lost(self._pump.in_engine, failed)
+
+    def _takes_none(self) -> bool:
+        leaving = self.lifetime.leaving or self._is_changing()
+        return leaving or not self._is_up()
+
+    def _is_changing(self) -> bool:
+        return self._keeper is not None and self._keeper.changing
+
     def _is_up(self) -> bool:
         return self._calls is not None or self._description is not None
 
@@ -214,6 +267,10 @@
             return self._calls.busy
         return self._running() > 0
 
+    def _hand_on(self) -> None:
+        if self._streams is not None:
+            self._streams.hand_on()
+
     def _on_head(self, head: Head) -> None:
         if self._calls is not None:
             self._calls.on_head(head)
@@ -240,7 +297,7 @@
             )
         message = failed.message
         if self._description is not None:
-            log_state("engine.lost", message=message)
+            log_state("engine.lost", reason=message)
             self.metrics.count("engine_lost")
         self._description = None
         self._report()
@@ -285,10 +342,10 @@
             instance=settings.instance,
             role="side",
             data_centre=settings.data_centre,
-            leaving=self.lifetime.leaving or not self._is_up(),
+            leaving=self._takes_none(),
             bundle_version=head.version if head else 0,
-            host=settings.host,
-            port=settings.peer_port,
+            host=settings.reach_host,
+            port=settings.reach_port,
             interval_ms=self._report_interval_ms(),
         )
         if settings.plain is not None:
