--- a/caroblug/node/_settings.py
+++ b/caroblug/node/_settings.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from caroblug.transport import Timing
 from caroblug.utils import (
     SettingProblem,
     count,
@@ -44,9 +45,19 @@
         signatures: How many of them must sign a bundle.
         instances_ms: Least time between two reads of the instance list.
         log_retention_ms: How long the log service keeps a record.
-        heartbeat_ms: Silence after which a heartbeat is sent.
-        silence_ms: Silence after which a connection counts as lost.
-        drain_ms: How long running work may take after SIGTERM.
+        advertised_host: IP address by which others reach the peer port;
+            empty if it is `host`.
+        advertised_port: Port by which others reach the peer port; 0 if it
+            is `peer_port`.
+        heartbeat_ms: Quiet time before a heartbeat, with work in flight.
+        silence_ms: Wait for an acknowledgement, with work in flight, after
+            which a new connection asks the peer.
+        peer_probe_ms: Wait for the peer's answer on a new connection.
+        drain_ms: How long running work may take after SIGTERM. For an entry
+            it must not be below the bundle's longest deadline.
+        linger_ms: Shortest time from SIGTERM to the exit, in which others
+            learn that the instance leaves. An entry takes requests until
+            then: the balancer notices `/readyz` late.
     """
 
     instance: str = name("Name of this instance, unique in the fleet.")
@@ -64,9 +75,31 @@
     signatures: int = count(1, 16, "Operators that must sign a bundle.", 1)
     instances_ms: int = duration_ms("Time between instance list reads.", 500)
     log_retention_ms: int = duration_ms("How long the log keeps.", 3_600_000)
-    heartbeat_ms: int = duration_ms("Silence before a heartbeat.", 100)
-    silence_ms: int = duration_ms("Silence that means a lost link.", 500)
-    drain_ms: int = duration_ms("Time to finish after SIGTERM.", 30_000)
+    advertised_host: str = ""
+    advertised_port: int = port("Port by which others reach it.", 0)
+    heartbeat_ms: int = duration_ms("Quiet time before a heartbeat.", 100)
+    silence_ms: int = duration_ms("Silence before a new connection.", 300)
+    peer_probe_ms: int = duration_ms("Wait for an answer on it.", 300)
+    drain_ms: int = duration_ms("Time to finish after SIGTERM.", 120_000)
+    linger_ms: int = duration_ms("Shortest time to the exit.", 1000)
+
+    @property
+    def reach_host(self) -> str:
+        """IP address by which others reach the peer port."""
+        return self.advertised_host or self.host
+
+    @property
+    def reach_port(self) -> int:
+        """Port by which others reach the peer port."""
+        return self.advertised_port or self.peer_port
+
+    def make_timing(self) -> Timing:
+        """Returns how soon a peer is asked whether it still lives."""
+        return Timing(
+            heartbeat_ms=self.heartbeat_ms,
+            silence_ms=self.silence_ms,
+            probe_ms=self.peer_probe_ms,
+        )
 
     @property
     def shared_keys(self) -> tuple[str, ...]:
--- a/caroblug/side/_streams.py
+++ b/caroblug/side/_streams.py
@@ -39,6 +39,8 @@
 class _Entry:
     """A stream with the newest open message that it has had.
 
+    `watched` is the instance that this stage feeds, empty if none.
+
     The session is the stream's name at the engine. It is never used again,
     so that a late answer for a forgotten stream can't reach its successor.
     """
@@ -47,6 +49,7 @@
     opened: wire.OpenStream
     end_ms: int
     session: str
+    watched: str = ""
 
     @property
     def stage(self) -> wire.StageRef:
@@ -68,6 +71,13 @@
     def next(self) -> PeerAddress:
         return address_of(self.opened.chain[self.opened.stage + 1])
 
+    @property
+    def fed(self) -> str:
+        """Instance to which this stage sends; empty if it is its own."""
+        if not self.stream.is_last:
+            return self.next.instance
+        return "" if self.stream.is_first else self.first.instance
+
 
 class StageStreams:
     """Every stream that runs at this side process.
@@ -136,12 +146,14 @@
             return
         known.opened = opened
         known.end_ms = self._end_ms(opened)
+        self._watch(known, known.fed)
         effects = known.stream.open(
             opened.attempt,
             opened.tokens or [],
             opened.known_length,
             opened.prompt_length,
             opened.max_length,
+            opened.sends_from or 0,
         )
         self._apply(opened.stream, known, effects)
 
@@ -180,7 +192,7 @@
         if known is None or cancel.attempt < known.stream.attempt:
             return
         self._forget(cancel.stream)
-        if not known.stream.is_last:
+        if not known.stream.is_last and not cancel.only_here:
             self._network.send(known.next, cancel)
 
     def on_results(self, results: Sequence[EngineResult]) -> None:
@@ -205,6 +217,36 @@
         for name, known in list(self._streams.items()):
             self._fail(name, known, message)
 
+    def on_peer_lost(self, instance: str) -> None:
+        """Tells the entries that a stage is out of reach from here.
+
+        Guards against a link cut between two sides that the entry still
+        reaches: only this end notices, and the stream would stop for good.
+        A stream whose entry is lost has no caller left and is forgotten.
+        The stages behind are told too: a process that was frozen may, awake
+        again, have opened an old attempt there before it learns that its
+        entry has given it up.
+        """
+        for name, known in list(self._streams.items()):
+            if known.entry.instance == instance:
+                self._metrics.count("streams_orphaned")
+                self.on_cancel(wire.Cancel(name, known.stream.attempt))
+            elif known.watched == instance:
+                self._refuse(
+                    known.opened,
+                    StageFailure.PEER_UNREACHABLE,
+                    f"{instance} does not answer",
+                    unreachable=instance,
+                )
+
+    def hand_on(self) -> None:
+        """Asks the entries to run every stream elsewhere.
+
+        The streams run on here until their entry ends them.
+        """
+        for known in self._streams.values():
+            self._refuse(known.opened, StageFailure.HANDED_ON, "leaving")
+
     def drop_expired(self) -> None:
         """Forgets streams well past their deadline.
 
@@ -244,6 +286,7 @@
         self._by_session[session] = opened.stream
         self._positions += opened.max_length
         self._metrics.count("streams_opened")
+        self._metrics.gauge("streams", len(self._streams))
         return entry
 
     def _end_ms(self, opened: wire.OpenStream) -> int:
@@ -251,17 +294,31 @@
 
     def _forget(self, name: str) -> None:
         known = self._streams.pop(name)
-        session = known.session
+        self._watch(known, "")
         self._positions -= known.opened.max_length
-        del self._by_session[session]
-        self._pump.end(session)
+        del self._by_session[known.session]
+        self._metrics.gauge("streams", len(self._streams))
+        self._pump.end(known.session)
+
+    def _watch(self, known: _Entry, instance: str) -> None:
+        if known.watched == instance:
+            return
+        if known.watched:
+            self._network.watch(known.watched, -1)
+        if instance:
+            self._network.watch(instance)
+        known.watched = instance
 
     def _fail(self, name: str, known: _Entry, message: str) -> None:
         self._refuse(known.opened, StageFailure.ENGINE_FAILED, message)
         self._forget(name)
 
     def _refuse(
-        self, opened: wire.OpenStream, reason: str, message: str
+        self,
+        opened: wire.OpenStream,
+        reason: str,
+        message: str,
+        unreachable: str = "",
     ) -> None:
         self._metrics.count("streams_refused", reason=reason)
         refusal = wire.StageRefusal(
@@ -271,6 +328,7 @@
             reason,
             message,
             _RETRY_AFTER_MS,
+            unreachable,
         )
         self._network.send(address_of(opened.entry), refusal)
 
@@ -299,7 +357,8 @@
                 if to_first_stage:
                     self._send_first(known, message)
             case recovery.ForwardOpen():
-                self._network.send(known.next, _next_open(known.opened))
+                message = _next_open(known.opened, effect)
+                self._network.send(known.next, message)
             case recovery.SendNeed(position):
                 need = wire.Need(name, attempt, position)
                 self._network.send(known.previous, need)
@@ -328,6 +387,7 @@
             self._cost(opened, effect),
             opened.weight,
             known.end_ms - _DEADLINE_SLACK_MS,
+            most_weight=opened.account_weight or opened.weight,
             alone=effect.position < (opened.alone_until or 0),
         )
 
@@ -351,13 +411,17 @@
     )
 
 
-def _next_open(opened: wire.OpenStream) -> wire.OpenStream:
+def _next_open(
+    opened: wire.OpenStream, forward: recovery.ForwardOpen
+) -> wire.OpenStream:
     """Returns the open message for the next stage.
 
     Guards against a field that the first stage knows and the others don't:
-    everything is copied but what belongs to the first stage alone.
+    everything is copied but what belongs to one stage alone.
     """
     following = copy.copy(opened)
     following.stage = opened.stage + 1
     following.tokens = []
+    following.known_length = forward.known_length
+    following.sends_from = forward.sends_from
     return following
