--- /dev/null
+++ b/benchmarks/recovery.py
@@ -0,0 +1,284 @@
+"""Recovery: from a fault to the caller's next token.
+
+Twelve streams run over three stages' worth of engines in two data centres;
+then one fault strikes a stage that some of them use. The time is taken at
+the callers: from the fault to the first token after the gap, for each stream
+that had to be recovered. The baseline begins each such stream afresh on a
+new chain.
+"""
+
+import random
+import signal
+import statistics
+import time
+from collections.abc import Callable, Mapping
+
+import attrs
+import orjson
+
+from benchmarks._result import Result, print_result
+from standins.callers import Caller, make_prompt
+from standins.site import (
+    MODEL,
+    EngineSpec,
+    EntrySpec,
+    Site,
+    make_site,
+)
+
+_SEEDS = (1, 2, 3)
+_STREAMS = 12
+_TOKENS = 200
+_PROMPT_WORDS = 200
+_BEFORE_FAULT = 30
+_ACCOUNT = "school-1"
+_BOUNDS = ((0, 8), (8, 16), (16, 24))
+_TARGET = "side-a-1"
+_SECOND = "side-a-2"
+_FEEDERS = ("side-a-0", "side-b-0")
+_MS_PER_S = 1000
+_FAULTS = ("crash", "freeze", "cut", "silent", "double")
+_PERCENT = 0.95
+
+
+@attrs.define
+class Outcome:
+    """What one fault did.
+
+    Attributes:
+        recovery_ms: Fault to next token, for each stream that was struck.
+        recomputed: Layer runs beyond once for each position, in tokens.
+        disturbed: Streams given another attempt though their stages lived.
+        untouched: Streams whose stages all lived.
+        wrong: Streams without the whole right answer.
+    """
+
+    recovery_ms: list[float] = attrs.field(factory=list)
+    recomputed: float = 0.0
+    disturbed: int = 0
+    untouched: int = 0
+    wrong: int = 0
+
+    def add(self, other: "Outcome") -> None:
+        """Adds another fault's numbers."""
+        self.recovery_ms += other.recovery_ms
+        self.recomputed += other.recomputed
+        self.disturbed += other.disturbed
+        self.untouched += other.untouched
+        self.wrong += other.wrong
+
+
+def start_site(site: Site, way: str) -> None:
+    """Starts engines of three stages, each twice, and an entry."""
+    site.start_platform()
+    site.add_account(_ACCOUNT, streams=1000)
+    site.publish()
+    for place in ("a", "b"):
+        for number, (first, end) in enumerate(_BOUNDS):
+            name = f"{place}-{number}"
+            site.start_engine(
+                EngineSpec(
+                    name=name,
+                    data_centre=f"muscat-{place}",
+                    first_layer=first,
+                    end_layer=end,
+                    options=("--step-ms=4",),
+                    side={"relay": f"side-{name}" in (_TARGET, *_FEEDERS)},
+                )
+            )
+    site.start_entry(
+        EntrySpec(
+            name="entry-a",
+            data_centre="muscat-a",
+            settings={"recovery": way},
+        )
+    )
+    site.wait_ready()
+
+
+def _crash(site: Site) -> None:
+    site.processes[_TARGET].kill()
+
+
+def _freeze(site: Site) -> None:
+    site.processes[_TARGET].signal(signal.SIGSTOP)
+
+
+def _cut(site: Site) -> None:
+    """Cuts the target off from those who feed it, not from the entry."""
+    _order_links(site, "cut")
+
+
+def _order_links(site: Site, order: str) -> None:
+    for name in _FEEDERS:
+        site.control(f"relay-{_TARGET}", {order: name})
+        site.control(f"relay-{name}", {order: _TARGET})
+
+
+def _silent(site: Site) -> None:
+    site.control(f"relay-{_TARGET}", {"silence": "*"})
+
+
+def _double(site: Site) -> None:
+    site.processes[_TARGET].signal(signal.SIGSTOP)
+    site.processes[_SECOND].kill()
+
+
+_STRIKE: Mapping[str, Callable[[Site], None]] = {
+    "crash": _crash,
+    "freeze": _freeze,
+    "cut": _cut,
+    "silent": _silent,
+    "double": _double,
+}
+
+
+def _heal(site: Site) -> None:
+    """Makes the site whole again after a fault."""
+    site.processes[_TARGET].signal(signal.SIGCONT)
+    _order_links(site, "heal")
+    for name in (_TARGET, _SECOND):
+        if site.processes[name].popen.poll() is not None:
+            site.restart(name)
+    site.wait_ready()
+    sides = [p for p in site.processes.values() if p.role == "side"]
+    site.wait_for(
+        lambda: all(
+            site.metric(side.name, "caroblug_streams") == 0 for side in sides
+        ),
+        "the end of every stream",
+    )
+
+
+def run_fault(site: Site, fault: str, generator: random.Random) -> Outcome:
+    """Strikes a running site once and reads what happened."""
+    ran = _layers_run(site)
+    callers = [
+        Caller(
+            site,
+            "entry-a",
+            _ACCOUNT,
+            make_prompt(generator, _PROMPT_WORDS),
+            _TOKENS,
+            generator.randrange(1, 1000),
+        )
+        for _ in range(_STREAMS)
+    ]
+    for caller in callers:
+        caller.wait_parts(_BEFORE_FAULT)
+    fault_s = time.monotonic()
+    _STRIKE[fault](site)
+    for caller in callers:
+        caller.join()
+    outcome = _read(site, callers, fault_s, fault)
+    _heal(site)
+    layers = site.bundle["models"][MODEL]["layers"]
+    needed = sum(len(c.prompt_tokens()) + _TOKENS - 1 for c in callers)
+    outcome.recomputed = (_layers_run(site) - ran) / layers - needed
+    return outcome
+
+
+def _read(
+    site: Site, callers: list[Caller], fault_s: float, fault: str
+) -> Outcome:
+    lost = {_TARGET, _SECOND} if fault == "double" else {_TARGET}
+    excluded = _excluded_by_stream(site)
+    outcome = Outcome()
+    for caller in callers:
+        outcome.wrong += not caller.right
+        struck = excluded.get(caller.stream, set()) & lost
+        if struck or (fault == "silent" and caller.stream not in excluded):
+            outcome.recovery_ms.append(_gap_ms(caller, fault_s))
+        if not struck:
+            outcome.untouched += 1
+            outcome.disturbed += caller.stream in excluded
+    return outcome
+
+
+def _excluded_by_stream(site: Site) -> dict[str, set[str]]:
+    """Reads the entry's log lines about further attempts."""
+    excluded: dict[str, set[str]] = {}
+    for line in (site.folder / "entry-a.log").read_bytes().splitlines():
+        if b"stream.attempt" not in line:
+            continue
+        fields = orjson.loads(line)
+        excluded.setdefault(fields["stream"], set()).update(fields["excluded"])
+    return excluded
+
+
+def _gap_ms(caller: Caller, fault_s: float) -> float:
+    """Returns the time from the fault to the end of the longest gap."""
+    after = [s for s in caller.arrivals if s > fault_s]
+    pairs = zip([fault_s, *after], after, strict=False)
+    _, end = max(pairs, key=lambda pair: pair[1] - pair[0])
+    return (end - fault_s) * _MS_PER_S
+
+
+def _layers_run(site: Site) -> int:
+    """Returns how often engines have run a layer for a position."""
+    return sum(
+        site.observe(name)["layers_run"]
+        for name, process in site.processes.items()
+        if process.role == "engine"
+    )
+
+
+def measure(way: str) -> dict[str, float]:
+    """Returns the figures of one way of recovery."""
+    p95: dict[str, list[float]] = {fault: [] for fault in _FAULTS}
+    total = Outcome()
+    for seed in _SEEDS:
+        generator = random.Random(seed)
+        with make_site() as site:
+            start_site(site, way)
+            for fault in _FAULTS:
+                outcome = run_fault(site, fault, generator)
+                total.add(outcome)
+                p95[fault].append(_p95(outcome.recovery_ms))
+                _show(way, fault, seed, outcome)
+    figures = {
+        f"{fault}_p95_ms": round(statistics.median(values), 1)
+        for fault, values in p95.items()
+    }
+    faults = len(_FAULTS) * len(_SEEDS)
+    figures["recomputed_tokens"] = round(total.recomputed / faults, 1)
+    figures["disturbed_share"] = round(
+        total.disturbed / max(1, total.untouched), 4
+    )
+    figures["wrong_answers"] = total.wrong
+    return figures
+
+
+def _show(way: str, fault: str, seed: int, outcome: Outcome) -> None:
+    print(
+        f"{way} {fault} seed {seed}: "
+        f"{len(outcome.recovery_ms)} of {_STREAMS} struck, "
+        f"p50 {_median(outcome.recovery_ms):.0f} ms, "
+        f"p95 {_p95(outcome.recovery_ms):.0f} ms, "
+        f"recomputed {outcome.recomputed:.0f} tokens, "
+        f"disturbed {outcome.disturbed} of {outcome.untouched}, "
+        f"wrong {outcome.wrong}",
+        flush=True,
+    )
+
+
+def _p95(values: list[float]) -> float:
+    if not values:
+        return 0.0
+    ranked = sorted(values)
+    return ranked[min(len(ranked) - 1, int(_PERCENT * len(ranked)))]
+
+
+def _median(values: list[float]) -> float:
+    return statistics.median(values) if values else 0.0
+
+
+def main() -> None:
+    """Measures both ways and prints the result."""
+    figures = measure("replace_stage")
+    baselines = {"full_prefill": measure("full_prefill")}
+    print_result(Result("recovery", len(_SEEDS), figures, baselines))
+
+
+if __name__ == "__main__":
+    main()
--- a/caroblug/core/recovery/tests/test_stage.py
+++ b/caroblug/core/recovery/tests/test_stage.py
@@ -82,6 +82,36 @@
     assert stage.open(2, [], 3, 3, 10) == [SendToken(3, 42), SendNeed(3)]
 
 
+def test_settled_token_is_not_sampled_anew():
+    """A caller reads a sentence that the model never continued.
+
+    The first stage has a token that the entry lacks, and the last stage is
+    replaced by an engine of another kind, which runs the settled positions
+    again and samples otherwise. Only the first stage tells the entry.
+    """
+    first = StageStream(is_first=True, is_last=False)
+    first.open(1, [5, 6, 7], 3, 3, 10)
+    first.on_token(1, 3, 42)
+    assert first.open(2, [5, 6, 7], 3, 3, 10) == [
+        ForwardOpen(4, 0),
+        SendToken(3, 42, to_first_stage=False),
+    ]
+    last = StageStream(is_first=False, is_last=True)
+    last.open(2, [], 4, 3, 10)
+    last.on_states(2, 0, [_state(p) for p in range(4)])
+    assert last.on_sampled(0, 3, 77) == []
+    assert last.on_sampled(3, 1, 78) == [SendToken(4, 78)]
+
+
+def test_old_attempt_is_refused():
+    """A process that was frozen wakes up and goes on with its old attempt."""
+    stage = StageStream(is_first=False, is_last=False)
+    stage.open(2, [], 3, 3, 10)
+    assert stage.on_states(1, 0, [_state(0)]) == []
+    assert stage.open(1, [], 3, 3, 10) == []
+    assert stage.on_need(1, 0) == []
+
+
 @given(st.permutations(list(range(8))), st.lists(st.integers(0, 7)))
 def test_entry_releases_each_token_once_in_order(order, repeats):
     """A caller sees a word twice or out of order after a recovery.
