--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -118,7 +118,9 @@
             _make_policy(settings),
             self.limits.suspects,
         )
-        self.plain = PlainClient(self.network, self.directory, self.metrics)
+        self.plain = PlainClient(
+            self.network, self.directory, self._clock, self.metrics
+        )
         self._instances = make_instance_list(
             settings.instance_list.host, settings.instance_list.port
         )
