--- a/caroblug/transport/__init__.py
+++ b/caroblug/transport/__init__.py
@@ -10,6 +10,7 @@
     make_engine_client,
 )
 from caroblug.transport._framing import FrameError, Sealer
+from caroblug.transport._handler import PeerHandler
 from caroblug.transport._http import HttpAnswer, HttpFailed, JsonHttp
 from caroblug.transport._instances import (
     HttpInstanceList,
@@ -29,7 +30,6 @@
     make_log_service,
 )
 from caroblug.transport._peers import (
-    PeerHandler,
     PeerNetwork,
     make_peer_network,
 )
--- a/caroblug/transport/_peers.py
+++ b/caroblug/transport/_peers.py
@@ -7,7 +7,6 @@
 a peer that does not answer on a new connection is lost.
 """
 
-import abc
 import collections
 
 import attrs
@@ -17,7 +16,9 @@
 from caroblug.gen.wire import ttypes as wire
 from caroblug.transport import _framing as framing
 from caroblug.transport import _links
+from caroblug.transport._handler import PeerHandler
 from caroblug.transport._links import Link, PeerAddress
+from caroblug.transport._pauses import PauseWatch
 from caroblug.transport._sessions import Session, Timing
 from caroblug.utils import Clock, Metrics, log_state
 
@@ -27,29 +28,10 @@
 _TICK_MS = 50
 _PAUSE_MS = 150
 _MS_PER_S = 1000
+_PAUSED = "this process was paused"
 _FORGOTTEN = "peer has lost the session"
 
 
-class PeerHandler(abc.ABC):
-    """What a program does with its peers' messages; must not block."""
-
-    @abc.abstractmethod
-    def on_frame(self, peer: PeerAddress, frame: wire.Frame) -> None:
-        """Takes a frame from a peer that has proved itself.
-
-        Each frame is given once, in the order in which the peer sent it,
-        until the peer is lost.
-        """
-
-    @abc.abstractmethod
-    def on_peer_up(self, peer: PeerAddress) -> None:
-        """Learns of a new session with a peer."""
-
-    @abc.abstractmethod
-    def on_peer_lost(self, peer: PeerAddress, reason: str) -> None:
-        """Learns that a session has ended; what was in flight is lost."""
-
-
 class PeerNetwork:
     """All sessions of one process.
 
@@ -81,6 +63,9 @@
         self._watched: collections.Counter[str] = collections.Counter()
         self._server: server.StreamServer | None = None
         self._stopped = False
+        self._pauses = PauseWatch(
+            clock, _TICK_MS, _PAUSE_MS, timing.silence_ms + timing.probe_ms
+        )
 
     @property
     def peers(self) -> tuple[PeerAddress, ...]:
@@ -306,9 +291,11 @@
         self._drop(session, link, reason)
 
     def _on_payload(self, session: Session, link: Link, payload: bytes) -> None:
+        now_ms = self._clock.now_ms()
+        if self._pauses.long:
+            raise framing.FrameError(_PAUSED)
         frame = framing.decode(wire.Frame, payload)
         self._metrics.count("frames_received")
-        now_ms = self._clock.now_ms()
         link.received_ms = now_ms
         if self._sessions.get(link.peer.instance) is not session:
             return
@@ -341,23 +328,31 @@
             self._metrics.count("frame_bytes_sent", len(payload))
 
     def _tick_forever(self) -> None:
-        """Looks at every session, but not right after a pause of its own.
-
-        Guards against a process that was paused and, awake again, takes all
-        its peers for silent before it has read what they sent.
-        """
-        last_ms = self._clock.now_ms()
+        self._pauses.tick()
         while True:
             gevent.sleep(_TICK_MS / _MS_PER_S)
             now_ms = self._clock.now_ms()
-            paused = now_ms - last_ms > _TICK_MS + _PAUSE_MS
-            last_ms = now_ms
+            short, long = self._pauses.short, self._pauses.long
+            self._pauses.tick()
             for session in list(self._sessions.values()):
-                if paused:
-                    session.restart_wait(now_ms)
+                if short:
+                    self._after_pause(session, now_ms, long=long)
                 elif session.links:
                     self._tick(session, now_ms)
 
+    def _after_pause(
+        self, session: Session, now_ms: int, *, long: bool
+    ) -> None:
+        """Makes up for a pause of this process, short or long.
+
+        Guards against a process that, awake again, takes all its peers for
+        silent before it has read what they sent.
+        """
+        session.restart_wait(now_ms)
+        if long:
+            for link in list(session.links):
+                self._drop(session, link, _PAUSED)
+
     def _tick(self, session: Session, now_ms: int) -> None:
         if session.delivery.over_limit:
             self._lose(session, "too much unacknowledged")
