--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -118,7 +118,13 @@
 
 
 def _silent(site: Site) -> None:
+    """Silences every open connection between the target and its feeders.
+
+    Either end may have dialled it, so the relays of both are told.
+    """
     site.control(f"relay-{_TARGET}", {"silence": "*"})
+    for name in _FEEDERS:
+        site.control(f"relay-{name}", {"silence": _TARGET})
 
 
 def _double(site: Site) -> None:
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -19,10 +19,11 @@
 from caroblug.side._crashes import Crashes
 from caroblug.side._engine_watch import WatchedEngine
 from caroblug.side._once import make_plain_calls
+from caroblug.side._open_stream import address_of
 from caroblug.side._plain import PlainCalls
 from caroblug.side._pump import EnginePump
 from caroblug.side._settings import SideSettings
-from caroblug.side._streams import StageStreams, address_of
+from caroblug.side._streams import StageStreams
 from caroblug.transport import (
     EngineClient,
     EngineDescription,
--- a/caroblug/side/_streams.py
+++ b/caroblug/side/_streams.py
@@ -1,84 +1,30 @@
 """The streams at one side process: messages in, effects out."""
 
-import copy
-import functools
 from collections.abc import Callable, Mapping, Sequence
 
-import attrs
-
 from caroblug.core import recovery
 from caroblug.core.recovery import StageFailure, StageStream
 from caroblug.core.state import Sharing
 from caroblug.gen.wire import ttypes as wire
+from caroblug.side._open_stream import (
+    OpenStage,
+    address_of,
+    has_same_layers,
+    make_next_open,
+)
 from caroblug.side._pump import EnginePump
 from caroblug.transport import (
     EngineItem,
     EngineResult,
-    PeerAddress,
     PeerNetwork,
 )
 from caroblug.utils import Clock, Metrics
 
 _RETRY_AFTER_MS = 200
 _DEADLINE_SLACK_MS = 5000
-_ADDRESSES = 4096
 _LEAST_COST = 0.001
 
 
-def address_of(ref: wire.StageRef) -> PeerAddress:
-    """Returns the address that a stage reference names."""
-    return _make_address(ref.instance, ref.host, ref.port)
-
-
-@functools.lru_cache(maxsize=_ADDRESSES)
-def _make_address(instance: str, host: str, port: int) -> PeerAddress:
-    return PeerAddress(instance, host, port)
-
-
-@attrs.define
-class _Entry:
-    """A stream with the newest open message that it has had.
-
-    `watched` is the instance that this stage feeds, empty if none.
-
-    The session is the stream's name at the engine. It is never used again,
-    so that a late answer for a forgotten stream can't reach its successor.
-    """
-
-    stream: StageStream
-    opened: wire.OpenStream
-    end_ms: int
-    session: str
-    watched: str = ""
-
-    @property
-    def stage(self) -> wire.StageRef:
-        return self.opened.chain[self.opened.stage]
-
-    @property
-    def entry(self) -> PeerAddress:
-        return address_of(self.opened.entry)
-
-    @property
-    def first(self) -> PeerAddress:
-        return address_of(self.opened.chain[0])
-
-    @property
-    def previous(self) -> PeerAddress:
-        return address_of(self.opened.chain[self.opened.stage - 1])
-
-    @property
-    def next(self) -> PeerAddress:
-        return address_of(self.opened.chain[self.opened.stage + 1])
-
-    @property
-    def fed(self) -> str:
-        """Instance to which this stage sends; empty if it is its own."""
-        if not self.stream.is_last:
-            return self.next.instance
-        return "" if self.stream.is_first else self.first.instance
-
-
 class StageStreams:
     """Every stream that runs at this side process.
 
@@ -109,7 +55,7 @@
         self._metrics = metrics
         self._journal_positions = journal_positions
         self._sharing = sharing
-        self._streams: dict[str, _Entry] = {}
+        self._streams: dict[str, OpenStage] = {}
         self._by_session: dict[str, str] = {}
         self._positions = 0
 
@@ -134,7 +80,7 @@
                 here is refused; empty to take it.
         """
         known = self._streams.get(opened.stream)
-        if known is not None and not _same_layers(known, opened):
+        if known is not None and not has_same_layers(known, opened):
             self._forget(opened.stream)
             known = None
         if known is None:
@@ -259,7 +205,7 @@
                 self._forget(name)
 
     def _on_result(
-        self, name: str, known: _Entry, result: EngineResult
+        self, name: str, known: OpenStage, result: EngineResult
     ) -> None:
         if result.error:
             self._fail(name, known, result.error)
@@ -274,14 +220,14 @@
             )
         self._apply(name, known, effects)
 
-    def _make_entry(self, opened: wire.OpenStream) -> _Entry:
+    def _make_entry(self, opened: wire.OpenStream) -> OpenStage:
         stream = StageStream(
             is_first=opened.stage == 0,
             is_last=opened.stage == len(opened.chain) - 1,
             journal_positions=self._journal_positions,
         )
         session = f"{opened.stream}.{opened.attempt}"
-        entry = _Entry(stream, opened, self._end_ms(opened), session)
+        entry = OpenStage(stream, opened, self._end_ms(opened), session)
         self._streams[opened.stream] = entry
         self._by_session[session] = opened.stream
         self._positions += opened.max_length
@@ -300,7 +246,7 @@
         self._metrics.gauge("streams", len(self._streams))
         self._pump.end(known.session)
 
-    def _watch(self, known: _Entry, instance: str) -> None:
+    def _watch(self, known: OpenStage, instance: str) -> None:
         if known.watched == instance:
             return
         if known.watched:
@@ -309,7 +255,7 @@
             self._network.watch(instance)
         known.watched = instance
 
-    def _fail(self, name: str, known: _Entry, message: str) -> None:
+    def _fail(self, name: str, known: OpenStage, message: str) -> None:
         self._refuse(known.opened, StageFailure.ENGINE_FAILED, message)
         self._forget(name)
 
@@ -335,14 +281,14 @@
     def _apply(
         self,
         name: str,
-        known: _Entry,
+        known: OpenStage,
         effects: Sequence[recovery.Effect],
     ) -> None:
         for effect in effects:
             self._apply_one(name, known, effect)
 
     def _apply_one(
-        self, name: str, known: _Entry, effect: recovery.Effect
+        self, name: str, known: OpenStage, effect: recovery.Effect
     ) -> None:
         attempt = known.stream.attempt
         match effect:
@@ -357,7 +303,7 @@
                 if to_first_stage:
                     self._send_first(known, message)
             case recovery.ForwardOpen():
-                message = _next_open(known.opened, effect)
+                message = make_next_open(known.opened, effect)
                 self._network.send(known.next, message)
             case recovery.SendNeed(position):
                 need = wire.Need(name, attempt, position)
@@ -365,13 +311,13 @@
             case recovery.FailStream(reason, message):
                 self._refuse(known.opened, reason, message)
 
-    def _send_first(self, known: _Entry, message: wire.Token) -> None:
+    def _send_first(self, known: OpenStage, message: wire.Token) -> None:
         if known.stream.is_first:
             self.on_token(message)
         else:
             self._network.send(known.first, message)
 
-    def _run(self, known: _Entry, effect: recovery.RunUnit) -> None:
+    def _run(self, known: OpenStage, effect: recovery.RunUnit) -> None:
         item = EngineItem(
             known.session,
             known.stage.first_layer,
@@ -399,28 +345,3 @@
         cost = sharing.prompt_weight * prompt
         cost += sharing.generated_weight * (positions - prompt)
         return max(cost, _LEAST_COST)
-
-
-def _same_layers(known: _Entry, opened: wire.OpenStream) -> bool:
-    """Tells whether the kept outputs and cache fit the new chain."""
-    stage = opened.chain[opened.stage]
-    return (
-        known.stage.first_layer == stage.first_layer
-        and known.stage.end_layer == stage.end_layer
-    )
-
-
-def _next_open(
-    opened: wire.OpenStream, forward: recovery.ForwardOpen
-) -> wire.OpenStream:
-    """Returns the open message for the next stage.
-
-    Guards against a field that the first stage knows and the others don't:
-    everything is copied but what belongs to one stage alone.
-    """
-    following = copy.copy(opened)
-    following.stage = opened.stage + 1
-    following.tokens = []
-    following.known_length = forward.known_length
-    following.sends_from = forward.sends_from
-    return following
--- a/caroblug/transport/_peers.py
+++ b/caroblug/transport/_peers.py
@@ -19,7 +19,7 @@
 from caroblug.transport._handler import PeerHandler
 from caroblug.transport._links import Link, PeerAddress
 from caroblug.transport._pauses import PauseWatch
-from caroblug.transport._sessions import Session, Timing
+from caroblug.transport._sessions import FORGOTTEN, Session, Timing
 from caroblug.utils import Clock, Metrics, log_state
 
 _DIAL_TIMEOUT_MS = 1000
@@ -29,7 +29,6 @@
 _PAUSE_MS = 150
 _MS_PER_S = 1000
 _PAUSED = "this process was paused"
-_FORGOTTEN = "peer has lost the session"
 
 
 class PeerNetwork:
@@ -160,7 +159,7 @@
             now_ms = self._clock.now_ms()
             waited_ms = session.delivery.waited_ms(now_ms)
             slow = waited_ms < now_ms - before_ms
-            if session.links and slow and link != _FORGOTTEN:
+            if session.links and slow and link != FORGOTTEN:
                 return
             self._lose(session, link)
             return
@@ -184,11 +183,11 @@
                 )
                 link = _links.greet(
                     sock,
-                    self._make_hello(session),
+                    session.hello_from(self._hello),
                     self._shared_key,
                     self._clock.now_ms(),
                 )
-                self._check(session, link)
+                session.check(link)
                 _links.prove(link)
                 return link
         except (OSError, framing.FrameError) as error:
@@ -201,25 +200,6 @@
             return _DIAL_TIMEOUT_MS
         return self._timing.probe_ms + 4 * session.rtt_ms
 
-    def _check(self, session: Session, link: Link) -> None:
-        if link.peer.instance != session.to.instance:
-            raise framing.FrameError("another instance answered")
-        if session.their_id and session.their_id != link.their_session:
-            raise framing.FrameError(_FORGOTTEN)
-
-    def _make_hello(self, session: Session) -> wire.Hello:
-        mine = self._hello
-        return wire.Hello(
-            mine.instance,
-            mine.role,
-            mine.data_centre,
-            b"",
-            0,
-            mine.host,
-            mine.port,
-            session.own_id,
-        )
-
     def _accept(self, sock: socket.socket, address: object) -> None:
         """Answers a connection, for the session it names or a new one.
 
@@ -238,7 +218,7 @@
             if known is None or known.their_id not in ("", theirs.session):
                 to = PeerAddress(theirs.instance, theirs.host, theirs.port)
                 session = Session(to, theirs.session, self._clock.now_ms())
-            return self._make_hello(session)
+            return session.hello_from(self._hello)
 
         timeout = gevent.Timeout(_HANDSHAKE_TIMEOUT_S, TimeoutError("slow"))
         try:
--- a/caroblug/transport/_sessions.py
+++ b/caroblug/transport/_sessions.py
@@ -14,6 +14,7 @@
 from caroblug.transport import _framing as framing
 from caroblug.transport._links import Link, PeerAddress
 
+FORGOTTEN = "peer has lost the session"
 _SESSION_BYTES = 8
 _RTT_GAIN = 0.25
 _MAX_RTT_MS = 250.0
@@ -106,6 +107,26 @@
         gain = _RTT_GAIN if self._rtt_ms else 1.0
         self._rtt_ms += gain * (ms - self._rtt_ms)
 
+    def hello_from(self, mine: wire.Hello) -> wire.Hello:
+        """Returns this process's hello for the session."""
+        return wire.Hello(
+            mine.instance,
+            mine.role,
+            mine.data_centre,
+            b"",
+            0,
+            mine.host,
+            mine.port,
+            self.own_id,
+        )
+
+    def check(self, link: Link) -> None:
+        """Raises FrameError unless a dialled link serves this session."""
+        if link.peer.instance != self.to.instance:
+            raise framing.FrameError("another instance answered")
+        if self.their_id and self.their_id != link.their_session:
+            raise framing.FrameError(FORGOTTEN)
+
     def queue(self, *messages: object) -> None:
         """Queues messages for the next frame."""
         self.outbox.extend(messages)
