--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -33,10 +33,8 @@
 )
 from caroblug.transport import (
     InstanceRecord,
-    InstancesUnavailable,
     PeerAddress,
     PeerHandler,
-    make_instance_list,
     make_peer_network,
 )
 from caroblug.utils import (
@@ -121,9 +119,6 @@
         self.plain = PlainClient(
             self.network, self.directory, self._clock, self.metrics
         )
-        self._instances = make_instance_list(
-            settings.instance_list.host, settings.instance_list.port
-        )
 
     @property
     def ready(self) -> bool:
@@ -203,15 +198,12 @@
 
     def _follow_instances(self) -> None:
         while True:
-            listed = self._instances.fetch()
-            if isinstance(listed, InstancesUnavailable):
-                self.metrics.count("instance_list_failures")
-            else:
-                leaving = {r.instance for r in listed if r.leaving}
-                self.directory.on_listed(leaving)
-                self.metrics.gauge("listed_leaving", len(leaving))
-                self.limits.on_listed(listed)
-                self._connect_subset(listed)
+            listed = self.fleet.members.listed
+            leaving = {r.instance for r in listed if r.leaving}
+            self.directory.on_listed(leaving)
+            self.metrics.gauge("listed_leaving", len(leaving))
+            self.limits.on_listed(listed)
+            self._connect_subset(listed)
             gevent.sleep(self.settings.instances_ms / 1000)
 
     def _connect_subset(self, listed: Sequence[InstanceRecord]) -> None:
--- a/caroblug/side/_streams.py
+++ b/caroblug/side/_streams.py
@@ -333,6 +333,7 @@
             self._cost(opened, effect),
             opened.weight,
             known.end_ms - _DEADLINE_SLACK_MS,
+            most_weight=opened.account_weight or opened.weight,
             alone=effect.position < (opened.alone_until or 0),
         )
 
--- a/caroblug/transport/__init__.py
+++ b/caroblug/transport/__init__.py
@@ -29,6 +29,13 @@
     Records,
     make_log_service,
 )
+from caroblug.transport._orders import (
+    EngineOrders,
+    OrderFailed,
+    OrderFenced,
+    OrderTaken,
+    make_engine_orders,
+)
 from caroblug.transport._peers import (
     PeerNetwork,
     make_peer_network,
@@ -38,6 +45,13 @@
     suspicion_from_wire,
     suspicion_to_wire,
 )
+from caroblug.transport._weights import (
+    Reserved,
+    WeightsBusy,
+    WeightStore,
+    WeightsUnavailable,
+    make_weight_store,
+)
 
 __all__ = [
     "Appended",
@@ -45,6 +59,7 @@
     "EngineDescription",
     "EngineFailed",
     "EngineItem",
+    "EngineOrders",
     "EngineResult",
     "FrameError",
     "HttpAnswer",
@@ -53,22 +68,31 @@
     "HttpInstanceList",
     "HttpLogService",
     "InstanceList",
-    "JsonHttp",
     "InstanceRecord",
     "InstancesUnavailable",
+    "JsonHttp",
     "LogRecord",
     "LogService",
     "LogUnavailable",
+    "OrderFailed",
+    "OrderFenced",
+    "OrderTaken",
     "PeerAddress",
     "PeerHandler",
     "PeerNetwork",
     "Records",
     "Timing",
+    "Reserved",
     "Sealer",
+    "WeightStore",
+    "WeightsBusy",
+    "WeightsUnavailable",
     "make_engine_client",
+    "make_engine_orders",
     "make_instance_list",
     "make_log_service",
     "make_peer_network",
+    "make_weight_store",
     "suspicion_from_wire",
     "suspicion_to_wire",
 ]
