--- a/caroblug/node/_http.py
+++ b/caroblug/node/_http.py
@@ -4,7 +4,7 @@
 
 import attrs
 import falcon
-from gevent import pywsgi, socket
+from gevent import pool, pywsgi, socket
 
 from caroblug.node._lifetime import report_broken_invariant
 from caroblug.utils import Metrics
@@ -130,6 +130,7 @@
             log=None,
             error_log=None,
             handler_class=_Handler,
+            spawn=pool.Pool(),
         )
 
     def start(self) -> None:
@@ -137,7 +138,11 @@
         self._server.start()
 
     def stop(self) -> None:
-        """Stops to accept; open requests were drained before."""
+        """Stops to accept and lets the last answers reach their callers.
+
+        Guards against an answer that is cut although its work is done: the
+        server waits only for handlers that run in a pool of its own.
+        """
         self._server.stop(timeout=1)
 
 
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -32,6 +32,7 @@
         seed: Seed of the sampling.
 
     Attributes:
+        entry: The entry that is asked.
         arrivals: Monotonic time in seconds of each part with text.
         stream: The stream's name, once known.
         refusal: The refusal, if one came.
@@ -55,7 +56,7 @@
         self.refusal: dict[str, Any] | None = None
         self.broken = ""
         self._site = site
-        self._entry = entry
+        self.entry = entry
         self._account = account
         self._parts: list[str] = []
         self._greenlet = gevent.spawn(self._run)
@@ -116,7 +117,7 @@
             "seed": self.seed,
         }
         try:
-            for chunk in self._site.stream(self._entry, self._account, body):
+            for chunk in self._site.stream(self.entry, self._account, body):
                 self._take(chunk)
         except Exception as error:
             self.broken = repr(error)
--- a/standins/tests/test_recovery.py
+++ b/standins/tests/test_recovery.py
@@ -160,8 +160,11 @@
     The link between two sides is cut; only they notice. The side that sends
     tells the entry, and the stage it can't reach is replaced.
     """
-    caller, used = _begin(site, 15)
-    assert used == ["side-a-0", "side-a-1"]
+    for seed in range(100, 130):
+        caller, used = _begin(site, seed)
+        if used == ["side-a-0", "side-a-1"]:
+            break
+    assert used == ["side-a-0", "side-a-1"], "no chain over the relays"
     site.control("relay-side-a-1", {"cut": "side-a-0"})
     site.control("relay-side-a-0", {"cut": "side-a-1"})
     assert caller.join().right
@@ -269,5 +272,6 @@
         site.wait_ready()
     callers = load.stop()
     assert len(callers) >= 20
-    assert [c.failure for c in callers if c.failure] == []
+    failures = [f"{c.entry}: {c.failure}" for c in callers if c.failure]
+    assert failures == []
     site.processes.pop("entry-b").kill()
