Let a home that has just started answer whoever asks

They waited for their turn at an entry that had just been restarted; it had not read the instance list yet and so found no address to admit them to. At the drain they were also cut, since nothing counted them. Ruled out: the server's handling of last answers (a pool did not help); counting requests alone (the drain then waited 58 s and they still failed). Conclusion: a wait on another instance must never hang on that instance's view of the members.

--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -137,7 +137,7 @@
         gevent.spawn(self._probe_links)
         self.limits.start()
         log_state("program.started", port=settings.http_port)
-        self.lifetime.wait(lambda: None, self._busy)
+        self.lifetime.wait(lambda: None, lambda: http.in_flight > 0)
         http.stop()
         self.network.stop()
 
@@ -190,9 +190,6 @@
         )
         return app
 
-    def _busy(self) -> bool:
-        return len(self.streams) > 0 or len(self.plain) > 0
-
     def _on_head(self, head: Head) -> None:
         """Needs nothing: every request reads the head anew."""
 
--- a/caroblug/entry/_suspects.py
+++ b/caroblug/entry/_suspects.py
@@ -64,6 +64,7 @@
         self._known = Suspicions()
         self._gate = RunGate(_GATE_TERM_MS)
         self._entries: dict[str, PeerAddress] = {}
+        self._askers: dict[str, PeerAddress] = {}
         self._numbers = 0
         self._waiting: dict[Ticket, tuple[str, event.Event]] = {}
 
@@ -195,7 +196,13 @@
     def on_run_request(
         self, peer: PeerAddress, message: wire.RunRequest
     ) -> None:
-        """Takes a request that wants to run, as its account's home."""
+        """Takes a request that wants to run, as its account's home.
+
+        Guards against a home that has just started and has not read the
+        instance list yet: it answers whoever asked it, listed or not, or the
+        request would wait for its turn until its deadline.
+        """
+        self._askers[peer.instance] = peer
         ticket = Ticket(peer.instance, message.number)
         if message.leave:
             self._leave_here(
@@ -216,7 +223,8 @@
 
     def on_peer_lost(self, instance: str) -> None:
         """Frees the places of a lost entry; waits no more for a lost home."""
-        if instance not in self._entries:
+        asked = self._askers.pop(instance, None)
+        if asked is None and instance not in self._entries:
             return
         now_ms = self._clock.now_ms()
         for fingerprint, ticket in self._gate.drop_entry(instance, now_ms):
@@ -278,7 +286,7 @@
             if waiting is not None:
                 waiting[1].set()
             return
-        entry = self._entries.get(ticket.entry)
+        entry = self._askers.get(ticket.entry)
         if entry is None:
             return
         known = self._known.known(fingerprint, self._clock.now_ms())
--- a/caroblug/node/_http.py
+++ b/caroblug/node/_http.py
@@ -1,6 +1,7 @@
 """The HTTP server of a program, with health and metrics."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
 
 import attrs
 import falcon
@@ -114,6 +115,49 @@
             super()._sendall(data[sent:])
 
 
+class _Counted:
+    """Counts the requests that are not wholly answered yet.
+
+    Guards against an instance that exits while a request is only about to
+    become work: it may still wait for its turn at its account's home, and no
+    stream or call of it is to be seen elsewhere.
+    """
+
+    def __init__(self, app: falcon.App) -> None:
+        self._app = app
+        self.in_flight = 0
+
+    def __call__(self, environ: dict, start_response: Any) -> "_CountedBody":
+        self.in_flight += 1
+        try:
+            body = self._app(environ, start_response)
+        except BaseException:
+            self.in_flight -= 1
+            raise
+        return _CountedBody(body, self)
+
+
+class _CountedBody:
+    """The body of an answer; the server closes it once all is sent."""
+
+    def __init__(self, body: Iterable[bytes], counted: _Counted) -> None:
+        self._body = body
+        self._counted = counted
+        self._closed = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._body)
+
+    def close(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        self._counted.in_flight -= 1
+        close = getattr(self._body, "close", None)
+        if close is not None:
+            close()
+
+
 class NodeHttp:
     """A WSGI server of one program.
 
@@ -124,15 +168,21 @@
     """
 
     def __init__(self, host: str, port: int, app: falcon.App) -> None:
+        self._app = _Counted(app)
         self._server = pywsgi.WSGIServer(
             listen(host, port),
-            app,
+            self._app,
             log=None,
             error_log=None,
             handler_class=_Handler,
             spawn=pool.Pool(),
         )
 
+    @property
+    def in_flight(self) -> int:
+        """Requests that are not wholly answered yet."""
+        return self._app.in_flight
+
     def start(self) -> None:
         """Starts to accept."""
         self._server.start()
--- a/standins/followers.py
+++ b/standins/followers.py
@@ -22,8 +22,6 @@
 from caroblug.transport import PeerAddress, PeerHandler, make_peer_network
 from caroblug.utils import MonotonicClock, make_metrics
 
-_HEARTBEAT_MS = 10_000
-_SILENCE_MS = 30_000
 _NS_PER_MS = 1_000_000
 _CLOCK = MonotonicClock()
 
@@ -40,8 +38,6 @@
             self,
             _CLOCK,
             self.metrics,
-            _HEARTBEAT_MS,
-            _SILENCE_MS,
         )
         self.fleet = make_fleet(
             settings, "side", self.network, _CLOCK, self.metrics, self._on_head
