--- a/caroblug/node/_snapshots.py
+++ b/caroblug/node/_snapshots.py
@@ -68,7 +68,9 @@
             now_ms = self._clock.now_ms()
             if self._schedule.should_check(now_ms):
                 self._check()
-            if self._schedule.is_due(self._clock.now_ms(), self._rank(head)):
+            now_ms = self._clock.now_ms()
+            may_be_due = self._schedule.is_due(now_ms, 0)
+            if may_be_due and self._schedule.is_due(now_ms, self._rank(head)):
                 self._append(head)
 
     def _note_snapshot(self) -> None:
