--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -192,7 +192,13 @@
         return f"{error['type']}.{error['ran']}"
 
     def _was_killed(self, entry: str, since_s: float) -> bool:
-        return self._killed.get(entry, -1.0) >= since_s
+        """Tells whether the entry was down at some time since.
+
+        A request may begin just before the kill takes effect and end before
+        its time is noted, so that the end of the process counts as well.
+        """
+        ended = self._site.processes[entry].popen.poll() is not None
+        return ended or self._killed.get(entry, -1.0) >= since_s
 
     def _lookup(self, account: str, rng: random.Random) -> None:
         entry = rng.choice(self._entries)
