--- a/docs/make_capacity.py
+++ b/docs/make_capacity.py
@@ -186,7 +186,7 @@
         "once",
         lambda f: f["appends_per_s"],
         300,
-        "appends_per_s at 100 calls at once on 3 owners, not scaled",
+        "appends_per_s at 100 calls at once on 2 owners, not scaled",
     ),
 )
 
