--- /dev/null
+++ b/caroblug/core/access/__init__.py
@@ -0,0 +1,33 @@
+"""Who may ask what, and which service a request goes to."""
+
+from caroblug.core.access._configuration import (
+    Account,
+    Configuration,
+    RequestLimits,
+    Route,
+    RouteKind,
+    Service,
+    Share,
+    index_routes,
+)
+from caroblug.core.access._decisions import (
+    Admitted,
+    DenialReason,
+    Denied,
+    admit,
+)
+
+__all__ = [
+    "Account",
+    "Admitted",
+    "Configuration",
+    "Denied",
+    "DenialReason",
+    "RequestLimits",
+    "Route",
+    "RouteKind",
+    "Service",
+    "Share",
+    "admit",
+    "index_routes",
+]
--- /dev/null
+++ b/caroblug/core/placement/_types.py
@@ -0,0 +1,103 @@
+"""Engines, the layers they hold, and the model the layers belong to."""
+
+import attrs
+
+
+@attrs.frozen
+class LayerRange:
+    """Consecutive layers.
+
+    Attributes:
+        first: First layer.
+        end: One past the last layer; equal to `first` if there is none.
+    """
+
+    first: int
+    end: int
+
+    def __len__(self) -> int:
+        return max(0, self.end - self.first)
+
+    def __contains__(self, layer: int) -> bool:
+        return self.first <= layer < self.end
+
+
+EMPTY = LayerRange(0, 0)
+
+
+@attrs.frozen
+class EngineKind:
+    """A kind of accelerator.
+
+    Attributes:
+        name: Its name.
+        memory_mb: Memory for layers and for requests, in MB.
+        step_pace: Time of a token step, as a multiple of the model's.
+        read_pace: Time of reading a prompt, as a multiple of the model's.
+    """
+
+    name: str
+    memory_mb: float
+    step_pace: float
+    read_pace: float
+
+
+@attrs.frozen
+class ModelShape:
+    """A model as its placement sees it.
+
+    Attributes:
+        layers: Number of layers.
+        layer_mb: Memory of one layer's weights, in MB.
+        kv_mb: Memory of one token in one layer, in MB.
+        step_ms: Time of one token step through all layers, at pace 1.
+        usual_tokens: Mean prompt and answer of a request together, in tokens.
+        kinds: Kinds of accelerator by name.
+        load_s: Time to load all layers, in seconds.
+    """
+
+    layers: int
+    layer_mb: float
+    kv_mb: float
+    step_ms: float
+    usual_tokens: int
+    kinds: dict[str, EngineKind]
+    load_s: float = 0.0
+
+    def most_layers(self, kind: EngineKind, streams: int) -> int:
+        """Returns how many layers fit beside the memory of `streams`.
+
+        Args:
+            kind: The engine's kind.
+            streams: Requests of usual size that are to run at once.
+        """
+        layer_mb = self.layer_mb + streams * self.usual_tokens * self.kv_mb
+        return min(self.layers, int(kind.memory_mb / layer_mb))
+
+    def token_room(self, kind: EngineKind, layers: int) -> float:
+        """Returns how many tokens fit beside `layers` layers."""
+        if layers <= 0 or self.kv_mb <= 0:
+            return 0.0
+        spare_mb = max(0.0, kind.memory_mb - layers * self.layer_mb)
+        return spare_mb / (layers * self.kv_mb)
+
+
+@attrs.frozen
+class Engine:
+    """A model engine as placement and paths see it.
+
+    Attributes:
+        name: Identity of this start of the engine.
+        address: Where it answers, host and port.
+        data_centre: Where it runs.
+        kind: Kind of accelerator.
+        holds: Layers it has, or will have once a load has ended.
+        loading: Whether an order is still being carried out.
+    """
+
+    name: str
+    address: tuple[str, int]
+    data_centre: str
+    kind: EngineKind
+    holds: LayerRange = EMPTY
+    loading: bool = False
--- /dev/null
+++ b/caroblug/core/placement/tests/fleets.py
@@ -0,0 +1,76 @@
+"""Fleets for tests: two sites' worth of mixed accelerators."""
+
+from caroblug.core.placement import (
+    Engine,
+    EngineKind,
+    LayerRange,
+    ModelShape,
+)
+
+BIG = EngineKind("big", 36000.0, 3.1, 3.2)
+MIDDLE = EngineKind("middle", 21600.0, 16.0, 8.2)
+SMALL = EngineKind("small", 14400.0, 15.0, 15.0)
+
+MODEL = ModelShape(
+    layers=80,
+    layer_mb=1750.0,
+    kv_mb=0.01065,
+    step_ms=0.85,
+    usual_tokens=917,
+    kinds={kind.name: kind for kind in (BIG, MIDDLE, SMALL)},
+    load_s=14.0,
+)
+
+DATA_CENTRES = {
+    "a": (2, 5, 8),
+    "b": (1, 7, 5),
+    "c": (2, 3, 5),
+}
+"""Engines of each kind by data centre: 38 in all, 4.2 covers of the model."""
+
+
+def make_engine(
+    name: str,
+    kind: EngineKind = MIDDLE,
+    data_centre: str = "a",
+    first: int = 0,
+    end: int = 0,
+    loading: bool = False,
+) -> Engine:
+    """Returns an engine that holds layers `first` to `end`."""
+    number = sum(map(ord, name)) % 60000
+    return Engine(
+        name,
+        ("10.0.0.1", number),
+        data_centre,
+        kind,
+        LayerRange(first, end),
+        loading,
+    )
+
+
+def make_fleet() -> list[Engine]:
+    """Returns the engines of three data centres, all empty."""
+    engines = []
+    for data_centre, counts in DATA_CENTRES.items():
+        for kind, count in zip((BIG, MIDDLE, SMALL), counts, strict=True):
+            engines.extend(
+                make_engine(f"{data_centre}-{kind.name}-{i}", kind, data_centre)
+                for i in range(count)
+            )
+    return engines
+
+
+def carry_out(engines: list[Engine], moves) -> list[Engine]:
+    """Returns the engines after orders have been carried out."""
+    targets = {move.engine.name: move.target for move in moves}
+    return [
+        make_engine(
+            e.name,
+            e.kind,
+            e.data_centre,
+            targets.get(e.name, e.holds).first,
+            targets.get(e.name, e.holds).end,
+        )
+        for e in engines
+    ]
--- /dev/null
+++ b/caroblug/core/placement/tests/test_planner.py
@@ -0,0 +1,170 @@
+"""Plans over first starts, losses, empty and leaving engines."""
+
+import collections
+
+import hypothesis
+import hypothesis.strategies as st
+
+from caroblug.core.placement import Engine, LayerRange, plan_moves
+from caroblug.core.placement.tests.fleets import (
+    BIG,
+    MIDDLE,
+    MODEL,
+    SMALL,
+    carry_out,
+    make_engine,
+    make_fleet,
+)
+
+
+def covered(engines: list[Engine]) -> set[int]:
+    return {
+        layer for e in engines for layer in range(e.holds.first, e.holds.end)
+    }
+
+
+def by_data_centre(engines: list[Engine]) -> dict[str, list[Engine]]:
+    groups = collections.defaultdict(list)
+    for engine in engines:
+        groups[engine.data_centre].append(engine)
+    return groups
+
+
+def test_first_start_gives_each_data_centre_a_whole_cover():
+    engines = carry_out(make_fleet(), plan_moves(make_fleet(), MODEL))
+
+    for local in by_data_centre(engines).values():
+        assert covered(local) == set(range(MODEL.layers))
+
+
+def test_first_start_uses_every_engine_and_keeps_room_for_requests():
+    engines = carry_out(make_fleet(), plan_moves(make_fleet(), MODEL))
+
+    assert all(len(e.holds) for e in engines)
+    for engine in engines:
+        room = MODEL.token_room(engine.kind, len(engine.holds))
+        assert room >= 30 * MODEL.usual_tokens
+
+
+def test_a_finished_plan_is_left_alone():
+    engines = carry_out(make_fleet(), plan_moves(make_fleet(), MODEL))
+
+    assert plan_moves(engines, MODEL) == []
+
+
+def test_engine_that_came_back_empty_takes_its_hole_again():
+    # Streams of one data centre go the long way round. An engine crashed and
+    # is back under the same name, holding nothing. It is the cheapest filler
+    # of the hole that its crash has left, so that nobody else has to load.
+    engines = carry_out(make_fleet(), plan_moves(make_fleet(), MODEL))
+    lost = next(e for e in engines if e.name == "c-middle-0")
+    back = make_engine(lost.name, lost.kind, lost.data_centre)
+    engines = [back if e is lost else e for e in engines]
+
+    moves = plan_moves(engines, MODEL)
+
+    assert [m.engine.name for m in moves] == [lost.name]
+    local = by_data_centre(carry_out(engines, moves))["c"]
+    assert covered(local) == set(range(MODEL.layers))
+
+
+def test_lost_for_good_is_replaced_by_engines_whose_layers_others_hold():
+    # One data centre has no whole chain any more: an engine is gone for good.
+    # Engines that hold what others hold too move into the hole; those whose
+    # layers nobody else has there stay where they are.
+    engines = carry_out(make_fleet(), plan_moves(make_fleet(), MODEL))
+    lost = next(e for e in engines if e.name == "a-middle-0")
+    engines = [e for e in engines if e is not lost]
+
+    after = carry_out(engines, plan_moves(engines, MODEL))
+
+    assert covered(by_data_centre(after)["a"]) == set(range(MODEL.layers))
+
+
+def test_loading_engine_is_not_ordered_again():
+    engines = [
+        make_engine("x", BIG, first=0, end=16, loading=True),
+        make_engine("y", MIDDLE),
+    ]
+
+    moves = plan_moves(engines, MODEL)
+
+    assert [m.engine.name for m in moves] == ["y"]
+    assert moves[0].target.first >= 16
+
+
+def test_hole_without_free_engines_is_closed_by_its_neighbours():
+    # Everybody is in use and one engine is lost. Its neighbours hold fewer
+    # requests for a while instead of nobody holding those layers.
+    engines = [
+        make_engine("n1", BIG, first=0, end=14),
+        make_engine("n2", BIG, first=16, end=32),
+        make_engine("n3", BIG, first=32, end=48),
+        make_engine("n4", BIG, first=48, end=64),
+        make_engine("n5", BIG, first=64, end=80),
+    ]
+
+    moves = plan_moves(engines, MODEL)
+
+    assert covered(carry_out(engines, moves)) == set(range(MODEL.layers))
+    assert len(moves) == 1
+
+
+kinds = st.sampled_from((BIG, MIDDLE, SMALL))
+
+
+@st.composite
+def fleets(draw):
+    engines = []
+    for index in range(draw(st.integers(1, 25))):
+        kind = draw(kinds)
+        most = int(kind.memory_mb / MODEL.layer_mb)
+        width = draw(st.integers(0, most))
+        first = draw(st.integers(0, MODEL.layers - width))
+        engines.append(
+            make_engine(
+                f"e{index}",
+                kind,
+                draw(st.sampled_from("abc")),
+                first if width else 0,
+                first + width if width else 0,
+                draw(st.booleans()) if width else False,
+            )
+        )
+    return engines
+
+
+@hypothesis.given(fleets())
+def test_no_order_exceeds_memory_or_the_model(engines):
+    for move in plan_moves(engines, MODEL):
+        target = move.target
+        assert 0 <= target.first < target.end <= MODEL.layers
+        assert len(target) * MODEL.layer_mb <= move.engine.kind.memory_mb
+        assert not move.engine.loading
+
+
+@hypothesis.given(fleets())
+def test_a_plan_never_uncovers_a_layer_of_a_data_centre(engines):
+    after = carry_out(engines, plan_moves(engines, MODEL))
+    groups = by_data_centre(after)
+
+    for data_centre, local in by_data_centre(engines).items():
+        assert covered(local) <= covered(groups[data_centre])
+
+
+@hypothesis.given(fleets())
+def test_carried_out_plans_come_to_rest(engines):
+    for _ in range(6):
+        moves = plan_moves(engines, MODEL)
+        if not moves:
+            return
+        engines = carry_out(engines, moves)
+    assert plan_moves(engines, MODEL) == []
+
+
+def test_ranges_know_their_layers():
+    layers = LayerRange(3, 6)
+
+    assert len(layers) == 3
+    assert 3 in layers
+    assert 6 not in layers
--- /dev/null
+++ b/caroblug/gateway/__init__.py
@@ -0,0 +1,58 @@
+"""The gateway: an entry before engines that pass tokens on themselves."""
+
+from caroblug.gateway._caller_requests import RawRequest
+from caroblug.gateway._gateway import Gateway, make_gateway
+from caroblug.gateway._http_client import Address, fetch, format_request
+from caroblug.gateway._interfaces import (
+    AnswerFacts,
+    BackendServer,
+    CallerRequest,
+    ConfigurationRead,
+    Dialect,
+    EngineReport,
+    Listing,
+    Member,
+    NothingNew,
+    OrderOutcome,
+    Registry,
+    RunState,
+    Sending,
+    Tenure,
+    Unavailable,
+)
+from caroblug.gateway._outcomes import Answer, Broken, Head
+from caroblug.gateway._settings import (
+    GatewaySettings,
+    SettingsProblem,
+    check_gateway_settings,
+)
+
+__all__ = [
+    "Address",
+    "Answer",
+    "AnswerFacts",
+    "BackendServer",
+    "Broken",
+    "CallerRequest",
+    "ConfigurationRead",
+    "Dialect",
+    "EngineReport",
+    "Gateway",
+    "GatewaySettings",
+    "Head",
+    "Listing",
+    "Member",
+    "NothingNew",
+    "OrderOutcome",
+    "RawRequest",
+    "Registry",
+    "RunState",
+    "Sending",
+    "SettingsProblem",
+    "Tenure",
+    "Unavailable",
+    "check_gateway_settings",
+    "fetch",
+    "format_request",
+    "make_gateway",
+]
--- /dev/null
+++ b/caroblug/gateway/_calls.py
@@ -0,0 +1,242 @@
+"""Calls of plain services: one answer, taken whole before it is passed on."""
+
+import enum
+
+import attrs
+
+from caroblug.gateway._context import Context
+from caroblug.gateway._fleet import seems_gone
+from caroblug.gateway._http_client import Exchange
+from caroblug.gateway._interfaces import (
+    AnswerFacts,
+    BackendServer,
+    RunState,
+    Sending,
+)
+from caroblug.gateway._outcomes import Broken, Failure, Head, Quiet
+from caroblug.gateway._pending import Answers, Pending
+
+CONNECT_S = 0.25
+"""Bound on connecting. A sound backend server accepts within some ms; a dark
+one never does, and the request then goes to another with time to spare."""
+
+_MOST_SENDS = 4
+"""Sends of one request, those that were turned away included."""
+
+_PATIENCE = 0.45
+"""Share of the time left that a repeatable call waits at one backend server
+before it is tried at another, as long as another try is allowed."""
+
+_ERROR = 500
+
+
+class Next(enum.Enum):
+    """What follows a try."""
+
+    ANSWERED = "answered"
+    TURNED_AWAY = "turned_away"
+    NOT_SENT = "not_sent"
+    FAILED = "failed"
+    SILENT = "silent"
+
+
+@attrs.frozen
+class Tried:
+    """What came of one try.
+
+    Attributes:
+        next: What follows.
+        reason: What was seen, for the log.
+        head: The answer's head, if there was one.
+        facts: What the head says.
+        body: The answer's body, if it is whole.
+    """
+
+    next: Next
+    reason: str = ""
+    head: Head | None = None
+    facts: AnswerFacts | None = None
+    body: bytes = b""
+
+
+class Calls:
+    """Answers calls.
+
+    Args:
+        context: What the gateway's parts share.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._answers = Answers(context)
+
+    def serve(self, pending: Pending) -> None:
+        """Answers one call, at the end of its time at the latest."""
+        clock = self._context.clock
+        repeatable = pending.admitted.route.repeatable
+        last = Tried(Next.NOT_SENT, "no backend server")
+        while pending.sends < _MOST_SENDS:
+            if pending.left_ms(clock.now_ms()) <= 0:
+                break
+            backend = self._context.fleet.choose_backend(
+                pending.admitted.service, pending.tried, clock.now_ms()
+            )
+            if backend is None:
+                break
+            if pending.sends and not self._may_send_again(pending):
+                break
+            tried = self._try(pending, backend)
+            if tried.next is Next.ANSWERED and not self._worth_another(
+                pending, tried
+            ):
+                self._pass_on(pending, tried)
+                return
+            last = _better(last, tried)
+            lost = tried.next in (Next.FAILED, Next.SILENT)
+            if lost and not repeatable:
+                break
+            if pending.ran >= pending.admitted.route.max_attempts:
+                break
+        self._give_up(pending, last)
+
+    def _try(self, pending: Pending, backend: BackendServer) -> Tried:
+        """Sends the call to one backend server and waits for its answer."""
+        context = self._context
+        pending.tried.add(backend.name)
+        exchange = Exchange(backend.address)
+        context.fleet.enter(backend.name)
+        try:
+            tried = self._exchange(pending, backend, exchange)
+        finally:
+            exchange.close()
+            context.fleet.leave(backend.name)
+        if tried.next is not Next.ANSWERED:
+            context.tallies.count("tries_failed", reason=tried.reason)
+            context.log.write(
+                "call.try_failed",
+                request=pending.caller.id,
+                backend_server=backend.name,
+                outcome=tried.next.value,
+                reason=tried.reason,
+            )
+        return tried
+
+    def _exchange(
+        self, pending: Pending, backend: BackendServer, exchange: Exchange
+    ) -> Tried:
+        context = self._context
+        clock = context.clock
+        left_s = pending.left_ms(clock.now_ms()) / 1000
+        problem = exchange.connect(min(CONNECT_S, left_s))
+        if problem is None:
+            pending.sends += 1
+            data = self._encode(pending, backend)
+            problem = exchange.send(data, left_s, self._bodiless(pending))
+        if problem is not None:
+            return self._on_broken(pending, backend, problem)
+        head = exchange.read_head(self._patience_s(pending))
+        if isinstance(head, Quiet):
+            pending.ran += 1
+            return Tried(Next.SILENT, "no answer in time")
+        if isinstance(head, Broken):
+            return self._on_broken(pending, backend, head)
+        facts = context.dialect.decode_answer(head)
+        context.fleet.on_answer(
+            backend.name, facts.running, facts.waiting, clock.now_ms()
+        )
+        if facts.run is RunState.NOT_RUN:
+            context.fleet.on_full(backend.name, clock.now_ms())
+            return Tried(Next.TURNED_AWAY, f"turned away with {head.status}")
+        pending.ran += 1
+        left_s = pending.left_ms(clock.now_ms()) / 1000
+        body = exchange.read_body(left_s)
+        if isinstance(body, Quiet):
+            return Tried(Next.SILENT, "body not whole in time")
+        if isinstance(body, Broken):
+            return Tried(Next.FAILED, f"body {body.failure.value}")
+        if facts.request_id != pending.caller.id:
+            # An answer to something else says nothing about this request.
+            return Tried(Next.FAILED, Failure.WRONG_ANSWER.value)
+        if not facts.genuine:
+            return Tried(Next.FAILED, f"unproved answer {head.status}")
+        return Tried(Next.ANSWERED, "", head, facts, body)
+
+    def _on_broken(
+        self, pending: Pending, backend: BackendServer, broken: Broken
+    ) -> Tried:
+        context = self._context
+        if seems_gone(broken.failure):
+            for_ms = context.fleet.avoid(backend.name, context.clock.now_ms())
+            context.log.write(
+                "backend_server.avoided",
+                backend_server=backend.name,
+                reason=broken.failure.value,
+                for_ms=for_ms,
+            )
+        if not broken.sent:
+            return Tried(Next.NOT_SENT, broken.failure.value)
+        pending.ran += 1
+        return Tried(Next.FAILED, broken.failure.value)
+
+    def _encode(self, pending: Pending, backend: BackendServer) -> bytes:
+        sending = Sending(
+            backend=backend.name,
+            left_ms=pending.left_ms(self._context.clock.now_ms()),
+            account=pending.account,
+            priority=pending.admitted.priority,
+            resume_after=pending.caller.resume_after,
+        )
+        return self._context.dialect.encode_request(
+            pending.request, pending.caller, sending
+        )
+
+    def _bodiless(self, pending: Pending) -> bool:
+        return pending.request.method == "HEAD"
+
+    def _patience_s(self, pending: Pending) -> float:
+        left_s = pending.left_ms(self._context.clock.now_ms()) / 1000
+        route = pending.admitted.route
+        if route.repeatable and pending.ran + 1 < route.max_attempts:
+            return left_s * _PATIENCE
+        return left_s
+
+    def _may_send_again(self, pending: Pending) -> bool:
+        wait_ms = self._context.budget.take(
+            pending.account or "", self._context.clock.now_ms()
+        )
+        if wait_ms:
+            self._context.tallies.count("retries_denied")
+        return wait_ms == 0
+
+    def _worth_another(self, pending: Pending, tried: Tried) -> bool:
+        """Returns whether a failure of the backend server is tried again."""
+        route = pending.admitted.route
+        return (
+            tried.head.status >= _ERROR
+            and route.repeatable
+            and pending.ran < route.max_attempts
+        )
+
+    def _pass_on(self, pending: Pending, tried: Tried) -> None:
+        status = tried.head.status
+        if status < _ERROR:
+            self._context.budget.on_success(pending.account or "")
+        self._answers.log(pending, status)
+        pending.reply.send(status, list(tried.facts.headers), tried.body)
+
+    def _give_up(self, pending: Pending, last: Tried) -> None:
+        if last.next is Next.ANSWERED:
+            self._pass_on(pending, last)
+        elif not pending.ran:
+            self._answers.refuse(pending, last.reason)
+        elif last.next is Next.SILENT:
+            self._answers.fail(pending, 504, last.reason)
+        else:
+            self._answers.fail(pending, 502, last.reason)
+
+
+def _better(before: Tried, now: Tried) -> Tried:
+    """Returns what tells the caller more: an answer, else the newest."""
+    if before.next is Next.ANSWERED and now.next is not Next.ANSWERED:
+        return before
+    return now
--- /dev/null
+++ b/caroblug/gateway/_fleet.py
@@ -0,0 +1,334 @@
+"""What an entry believes of backend servers: the list, and what it met."""
+
+import collections
+import random
+
+import attrs
+
+from caroblug.core.access import Service
+from caroblug.core.placement import (
+    Engine,
+    EngineLoads,
+    LayerRange,
+    ModelShape,
+    NoPath,
+    Path,
+    PathPart,
+    choose_path,
+)
+from caroblug.gateway._interfaces import BackendServer, Listing
+from caroblug.gateway._outcomes import Failure
+
+AVOID_MS = 500
+"""How long a backend server that failed is left alone, in ms; doubled with
+each failure in a row. An engine is then asked for a report before it gets
+work again; a crashed one is back after some seconds."""
+
+_AVOID_MOST_MS = 2000
+_NO_ROOM_MS = 300
+"""How long a full engine is not sent to: about a stream's share of the time
+in which thirty streams of two seconds make room for one."""
+
+_HEARD_KEPT_MS = 2200
+"""How long an engine's own word on its layers goes before the list's: a
+heartbeat and a read of the list."""
+
+_UNLISTED_KEPT_MS = 15000
+"""How long what was met at a backend server outlives its place in the list."""
+
+
+@attrs.define
+class _Met:
+    """What this entry met at one backend server."""
+
+    in_flight: int = 0
+    running: int = 0
+    told_ms: int = -1_000_000
+    avoid_until_ms: int = 0
+    failed_since_ms: int = 0
+    full_until_ms: int = 0
+    failures: int = 0
+    placed: LayerRange | None = None
+    placed_until_ms: int = 0
+    seen_ms: int = 0
+    told_holds: LayerRange | None = None
+    told_holds_until_ms: int = 0
+
+
+class Fleet:
+    """Backend servers that may be used now.
+
+    Args:
+        data_centre: Where the entry runs.
+        rng: Source of randomness.
+    """
+
+    def __init__(self, data_centre: str, rng: random.Random) -> None:
+        self._data_centre = data_centre
+        self._rng = rng
+        self._listing = Listing({}, -1)
+        self._listed_ms = -1
+        self._met: dict[str, _Met] = collections.defaultdict(_Met)
+        self._loads = EngineLoads()
+
+    @property
+    def known(self) -> bool:
+        """Whether a list has been read."""
+        return self._listed_ms >= 0
+
+    @property
+    def listing(self) -> Listing:
+        """The newest list."""
+        return self._listing
+
+    @property
+    def loads(self) -> EngineLoads:
+        """Tokens on each engine."""
+        return self._loads
+
+    def age_ms(self, now_ms: int) -> int:
+        """Returns the age of the list, in ms."""
+        return now_ms - self._listed_ms
+
+    def take_listing(self, listing: Listing, now_ms: int) -> bool:
+        """Takes a list; an older one than the last is left out.
+
+        Guards against a store that answers from before: backend servers
+        that have left would be sent to again.
+
+        Returns:
+            Whether it was taken.
+        """
+        if listing.end < self._listing.end:
+            return False
+        self._listing = listing
+        self._listed_ms = now_ms
+        for name in listing.backends:
+            self._met[name].seen_ms = now_ms
+        for name, met in list(self._met.items()):
+            if now_ms - met.seen_ms > _UNLISTED_KEPT_MS and not met.in_flight:
+                del self._met[name]
+        return True
+
+    def backends(self, service: str) -> list[BackendServer]:
+        """Returns the backend servers of a service that are not leaving."""
+        return [
+            b
+            for b in self._listing.backends.values()
+            if b.service == service and not b.leaving
+        ]
+
+    def find(self, address: tuple[str, int]) -> BackendServer | None:
+        """Returns the backend server that is listed at an address."""
+        for backend in self._listing.backends.values():
+            if backend.address == address:
+                return backend
+        return None
+
+    def is_listed(self, name: str) -> bool:
+        """Returns whether a backend server may be sent new work."""
+        backend = self._listing.backends.get(name)
+        return backend is not None and not backend.leaving
+
+    def choose_backend(
+        self, service: Service, tried: set[str], now_ms: int
+    ) -> BackendServer | None:
+        """Returns the least busy backend server of a plain service.
+
+        Args:
+            service: The service.
+            tried: Backend servers that the request was sent to before.
+            now_ms: Time now.
+        """
+        usable = [b for b in self.backends(service.name) if b.name not in tried]
+        sound = [b for b in usable if not self.avoided(b.name, now_ms)]
+        if not sound:
+            # Everyone failed lately: the one whose failure is oldest may be
+            # back, and asking costs a refused connection at most.
+            usable.sort(key=lambda b: self._met[b.name].avoid_until_ms)
+            return usable[0] if usable else None
+        return min(sound, key=lambda b: self._busyness(b, now_ms))
+
+    def choose_engines(
+        self,
+        service: Service,
+        now_ms: int,
+        avoid: frozenset[str] = frozenset(),
+        first_not: frozenset[str] = frozenset(),
+        after: PathPart | None = None,
+    ) -> Path | NoPath:
+        """Returns a path over the engines of a service.
+
+        Args:
+            service: The service; it has a model.
+            now_ms: Time now.
+            avoid: Engines that must not be on the path.
+            first_not: Engines that it must not begin with.
+            after: First part that is kept.
+        """
+        engines = [
+            e
+            for e in self.engines(service, now_ms)
+            if e.name not in avoid
+            and not self._met[e.name].failures
+            and not self.avoided(e.name, now_ms)
+        ]
+        return choose_path(
+            engines,
+            service.model,
+            self._loads,
+            self._data_centre,
+            self._rng,
+            first_not,
+            after,
+        )
+
+    def engines(self, service: Service, now_ms: int) -> list[Engine]:
+        """Returns a service's engines with the layers they hold.
+
+        An engine whose load this entry has ordered counts as loading until
+        the list shows the layers, or the time for it is over.
+        """
+        found = []
+        for backend in self.backends(service.name):
+            kind = service.model.kinds.get(backend.kind)
+            if kind is None or backend.holds is None:
+                continue
+            found.append(self._engine(backend, kind, now_ms))
+        return found
+
+    def _engine(self, backend: BackendServer, kind, now_ms: int) -> Engine:
+        met = self._met[backend.name]
+        holds = backend.holds
+        if met.told_holds is not None and now_ms < met.told_holds_until_ms:
+            holds = met.told_holds
+        loading = False
+        if met.placed is not None:
+            if met.placed == holds or now_ms >= met.placed_until_ms:
+                met.placed = None
+            else:
+                holds = met.placed
+                loading = True
+        return Engine(
+            backend.name,
+            backend.address,
+            backend.data_centre,
+            kind,
+            holds,
+            loading,
+        )
+
+    def on_placed(
+        self, name: str, layers: LayerRange, now_ms: int, for_ms: int
+    ) -> None:
+        """Notes that an engine was ordered to hold layers."""
+        met = self._met[name]
+        met.placed = layers
+        met.placed_until_ms = now_ms + for_ms
+
+    def on_report(
+        self, name: str, holds: LayerRange | None, now_ms: int
+    ) -> None:
+        """Takes what an engine itself says it holds.
+
+        Guards against the list, which names the layers of before a crash
+        until the next heartbeat: requests would be turned away.
+        """
+        backend = self._listing.backends.get(name)
+        if holds is None or backend is None or holds == backend.holds:
+            return
+        met = self._met[name]
+        met.told_holds = holds
+        met.told_holds_until_ms = now_ms + _HEARD_KEPT_MS
+
+    def avoided(self, name: str, now_ms: int) -> bool:
+        """Returns whether a backend server failed lately."""
+        met = self._met[name]
+        return met.avoid_until_ms > now_ms or met.full_until_ms > now_ms
+
+    def failed_for_ms(self, name: str, now_ms: int) -> int:
+        """Returns for how long a backend server has only failed."""
+        met = self._met[name]
+        return now_ms - met.failed_since_ms if met.failures else 0
+
+    def failing(self, now_ms: int) -> list[BackendServer]:
+        """Returns backend servers whose failure is due to be looked into."""
+        return [
+            b
+            for b in self._listing.backends.values()
+            if self._met[b.name].failures
+            and self._met[b.name].avoid_until_ms <= now_ms
+        ]
+
+    def avoided_now(self, now_ms: int) -> list[str]:
+        """Returns the names of backend servers that seem gone."""
+        return [
+            name
+            for name, met in self._met.items()
+            if met.failures and met.avoid_until_ms > now_ms
+        ]
+
+    def avoid(self, name: str, now_ms: int) -> int:
+        """Notes a failure that says the backend server may be gone.
+
+        Returns:
+            How long it is not sent to, in ms.
+        """
+        met = self._met[name]
+        if met.avoid_until_ms > now_ms:
+            return met.avoid_until_ms - now_ms
+        for_ms = min(_AVOID_MOST_MS, AVOID_MS << min(met.failures, 4))
+        if not met.failures:
+            met.failed_since_ms = now_ms
+        met.failures += 1
+        met.avoid_until_ms = now_ms + for_ms
+        return for_ms
+
+    def on_full(self, name: str, now_ms: int) -> None:
+        """Notes that a backend server had no room."""
+        met = self._met[name]
+        met.full_until_ms = max(met.full_until_ms, now_ms + _NO_ROOM_MS)
+
+    def on_answer(
+        self, name: str, running: int | None, waiting: int, now_ms: int
+    ) -> None:
+        """Notes what an answer says of a backend server's load."""
+        met = self._met[name]
+        met.failures = 0
+        met.avoid_until_ms = 0
+        if running is not None:
+            met.running = running + waiting
+            met.told_ms = now_ms
+
+    def enter(self, name: str) -> None:
+        """Counts a request in flight."""
+        self._met[name].in_flight += 1
+
+    def leave(self, name: str) -> None:
+        """Takes a request in flight off again."""
+        self._met[name].in_flight -= 1
+
+    def _busyness(self, backend: BackendServer, now_ms: int) -> float:
+        met = self._met[backend.name]
+        told = met.running if now_ms - met.told_ms < 500 else 0
+        load = max(met.in_flight, told) / max(1, backend.slots)
+        away = backend.data_centre != self._data_centre
+        return load + 0.1 * away + self._rng.random() * 0.05
+
+
+def seems_gone(failure: Failure) -> bool:
+    """Returns whether a failure says that the backend server may be gone."""
+    return failure in (
+        Failure.CONNECT,
+        Failure.REFUSED,
+        Failure.RESET,
+        Failure.SILENT,
+        Failure.CUT_SHORT,
+    )
+
+
+def model_of(service: Service) -> ModelShape:
+    """Returns a service's model; the service must have one."""
+    if service.model is None:
+        raise AssertionError(f"service {service.name} has no model")
+    return service.model
--- /dev/null
+++ b/caroblug/gateway/_gateway.py
@@ -0,0 +1,250 @@
+"""The gateway program: callers in front, engines behind, nothing kept."""
+
+import random
+import signal
+
+import gevent
+from gevent import event
+
+from caroblug.core.access import DenialReason, Denied, RouteKind, admit
+from caroblug.core.limits import RetryAfter, RetryBudget, RetryRule
+from caroblug.gateway._caller_requests import RawRequest
+from caroblug.gateway._calls import Calls
+from caroblug.gateway._context import Context
+from caroblug.gateway._decision_log import DecisionLog
+from caroblug.gateway._fleet import Fleet
+from caroblug.gateway._http_server import CallerServer, Reply
+from caroblug.gateway._interfaces import CallerRequest, Dialect, Registry
+from caroblug.gateway._peers import Peers
+from caroblug.gateway._pending import UNREADY_MS, Pending
+from caroblug.gateway._placement import Placement
+from caroblug.gateway._rechecks import Rechecks
+from caroblug.gateway._settings import GatewaySettings
+from caroblug.gateway._streams import Streams
+from caroblug.gateway._tallies import Tallies
+from caroblug.gateway._watches import Watches
+from caroblug.utils import BoottimeClock
+
+_DENIALS = {
+    DenialReason.NOT_CONFIGURED: 503,
+    DenialReason.NO_ROUTE: 404,
+    DenialReason.UNKNOWN_KEY: 401,
+    DenialReason.NO_SERVICE: 503,
+}
+_NOTICED_MS = 2600
+"""Time from SIGTERM after which nobody sends new connections: the balancer
+asks once a second and believes the second refusal."""
+
+_EXIT_RESERVE_MS = 250
+"""Time kept between the end of the drain and the platform's SIGKILL."""
+
+_POLL_S = 0.05
+
+
+class Gateway:
+    """One instance of the program.
+
+    Args:
+        context: What its parts share.
+        registry: The platform's list, configuration and group.
+    """
+
+    def __init__(self, context: Context, registry: Registry) -> None:
+        self._context = context
+        self._watches = Watches(context, registry)
+        self._placement = Placement(context, registry)
+        self._peers = Peers(context, registry)
+        self._rechecks = Rechecks(context, self._peers)
+        self._calls = Calls(context)
+        self._streams = Streams(context)
+        self._leaving = event.Event()
+        self._callers = self._listen(context.settings.callers, self._answer)
+        self._ready = self._listen(context.settings.ready, self._answer_ready)
+        self._peer_calls = self._listen(
+            context.settings.peers, self._peers.answer
+        )
+        self._metrics = self._listen(
+            context.settings.metrics, self._answer_metrics
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether new connections should come here."""
+        return (
+            self._context.configuration is not None
+            and self._context.fleet.known
+            and not self._leaving.is_set()
+        )
+
+    def run(self) -> None:
+        """Serves until SIGTERM and the end of the drain."""
+        context = self._context
+        context.log.start()
+        context.log.write("program.started", settings=str(context.settings))
+        gevent.signal_handler(signal.SIGTERM, self._leaving.set)
+        gevent.signal_handler(signal.SIGINT, self._leaving.set)
+        self._ready.start()
+        self._peer_calls.start()
+        for loop in (
+            self._watches.run_configuration,
+            self._watches.run_list,
+            self._placement.run_lease,
+            self._placement.run_plan,
+            self._peers.run_members,
+            self._peers.run_exchange,
+            self._rechecks.run,
+        ):
+            gevent.spawn(loop)
+        self._callers.start()
+        self._metrics.start()
+        self._leaving.wait()
+        self._drain()
+
+    def _listen(self, address, handler) -> CallerServer:
+        return CallerServer(
+            address, handler, self._context.limits, self._context.clock
+        )
+
+    def _drain(self) -> None:
+        """Ends what runs, takes what still comes, then returns.
+
+        New connections come until the balancer has noticed that the gateway
+        isn't ready; refusing them would fail requests without need.
+        """
+        context = self._context
+        began_ms = context.clock.now_ms()
+        context.log.write("program.leaving", busy=self._callers.busy)
+        self._callers.close_after_answers()
+        gevent.spawn(self._placement.stop)
+        end_ms = began_ms + context.settings.drain_ms - _EXIT_RESERVE_MS
+        while context.clock.now_ms() < end_ms:
+            if context.clock.now_ms() - began_ms > _NOTICED_MS:
+                self._callers.close_idle()
+                if not self._callers.busy:
+                    break
+            gevent.sleep(_POLL_S)
+        context.log.write("program.stopped", cut_short=self._callers.busy)
+        context.log.flush()
+
+    # Requests.
+
+    def _answer(self, request: RawRequest, reply: Reply) -> None:
+        context = self._context
+        caller = context.dialect.decode_request(request)
+        if caller.bad is not None:
+            self._deny(request, caller, reply, 400, caller.bad)
+            return
+        decision = admit(
+            context.configuration,
+            caller.host,
+            request.path,
+            caller.key,
+            context.rng,
+        )
+        if isinstance(decision, Denied):
+            status = _DENIALS[decision.reason]
+            self._deny(request, caller, reply, status, decision.reason.value)
+            return
+        budget_ms = decision.route.timeout_ms
+        if caller.deadline_ms is not None:
+            budget_ms = min(budget_ms, caller.deadline_ms)
+        pending = Pending(
+            request, caller, decision, reply, request.began_ms + budget_ms
+        )
+        if decision.route.kind is RouteKind.STREAMING and (
+            decision.service.model is not None
+        ):
+            self._streams.serve(pending)
+        else:
+            self._calls.serve(pending)
+
+    def _deny(
+        self,
+        request: RawRequest,
+        caller: CallerRequest,
+        reply: Reply,
+        status: int,
+        reason: str,
+    ) -> None:
+        context = self._context
+        after_ms = None
+        if status == 503:
+            after_ms = context.retry_after.ms(UNREADY_MS)
+        known = context.configuration
+        context.tallies.count("denied", status=str(status), reason=reason)
+        context.log.write(
+            "request.denied",
+            request=caller.id,
+            host=caller.host,
+            path=request.path,
+            status=status,
+            reason=reason,
+            configuration=known.version if known else None,
+        )
+        headers = context.dialect.own_headers(caller, after_ms)
+        reply.send(status, headers, reason.encode())
+
+    def _answer_ready(self, request: RawRequest, reply: Reply) -> None:
+        del request
+        ready = self.ready
+        reply.send(200 if ready else 503, [], b"ready" if ready else b"")
+
+    def _answer_metrics(self, request: RawRequest, reply: Reply) -> None:
+        del request
+        kind = ("Content-Type", "text/plain; version=0.0.4")
+        reply.send(200, [kind], self._context.tallies.expose())
+
+
+def make_gateway(
+    settings: GatewaySettings, dialect: Dialect, registry: Registry
+) -> Gateway:
+    """Returns a gateway that isn't running yet.
+
+    Args:
+        settings: Checked settings.
+        dialect: How requests look on the wire.
+        registry: The platform's list, configuration and group.
+    """
+    clock = BoottimeClock()
+    rng = random.Random()
+    context = Context(
+        settings=settings,
+        clock=clock,
+        rng=rng,
+        dialect=dialect,
+        fleet=Fleet(settings.data_centre, rng),
+        budget=make_retry_budget(settings),
+        retry_after=RetryAfter(rng),
+        log=DecisionLog(settings.instance, clock),
+        tallies=Tallies(),
+    )
+    return Gateway(context, registry)
+
+
+_RATIO_KEPT = 0.75
+"""Share of the allowed ratio that is used: requests that succeed earn it, and
+a window may see fewer of them than the one before."""
+
+_EXTRA_KEPT = 0.4
+"""Share of the allowed extra that a full bucket holds; as much again comes in
+by time during one window, and the rest is left for entries not known of."""
+
+
+_SHARERS = 5
+"""Gateways among which the extra is divided: the sites have four, and one more
+while one is replaced."""
+
+
+def make_retry_budget(settings: GatewaySettings) -> RetryBudget:
+    """Returns this gateway's part of what may be sent again.
+
+    Each takes an equal part of the extra, so that all of them together keep
+    within it without talking to each other.
+    """
+    extra = settings.retry_extra * _EXTRA_KEPT / _SHARERS
+    rule = RetryRule(
+        burst=max(2.0, extra),
+        share=settings.retry_ratio * _RATIO_KEPT,
+        per_s=max(0.1, extra * 1000 / settings.retry_window_ms),
+    )
+    return RetryBudget(account=rule, total=rule)
--- /dev/null
+++ b/caroblug/gateway/_http_server.py
@@ -0,0 +1,328 @@
+"""Callers' connections: reading, one answer after the other, closing."""
+
+import collections
+import contextlib
+from collections.abc import Callable
+
+import gevent
+from gevent import server
+
+from caroblug.core.access import RequestLimits
+from caroblug.gateway._caller_requests import (
+    BadRequest,
+    RawRequest,
+    RequestReader,
+)
+from caroblug.gateway._http_client import set_socket_options
+from caroblug.utils import Clock
+
+_RECEIVE_BYTES = 65536
+_WRITE_S = 5.0
+"""Longest wait for a caller that does not read its answer, in seconds."""
+
+_TICK_S = 0.5
+"""How often a connection without traffic looks at its time limits."""
+
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class CallerGoneError(Exception):
+    """The caller has closed its connection or takes no more bytes."""
+
+
+class Reply:
+    """The answer to one request; it is sent once.
+
+    Args:
+        sock: The caller's connection.
+        request: The request.
+        closing: Whether the connection is to end after the answer.
+    """
+
+    def __init__(self, sock, request: RawRequest, closing: bool) -> None:
+        self._socket = sock
+        self._bodiless = request.method == "HEAD"
+        self._keep = request.keep_alive and not closing
+        self._begun = False
+        self._ended = False
+
+    @property
+    def begun(self) -> bool:
+        """Whether the head has been sent."""
+        return self._begun
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection may carry another request."""
+        return self._ended and self._keep
+
+    def end_connection(self) -> None:
+        """Lets the connection end after this answer."""
+        self._keep = False
+
+    def send(
+        self,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: bytes = b"",
+    ) -> None:
+        """Sends a whole answer."""
+        framing = [("Content-Length", str(len(body)))]
+        data = self._head(status, headers + framing)
+        self._begun = True
+        self._write(data if self._bodiless else data + body)
+        self._ended = True
+
+    def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Sends the head of an answer that comes in pieces."""
+        framing = [("Transfer-Encoding", "chunked")]
+        self._begun = True
+        self._write(self._head(status, headers + framing))
+
+    def send_piece(self, data: bytes) -> None:
+        """Sends a piece of the body."""
+        self._write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def finish(self) -> None:
+        """Marks the answer as whole."""
+        self._write(b"0\r\n\r\n")
+        self._ended = True
+
+    def _head(self, status: int, headers: list[tuple[str, str]]) -> bytes:
+        lines = [f"HTTP/1.1 {status} {_REASONS.get(status, 'Status')}"]
+        lines.extend(f"{name}: {value}" for name, value in headers)
+        if not self._keep:
+            lines.append("Connection: close")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+    def _write(self, data: bytes) -> None:
+        self._socket.settimeout(_WRITE_S)
+        try:
+            self._socket.sendall(data)
+        except OSError as error:
+            self._keep = False
+            raise CallerGoneError(str(error)) from error
+
+
+Handler = Callable[[RawRequest, Reply], None]
+
+
+class Connection:
+    """One caller's connection.
+
+    Reading goes on while a request is answered, so that a caller's close is
+    seen at once and the work for it is stopped.
+
+    Args:
+        sock: The connection.
+        handler: Answers one request.
+        limits: Returns the limits now in force.
+        clock: Source of time.
+        closing: Tells whether connections are to end after their answer.
+    """
+
+    def __init__(
+        self,
+        sock,
+        handler: Handler,
+        limits: Callable[[], RequestLimits],
+        clock: Clock,
+        closing: Callable[[], bool],
+    ) -> None:
+        self._socket = sock
+        self._handler = handler
+        self._limits = limits
+        self._clock = clock
+        self._closing = closing
+        self._waiting: collections.deque[RawRequest] = collections.deque()
+        self._worker: gevent.Greenlet | None = None
+        self._idle_since_ms = clock.now_ms()
+        self._over = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being answered."""
+        return self._worker is not None and not self._worker.dead
+
+    @property
+    def idle(self) -> bool:
+        """Whether no byte of a request is waiting or being answered."""
+        return not self.busy and not self._reader.partial
+
+    def serve(self) -> None:
+        """Reads until the connection ends."""
+        set_socket_options(self._socket)
+        limits = self._limits()
+        self._reader = RequestReader(limits.header_bytes, limits.body_bytes)
+        try:
+            while not self._over:
+                data = self._receive()
+                if data is None:
+                    continue
+                if not data:
+                    break
+                self._feed(data)
+        finally:
+            if self._worker is not None and not self._over:
+                self._worker.kill(block=False)
+            self._socket.close()
+
+    def close(self) -> None:
+        """Ends a connection that waits for a request."""
+        self._over = True
+        self._socket.close()
+
+    def _receive(self) -> bytes | None:
+        """Returns bytes, nothing at the end, None to look again."""
+        self._socket.settimeout(_TICK_S)
+        try:
+            return self._socket.recv(_RECEIVE_BYTES)
+        except TimeoutError:
+            self._check_times()
+            return None
+        except OSError:
+            return b""
+
+    def _check_times(self) -> None:
+        if self.busy or self._over:
+            return
+        now_ms = self._clock.now_ms()
+        limits = self._limits()
+        if self._reader.in_head:
+            if now_ms - self._reader.began_ms > limits.header_ms:
+                self._refuse(BadRequest(408, "headers came too slowly"))
+        elif self._reader.partial:
+            if now_ms - self._reader.began_ms > limits.idle_ms:
+                self._refuse(BadRequest(408, "body came too slowly"))
+        elif now_ms - self._idle_since_ms > limits.idle_ms:
+            self._over = True
+
+    def _feed(self, data: bytes) -> None:
+        found = self._reader.feed(data, self._clock.now_ms())
+        if isinstance(found, BadRequest):
+            self._refuse(found)
+            return
+        if self._reader.wants_continue and self._reader.partial:
+            self._reader.wants_continue = False
+            self._socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._waiting.extend(found)
+        if self._waiting and not self.busy:
+            self._worker = gevent.spawn(self._work)
+
+    def _work(self) -> None:
+        """Answers requests until none is waiting."""
+        while self._waiting:
+            request = self._waiting.popleft()
+            reply = Reply(self._socket, request, self._closing())
+            # A caller that is gone needs no answer; its connection ends.
+            with contextlib.suppress(CallerGoneError):
+                self._handler(request, reply)
+            if not reply.reusable:
+                self._over = True
+                self._shut()
+                return
+            self._idle_since_ms = self._clock.now_ms()
+
+    def _shut(self) -> None:
+        """Ends the connection after the last byte of the answer.
+
+        Guards against a reset: closing while bytes of the caller are unread
+        would make its end drop the answer that it has not read yet.
+        """
+        try:
+            self._socket.shutdown(1)
+        except OSError:
+            return
+
+    def _refuse(self, problem: BadRequest) -> None:
+        while self.busy:
+            self._worker.join()
+        request = RawRequest("GET", "", [], b"", False, 0)
+        reply = Reply(self._socket, request, closing=True)
+        with contextlib.suppress(CallerGoneError):
+            reply.send(problem.status, [], problem.message.encode())
+        self._over = True
+        self._shut()
+
+
+class CallerServer:
+    """Listens for callers.
+
+    Args:
+        address: Host and port.
+        handler: Answers one request.
+        limits: Returns the limits now in force.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        handler: Handler,
+        limits: Callable[[], RequestLimits],
+        clock: Clock,
+    ) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._clock = clock
+        self._connections: set[Connection] = set()
+        self._closing = False
+        self._server = server.StreamServer(address, self._serve, backlog=1024)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        return self._server.address
+
+    @property
+    def busy(self) -> int:
+        """Requests that are being answered."""
+        return sum(c.busy for c in self._connections)
+
+    def start(self) -> None:
+        """Begins to listen."""
+        self._server.start()
+
+    def close_after_answers(self) -> None:
+        """Lets each connection end after its answer."""
+        self._closing = True
+
+    def close_idle(self) -> None:
+        """Ends connections that wait for a request."""
+        for connection in list(self._connections):
+            if connection.idle:
+                connection.close()
+
+    def stop_listening(self) -> None:
+        """Takes no more connections; those that are open go on."""
+        self._server.close()
+
+    def _serve(self, sock, peer) -> None:
+        del peer
+        connection = Connection(
+            sock,
+            self._handler,
+            self._limits,
+            self._clock,
+            lambda: self._closing,
+        )
+        self._connections.add(connection)
+        try:
+            connection.serve()
+        except OSError:
+            # The caller reset the connection while it was set up.
+            return
+        finally:
+            self._connections.discard(connection)
--- /dev/null
+++ b/caroblug/gateway/_peers.py
@@ -0,0 +1,235 @@
+"""What gateways tell each other: load, configuration, list, suspicions.
+
+Nothing hangs on it. It makes estimates of load better, and carries the
+configuration and the list to a gateway that the store turns away while it
+serves others. Each tells a bounded number of others, however many there are.
+"""
+
+import json
+
+import gevent
+
+from caroblug.gateway._caller_requests import RawRequest
+from caroblug.gateway._context import Context
+from caroblug.gateway._http_client import Address, fetch, format_request
+from caroblug.gateway._http_server import Reply
+from caroblug.gateway._interfaces import Member, Registry, Unavailable
+from caroblug.gateway._outcomes import Broken
+
+_EVERY_MS = 500
+"""How often two gateways exchange: short beside the two seconds of a stream
+whose load is told, and beside the time in which a change is to be in force."""
+
+_FRESH_MS = 300
+"""Two gateways exchange once for both: who was told this lately does not tell.
+It halves the bytes, a quarter of a MB a minute and pair."""
+
+_PARTNERS = 4
+"""Gateways told each time: with five or fewer, everybody."""
+
+_MEMBERS_MS = 10000
+_FIRST_MEMBERS_MS = 1000
+_KEPT_MS = 20000
+"""How long a gateway that has left the group is still told: its lease may
+have run out only because the store was away."""
+
+_SILENT_MS = 1500
+"""After this a gateway's load is forgotten: its streams have been taken over
+or are lost."""
+
+_STALE_LIST_MS = 1600
+"""Age of one's own list from which another gateway's is asked for."""
+
+_CALL_S = 0.3
+
+
+class Peers:
+    """Talks with other gateways.
+
+    Args:
+        context: What the gateway's parts share.
+        registry: Who takes part.
+    """
+
+    def __init__(self, context: Context, registry: Registry) -> None:
+        self._context = context
+        self._registry = registry
+        self._members: dict[str, Address] = {}
+        self._seen_ms: dict[str, int] = {}
+        self._heard_ms: dict[str, int] = {}
+        self._busy: set[str] = set()
+        self._suspects: set[str] = set()
+
+    def run_members(self) -> None:
+        """Reads who takes part until the process ends."""
+        while True:
+            members = self._registry.read_members()
+            if not isinstance(members, Unavailable):
+                for member in members:
+                    self._on_member(member)
+            self._forget_old()
+            complete = len(self._members) + 1 >= self._gateways()
+            pause_ms = _MEMBERS_MS if complete else _FIRST_MEMBERS_MS
+            gevent.sleep(pause_ms / 1000)
+
+    def run_exchange(self) -> None:
+        """Tells others until the process ends."""
+        while True:
+            gevent.sleep(_EVERY_MS / 1000)
+            self._forget_silent()
+            for name in self._partners():
+                if name not in self._busy:
+                    self._busy.add(name)
+                    gevent.spawn(self._tell, name)
+
+    def answer(self, request: RawRequest, reply: Reply) -> None:
+        """Answers another gateway."""
+        try:
+            message = json.loads(request.body)
+            answer = self._take(message)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            self._context.log.write("peer.unreadable", reason=repr(error))
+            reply.send(400, [], b"message does not parse")
+            return
+        reply.send(200, [], _encode(answer))
+
+    # Telling.
+
+    def _partners(self) -> list[str]:
+        now_ms = self._context.clock.now_ms()
+        names = [
+            name
+            for name in sorted(self._members)
+            if now_ms - self._heard_ms.get(name, -_FRESH_MS) >= _FRESH_MS
+        ]
+        if len(names) <= _PARTNERS:
+            return names
+        return self._context.rng.sample(names, _PARTNERS)
+
+    def _tell(self, name: str) -> None:
+        address = self._members[name]
+        headers = [
+            ("Host", f"{address[0]}:{address[1]}"),
+            ("Connection", "close"),
+        ]
+        body = _encode(self._message())
+        request = format_request("POST", "/tell", headers, body)
+        try:
+            answer = fetch(address, request, _CALL_S)
+        finally:
+            self._busy.discard(name)
+        if isinstance(answer, Broken):
+            self._context.tallies.count(
+                "peer_calls_failed", reason=answer.failure.value
+            )
+            return
+        try:
+            self._take_answer(json.loads(answer.body), name)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            self._context.log.write("peer.unreadable", reason=repr(error))
+
+    def _message(self) -> dict:
+        context = self._context
+        now_ms = context.clock.now_ms()
+        settings = context.settings
+        return {
+            "name": settings.instance,
+            "address": list(settings.peers),
+            "loads": context.fleet.loads.own(),
+            "version": self._version(),
+            "list_age_ms": self._list_age_ms(),
+            "suspects": context.fleet.avoided_now(now_ms),
+        }
+
+    def _take(self, message: dict) -> dict:
+        """Takes another gateway's message; returns the answer."""
+        name = message["name"]
+        host, port = message["address"]
+        self._on_member(Member(name, (str(host), int(port))))
+        self._on_loads(name, message["loads"])
+        self._on_suspects(message["suspects"])
+        answer = self._message()
+        if message["version"] < self._version():
+            answer["configuration"] = self._context.raw_configuration
+        if message["list_age_ms"] > _STALE_LIST_MS > self._list_age_ms():
+            listing = self._context.fleet.listing
+            answer["list"] = listing.raw
+            answer["list_end"] = listing.end
+        return answer
+
+    def _take_answer(self, answer: dict, name: str) -> None:
+        context = self._context
+        self._on_loads(name, answer["loads"])
+        self._on_suspects(answer["suspects"])
+        raw = answer.get("configuration")
+        if raw:
+            configuration = self._registry.decode_configuration(raw)
+            if not isinstance(configuration, Unavailable):
+                context.take_configuration(configuration, raw, name)
+        if answer.get("list"):
+            listing = self._registry.decode_listing(
+                answer["list"], int(answer["list_end"])
+            )
+            if not isinstance(listing, Unavailable):
+                age_ms = int(answer["list_age_ms"])
+                listed_ms = context.clock.now_ms() - age_ms
+                context.fleet.take_listing(listing, listed_ms)
+
+    # What was told.
+
+    def _on_member(self, member: Member) -> None:
+        if member.name == self._context.settings.instance:
+            return
+        self._members[member.name] = member.address
+        self._seen_ms[member.name] = self._context.clock.now_ms()
+
+    def _on_loads(self, name: str, loads: dict) -> None:
+        tokens = {str(key): float(value) for key, value in loads.items()}
+        self._heard_ms[name] = self._context.clock.now_ms()
+        self._context.fleet.loads.hear(name, tokens)
+
+    def _on_suspects(self, names: list) -> None:
+        """Looks into what another gateway takes to be gone.
+
+        Its word alone isn't believed: it may itself be cut off.
+        """
+        for name in names:
+            self._suspects.add(str(name))
+
+    def take_suspects(self) -> set[str]:
+        """Returns what others suspect, and forgets it."""
+        suspects, self._suspects = self._suspects, set()
+        return suspects
+
+    def _forget_old(self) -> None:
+        now_ms = self._context.clock.now_ms()
+        for name, seen_ms in list(self._seen_ms.items()):
+            if now_ms - seen_ms > _KEPT_MS:
+                del self._seen_ms[name]
+                del self._members[name]
+
+    def _forget_silent(self) -> None:
+        now_ms = self._context.clock.now_ms()
+        for name, heard_ms in list(self._heard_ms.items()):
+            if now_ms - heard_ms > _SILENT_MS:
+                del self._heard_ms[name]
+                self._context.fleet.loads.forget(name)
+
+    def _gateways(self) -> int:
+        """Returns how many gateways there should be, up to the partners."""
+        known = self._context.fleet.loads.gateways
+        return max(2, min(known, _PARTNERS + 1))
+
+    def _version(self) -> int:
+        known = self._context.configuration
+        return known.version if known is not None else -1
+
+    def _list_age_ms(self) -> int:
+        fleet = self._context.fleet
+        if not fleet.known:
+            return 1_000_000
+        return fleet.age_ms(self._context.clock.now_ms())
+
+
+def _encode(message: dict) -> bytes:
+    return json.dumps(message, separators=(",", ":")).encode()
--- /dev/null
+++ b/caroblug/gateway/_pending.py
@@ -0,0 +1,110 @@
+"""One caller's request on its way to an answer."""
+
+import attrs
+
+from caroblug.core.access import Admitted
+from caroblug.gateway._caller_requests import RawRequest
+from caroblug.gateway._context import Context
+from caroblug.gateway._http_server import Reply
+from caroblug.gateway._interfaces import CallerRequest
+
+NO_ROOM_MS = 700
+"""Mean time after which a request that found no room is asked to come back:
+a third of what a caller of a two-second objective may wait."""
+
+UNREADY_MS = 400
+"""The same for a gateway that doesn't know the configuration yet; it reads it
+within some tens of ms of its start."""
+
+
+@attrs.define
+class Pending:
+    """One request, with what was decided about it so far.
+
+    Attributes:
+        request: As it was read.
+        caller: What it says.
+        admitted: Where it goes.
+        reply: Its answer.
+        end_ms: When its time is over.
+        sends: Times it was sent.
+        ran: Times it may have run.
+    """
+
+    request: RawRequest
+    caller: CallerRequest
+    admitted: Admitted
+    reply: Reply
+    end_ms: int
+    sends: int = 0
+    ran: int = 0
+    tried: set[str] = attrs.field(factory=set)
+
+    def left_ms(self, now_ms: int) -> int:
+        """Returns the time left, in ms."""
+        return self.end_ms - now_ms
+
+    @property
+    def account(self) -> str | None:
+        """Name of the client account."""
+        account = self.admitted.account
+        return account.name if account else None
+
+
+class Answers:
+    """Answers that the gateway gives by itself.
+
+    Args:
+        context: What the gateway's parts share.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def refuse(self, pending: Pending, reason: str) -> None:
+        """Answers that the request has not run, and when to come back.
+
+        If it may have run, the answer says nothing of the kind.
+        """
+        if pending.ran:
+            self.fail(pending, 502, reason)
+            return
+        after_ms = self._context.retry_after.ms(NO_ROOM_MS)
+        self._end(pending, 503, reason, after_ms)
+
+    def fail(self, pending: Pending, status: int, reason: str) -> None:
+        """Answers 502 or 504: the request may have run."""
+        self._end(pending, status, reason, None)
+
+    def _end(
+        self, pending: Pending, status: int, reason: str, after_ms: int | None
+    ) -> None:
+        headers = self._context.dialect.own_headers(pending.caller, after_ms)
+        self.log(pending, status, reason)
+        pending.reply.send(status, headers, reason.encode())
+
+    def log(self, pending: Pending, status: int, reason: str = "") -> None:
+        """Writes the request's line and counts it."""
+        context = self._context
+        now_ms = context.clock.now_ms()
+        took_ms = now_ms - pending.request.began_ms
+        kind = pending.admitted.route.kind.value
+        good = 200 <= status < 500
+        context.tallies.count(
+            "requests", kind=kind, status=str(status), reason=reason
+        )
+        context.tallies.record_ms("request", took_ms, kind=kind)
+        context.log.write(
+            "request" if good else "request.failed",
+            request=pending.caller.id,
+            route=pending.admitted.route.name,
+            client_account=pending.account,
+            status=status,
+            reason=reason,
+            took_ms=took_ms,
+            sends=pending.sends,
+            ran=pending.ran,
+            tried=sorted(pending.tried),
+            configuration=pending.admitted.version,
+            backends_age_ms=context.fleet.age_ms(now_ms),
+        )
--- /dev/null
+++ b/caroblug/gateway/_settings.py
@@ -0,0 +1,101 @@
+"""Settings of a gateway, checked in one place."""
+
+import attrs
+
+Address = tuple[str, int]
+
+_MOST_PORT = 65535
+_MOST_MS = 3_600_000
+
+
+@attrs.frozen
+class GatewaySettings:
+    """Settings of one gateway.
+
+    Attributes:
+        instance: Its name.
+        data_centre: Where it runs.
+        callers: Address for callers.
+        ready: Address where it tells whether it is ready.
+        metrics: Address of its metrics.
+        peers: Address for other gateways.
+        store: Address of the platform's store.
+        heartbeat_ms: How often backend servers renew their place in the list.
+        drain_ms: Time from SIGTERM to SIGKILL.
+        retry_ratio: Share of a service's requests that may be sent again.
+        retry_extra: Requests beyond that, of all gateways together.
+        retry_window_ms: Time over which both are counted.
+        lease_least_ms: Shortest lease that the store grants.
+        store_partitions: Partitions of each topic of the store.
+    """
+
+    instance: str
+    data_centre: str
+    callers: Address
+    ready: Address
+    metrics: Address
+    peers: Address
+    store: Address
+    heartbeat_ms: int = 1200
+    drain_ms: int = 8000
+    retry_ratio: float = 0.2
+    retry_extra: float = 0.0
+    retry_window_ms: int = 10000
+    lease_least_ms: int = 1000
+    store_partitions: int = 1
+
+
+@attrs.frozen
+class SettingsProblem:
+    """Settings that can't be used.
+
+    Attributes:
+        file: The settings file.
+        key: The key at fault; empty if it is the whole file.
+        message: What is wrong.
+    """
+
+    file: str
+    key: str
+    message: str
+
+    def __str__(self) -> str:
+        where = f"{self.file}: {self.key}" if self.key else self.file
+        return f"{where} {self.message}"
+
+
+_RANGES: dict[str, tuple[float, float]] = {
+    "heartbeat_ms": (1, _MOST_MS),
+    "drain_ms": (1, _MOST_MS),
+    "retry_ratio": (0, 10),
+    "retry_extra": (0, 1e9),
+    "retry_window_ms": (1, _MOST_MS),
+    "lease_least_ms": (1, _MOST_MS),
+    "store_partitions": (1, 100_000),
+}
+
+
+def check_gateway_settings(
+    settings: GatewaySettings, file: str
+) -> GatewaySettings | SettingsProblem:
+    """Returns the settings, or the first value out of its range."""
+    for name in ("instance", "data_centre"):
+        value = getattr(settings, name)
+        if not isinstance(value, str) or not value:
+            return SettingsProblem(file, name, f"must be text, got {value!r}")
+    for name in ("callers", "ready", "metrics", "peers", "store"):
+        host, port = getattr(settings, name)
+        if not host or not 0 <= port <= _MOST_PORT:
+            return SettingsProblem(
+                file,
+                name,
+                f"must be HOST:PORT with a port from 0 to {_MOST_PORT}, "
+                f"got {host}:{port}",
+            )
+    for name, (low, high) in _RANGES.items():
+        value = getattr(settings, name)
+        if not low <= value <= high:
+            return SettingsProblem(
+                file, name, f"must be from {low} to {high}, got {value}"
+            )
+    return settings
--- /dev/null
+++ b/caroblug/gateway/_streams.py
@@ -0,0 +1,414 @@
+"""Streams of generations, over engines that pass tokens on themselves.
+
+The gateway chooses the path, sends the request to its first engine and passes
+events on as they come. When the stream pauses it asks where the work stands
+still, and goes on over other engines: by changing the path of the run that
+goes on, where only a later part is lost, else by a new run that begins after
+the last event passed on.
+"""
+
+import enum
+
+import attrs
+
+from caroblug.core.placement import NoPath, Path
+from caroblug.gateway._calls import CONNECT_S
+from caroblug.gateway._context import Context
+from caroblug.gateway._events import EventSequence, Misordered
+from caroblug.gateway._http_client import Exchange
+from caroblug.gateway._interfaces import (
+    AnswerFacts,
+    OrderOutcome,
+    RunState,
+    Sending,
+    Unavailable,
+)
+from caroblug.gateway._outcomes import Broken, End, Failure, Head, Quiet
+from caroblug.gateway._pending import Answers, Pending
+
+_HEAD_LOOK_S = 0.7
+"""Wait for a first event after which a run is looked into: the objective of
+the users' streams is half a second, and a sound run takes a tenth of that."""
+
+_PAUSE_LOOK_S = 0.3
+"""Pause between events after which a run is looked into. Events come every 30
+to 60 ms; a pause of 200 ms makes the stream late, and looking costs a call."""
+
+_PAUSE_MOST_MS = 1400
+"""Pause after which a stream is continued elsewhere though nothing was found:
+callers leave after two seconds."""
+
+_MOST_SENDS = 5
+_MISDIRECTED_AVOID_MS = 1000
+_ERROR = 500
+
+
+class RunEnd(enum.Enum):
+    """How a run ended."""
+
+    WHOLE = "whole"
+    NOT_SENT = "not_sent"
+    TURNED_AWAY = "turned_away"
+    ANSWERED = "answered"
+    LOST = "lost"
+    OUT_OF_TIME = "out_of_time"
+
+
+@attrs.frozen
+class RunResult:
+    """How a run ended, and what was seen.
+
+    Attributes:
+        end: How it ended.
+        reason: What was seen, for the log.
+        head: The head of an answer that is no stream.
+        facts: What that head says.
+        body: Its body.
+    """
+
+    end: RunEnd
+    reason: str = ""
+    head: Head | None = None
+    facts: AnswerFacts | None = None
+    body: bytes = b""
+
+
+class Streams:
+    """Answers streaming requests.
+
+    Args:
+        context: What the gateway's parts share.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._answers = Answers(context)
+
+    def serve(self, pending: Pending) -> None:
+        """Answers one request, at the end of its time at the latest."""
+        _Stream(self._context, self._answers, pending).serve()
+
+
+class _Stream:
+    """One stream, over all its runs."""
+
+    def __init__(
+        self, context: Context, answers: Answers, pending: Pending
+    ) -> None:
+        self._context = context
+        self._answers = answers
+        self._pending = pending
+        self._events = EventSequence(_whole(pending.caller.resume_after))
+        self._path: Path | None = None
+        self._exchange: Exchange | None = None
+        self._avoid: set[str] = set()
+        self._last_event_ms = 0
+        self._tokens = max(
+            1, pending.caller.prompt_tokens + pending.caller.answer_tokens
+        )
+
+    def serve(self) -> None:
+        pending = self._pending
+        result = RunResult(RunEnd.NOT_SENT, "no time left")
+        while pending.sends < _MOST_SENDS:
+            if self._left_ms() <= 0:
+                result = RunResult(RunEnd.OUT_OF_TIME, "no time left")
+                break
+            path = self._choose_path()
+            if isinstance(path, NoPath):
+                reason = f"no engine for layer {path.layer}"
+                result = RunResult(result.end, reason)
+                break
+            if pending.sends and not self._may_send_again():
+                result = attrs.evolve(result, reason="retry budget is spent")
+                break
+            result = self._run(path)
+            self._note(result)
+            if result.end in (RunEnd.WHOLE, RunEnd.OUT_OF_TIME):
+                break
+            if not self._may_run_again(result):
+                break
+        self._finish(result)
+
+    def _finish(self, result: RunResult) -> None:
+        pending = self._pending
+        reply = pending.reply
+        if result.end is RunEnd.WHOLE:
+            self._context.budget.on_success(pending.account or "")
+            self._answers.log(pending, 200)
+            reply.finish()
+        elif reply.begun:
+            # The connection ends without the mark of a whole answer, so that
+            # the caller can't take what it has for all there is.
+            reply.end_connection()
+            self._answers.log(pending, 502, f"cut: {result.reason}")
+        elif result.end is RunEnd.ANSWERED:
+            self._answers.log(pending, result.head.status, "engine's answer")
+            reply.send(
+                result.head.status, list(result.facts.headers), result.body
+            )
+        elif result.end is RunEnd.OUT_OF_TIME and pending.ran:
+            self._answers.fail(pending, 504, result.reason)
+        else:
+            self._answers.refuse(pending, result.reason)
+
+    # Choosing and trying again.
+
+    def _choose_path(self, keep_first: bool = False) -> Path | NoPath:
+        pending = self._pending
+        return self._context.fleet.choose_engines(
+            pending.admitted.service,
+            self._now_ms(),
+            frozenset(self._avoid),
+            frozenset() if keep_first else frozenset(pending.tried),
+            self._path.parts[0] if keep_first else None,
+        )
+
+    def _may_run_again(self, result: RunResult) -> bool:
+        route = self._pending.admitted.route
+        if result.end in (RunEnd.NOT_SENT, RunEnd.TURNED_AWAY):
+            return True
+        return route.resumable and self._pending.ran < route.max_attempts
+
+    def _may_send_again(self) -> bool:
+        account = self._pending.account or ""
+        wait_ms = self._context.budget.take(account, self._now_ms())
+        if wait_ms:
+            self._context.tallies.count("retries_denied")
+        return wait_ms == 0
+
+    # One run.
+
+    def _run(self, path: Path) -> RunResult:
+        self._path = path
+        self._open_load()
+        self._exchange = Exchange(path.first.address)
+        self._context.fleet.enter(path.first.name)
+        try:
+            return self._send_and_read()
+        finally:
+            self._exchange.close()
+            self._context.fleet.leave(path.first.name)
+            self._close_load()
+
+    def _send_and_read(self) -> RunResult:
+        pending = self._pending
+        exchange = self._exchange
+        left_s = self._left_ms() / 1000
+        first = self._path.first.name
+        problem = exchange.connect(min(CONNECT_S, left_s))
+        if problem is None:
+            pending.sends += 1
+            pending.tried.add(first)
+            problem = exchange.send(self._encode(), left_s)
+        if problem is not None:
+            return self._on_broken(problem)
+        self._events.begin_run()
+        self._last_event_ms = self._now_ms()
+        head = self._read_head()
+        if isinstance(head, RunResult):
+            return head
+        facts = self._context.dialect.decode_answer(head)
+        if facts.run is RunState.NOT_RUN:
+            return self._on_turned_away(head, facts)
+        pending.ran += 1
+        if facts.request_id != pending.caller.id or not facts.genuine:
+            return RunResult(RunEnd.LOST, f"unproved answer {head.status}")
+        self._context.fleet.on_answer(first, None, 0, self._now_ms())
+        if head.status != 200:
+            return self._read_failure(head, facts)
+        return self._read_events(head, facts)
+
+    def _read_head(self) -> Head | RunResult:
+        while True:
+            head = self._exchange.read_head(self._wait_s(_HEAD_LOOK_S))
+            if isinstance(head, Head):
+                return head
+            if isinstance(head, Broken):
+                return self._on_broken(head)
+            result = self._on_quiet(_HEAD_LOOK_S)
+            if result is not None:
+                self._pending.ran += 1
+                return result
+
+    def _read_events(self, head: Head, facts: AnswerFacts) -> RunResult:
+        reply = self._pending.reply
+        while True:
+            piece = self._exchange.read_piece(self._wait_s(_PAUSE_LOOK_S))
+            if isinstance(piece, End):
+                if self._events.mid_event:
+                    return RunResult(RunEnd.LOST, "ended inside an event")
+                if not reply.begun:
+                    reply.begin(head.status, list(facts.headers))
+                return RunResult(RunEnd.WHOLE)
+            if isinstance(piece, Broken):
+                return self._on_broken(piece)
+            if isinstance(piece, Quiet):
+                result = self._on_quiet(_PAUSE_LOOK_S)
+                if result is not None:
+                    return result
+                continue
+            events = self._events.feed(piece)
+            if isinstance(events, Misordered):
+                return RunResult(
+                    RunEnd.LOST,
+                    f"event {events.found} instead of {events.expected}",
+                )
+            if events:
+                if not reply.begun:
+                    reply.begin(head.status, list(facts.headers))
+                reply.send_piece(b"".join(events))
+                self._last_event_ms = self._now_ms()
+
+    def _read_failure(self, head: Head, facts: AnswerFacts) -> RunResult:
+        body = self._exchange.read_body(self._left_ms() / 1000)
+        if not isinstance(body, bytes):
+            return RunResult(RunEnd.LOST, f"failure {head.status} not whole")
+        return RunResult(
+            RunEnd.ANSWERED, f"answered {head.status}", head, facts, body
+        )
+
+    # What went wrong.
+
+    def _on_broken(self, broken: Broken) -> RunResult:
+        first = self._path.first
+        if not broken.sent:
+            self._avoid_engine(first.name, broken.failure.value)
+            return RunResult(RunEnd.NOT_SENT, broken.failure.value)
+        if broken.failure is not Failure.NOT_HTTP:
+            self._check_first()
+        return RunResult(RunEnd.LOST, broken.failure.value)
+
+    def _check_first(self) -> None:
+        """Avoids the first engine if it doesn't answer any more.
+
+        Guards both ways: an engine that only broke off one answer goes on
+        being used, and one that has crashed costs no second request.
+        """
+        first = self._path.first
+        report = self._context.dialect.read_report(first.address)
+        if isinstance(report, Unavailable):
+            self._avoid_engine(first.name, f"report: {report.message}")
+
+    def _on_turned_away(self, head: Head, facts: AnswerFacts) -> RunResult:
+        reason = f"turned away with {head.status}"
+        fleet = self._context.fleet
+        at_fault = fleet.find(facts.at_fault) if facts.at_fault else None
+        name = at_fault.name if at_fault else self._path.first.name
+        if name in self._path.names:
+            self._avoid.add(name)
+        fleet.on_full(name, self._now_ms())
+        return RunResult(RunEnd.TURNED_AWAY, f"{reason} by {name}")
+
+    def _on_quiet(self, look_s: float) -> RunResult | None:
+        """Looks into a run that has paused; returns how it ends, if it does."""
+        if self._left_ms() <= 0:
+            return RunResult(RunEnd.OUT_OF_TIME, "no time left")
+        paused_ms = self._now_ms() - self._last_event_ms
+        if paused_ms < look_s * 1000:
+            return None
+        first = self._path.first
+        report = self._context.dialect.read_report(first.address)
+        if isinstance(report, Unavailable):
+            self._avoid_engine(first.name, f"report: {report.message}")
+            return RunResult(RunEnd.LOST, "first engine does not answer")
+        for request_id, address in report.stalled:
+            if request_id == self._pending.caller.id:
+                return self._on_stalled(address)
+        if paused_ms < _PAUSE_MOST_MS:
+            return None
+        return RunResult(RunEnd.LOST, f"no event for {paused_ms} ms")
+
+    def _on_stalled(self, address: tuple[str, int]) -> RunResult | None:
+        """Replaces the part of the path where the run stands still."""
+        dead = [
+            p.engine for p in self._path.parts if p.engine.address == address
+        ]
+        for engine in dead:
+            self._avoid_engine(engine.name, "named as stalled")
+        if not dead or dead[0].name == self._path.first.name:
+            return RunResult(RunEnd.LOST, "stalled")
+        path = self._choose_path(keep_first=True)
+        if isinstance(path, NoPath):
+            return RunResult(RunEnd.LOST, "stalled, no other part")
+        outcome = self._context.dialect.change_path(
+            path.first.address, self._pending.caller.id, path
+        )
+        self._context.tallies.count("path_changes", outcome=outcome.value)
+        self._context.log.write(
+            "stream.path_changed",
+            request=self._pending.caller.id,
+            lost=dead[0].name,
+            path=path.names,
+            outcome=outcome.value,
+            events=self._events.count,
+        )
+        if outcome not in (OrderOutcome.BEGUN, OrderOutcome.HOLDS):
+            return RunResult(RunEnd.LOST, "stalled, path not changed")
+        self._close_load()
+        self._path = path
+        self._open_load()
+        self._last_event_ms = self._now_ms()
+        return None
+
+    def _avoid_engine(self, name: str, reason: str) -> None:
+        self._avoid.add(name)
+        for_ms = self._context.fleet.avoid(name, self._now_ms())
+        self._context.log.write(
+            "backend_server.avoided",
+            backend_server=name,
+            reason=reason,
+            for_ms=for_ms,
+        )
+
+    def _note(self, result: RunResult) -> None:
+        if result.end is RunEnd.WHOLE:
+            return
+        self._context.tallies.count("runs_failed", end=result.end.value)
+        self._context.log.write(
+            "stream.run_failed",
+            request=self._pending.caller.id,
+            outcome=result.end.value,
+            reason=result.reason,
+            path=self._path.names,
+            events=self._events.count,
+        )
+
+    # Helpers.
+
+    def _encode(self) -> bytes:
+        pending = self._pending
+        last_id = self._events.last_id
+        resume_after = pending.caller.resume_after
+        if last_id is not None:
+            resume_after = str(last_id)
+        sending = Sending(
+            backend=self._path.first.name,
+            left_ms=self._left_ms(),
+            account=pending.account,
+            priority=pending.admitted.priority,
+            path=self._path,
+            resume_after=resume_after,
+        )
+        return self._context.dialect.encode_request(
+            pending.request, pending.caller, sending
+        )
+
+    def _open_load(self) -> None:
+        self._context.fleet.loads.open(self._path.names, self._tokens)
+
+    def _close_load(self) -> None:
+        self._context.fleet.loads.close(self._path.names, self._tokens)
+
+    def _now_ms(self) -> int:
+        return self._context.clock.now_ms()
+
+    def _left_ms(self) -> int:
+        return self._pending.left_ms(self._now_ms())
+
+    def _wait_s(self, look_s: float) -> float:
+        return max(0.001, min(look_s, self._left_ms() / 1000))
+
+
+def _whole(text: str | None) -> int | None:
+    return int(text) if text is not None and text.isdigit() else None
--- a/caroblug/utils/__init__.py
+++ b/caroblug/utils/__init__.py
@@ -1,51 +1,49 @@
-"""Helpers shared by every package: time, outcomes, settings, metrics."""
-
-from caroblug.utils._clock import Clock, ManualClock, MonotonicClock
-from caroblug.utils._logging import log_state, start_logging
-from caroblug.utils._metrics import Metrics, make_metrics
-from caroblug.utils._outcomes import (
-    CALLERS_OWN,
-    Ran,
-    RefusalType,
-    Refused,
-)
-from caroblug.utils._settings import load_settings, structure_table
-from caroblug.utils._settings_problems import SettingProblem, SettingsRejected
-from caroblug.utils._top import TopCounter
-from caroblug.utils._validation import (
-    choice,
-    count,
-    duration_ms,
-    name,
-    number,
-    port,
-    secret,
-    text,
-)
-
-__all__ = [
-    "CALLERS_OWN",
-    "Clock",
-    "ManualClock",
-    "Metrics",
-    "MonotonicClock",
-    "Ran",
-    "RefusalType",
-    "Refused",
-    "SettingProblem",
-    "SettingsRejected",
-    "TopCounter",
-    "choice",
-    "count",
-    "duration_ms",
-    "load_settings",
-    "log_state",
-    "make_metrics",
-    "name",
-    "number",
-    "port",
-    "secret",
-    "start_logging",
-    "structure_table",
-    "text",
-]
+"""Helpers shared by every package: time, outcomes, settings, metrics.
+
+Names are imported when they are first used: settings and metrics bring
+libraries that a program which only needs the clock would pay for at its start
+(0.19 s of processor time instead of under 0.01, on one core of a test machine).
+"""
+
+import importlib
+
+_MODULES = {
+    "Clock": "_clock",
+    "BoottimeClock": "_clock",
+    "ManualClock": "_clock",
+    "MonotonicClock": "_clock",
+    "log_state": "_logging",
+    "start_logging": "_logging",
+    "Metrics": "_metrics",
+    "make_metrics": "_metrics",
+    "CALLERS_OWN": "_outcomes",
+    "Ran": "_outcomes",
+    "RefusalType": "_outcomes",
+    "Refused": "_outcomes",
+    "load_settings": "_settings",
+    "structure_table": "_settings",
+    "SettingProblem": "_settings_problems",
+    "SettingsRejected": "_settings_problems",
+    "TopCounter": "_top",
+    "choice": "_validation",
+    "count": "_validation",
+    "duration_ms": "_validation",
+    "name": "_validation",
+    "number": "_validation",
+    "port": "_validation",
+    "secret": "_validation",
+    "text": "_validation",
+}
+
+__all__ = sorted(_MODULES)
+
+
+def __getattr__(name: str):
+    module = _MODULES.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
+
+
+def __dir__() -> list[str]:
+    return __all__
--- a/caroblug/utils/_clock.py
+++ b/caroblug/utils/_clock.py
@@ -41,3 +41,15 @@
         if ms < 0:
             raise ValueError(f"ms must be >= 0, got {ms}")
         self._now_ms += ms
+
+
+class BoottimeClock(Clock):
+    """A clock that counts the time in which the instance was suspended.
+
+    Guards against a lease, a deadline or an age that looks young after the
+    instance slept: the monotonic clock stands still meanwhile.
+    """
+
+    def now_ms(self) -> int:
+        """Returns milliseconds since the instance booted, sleep included."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NANOSECONDS_PER_MS
