Keep layers placed while the store is away

Ruled out: counting engines that turn requests away as lost (a full one is sound); waiting for streams to pass through layers that are moved (4.4 s).

Change: an engine's own word goes before an old list and is told on; a server that turns away is asked for its health while the list is old; the lease is handed over at once; a deputy acts where no holder is heard of; moves that bring scarce layers cut what passes; requests without a path are asked to come back after 2.5 s.

--- a/caroblug/core/placement/_planner.py
+++ b/caroblug/core/placement/_planner.py
@@ -32,10 +32,15 @@
     Attributes:
         engine: The engine as it was when the plan was made.
         target: Layers it is to hold.
+        urgent: Whether it brings a layer that hardly any engine holds, so
+            that nearly every request waits for it. Work that passes through
+            layers which are given up is then not waited for: it would take
+            as long as a stream, some five seconds.
     """
 
     engine: Engine
     target: LayerRange
+    urgent: bool = False
 
 
 @attrs.define
@@ -68,7 +73,23 @@
         local = [s for s in seats if s.engine.data_centre == data_centre]
         _make_whole(local, model)
     _use_the_empty(seats, model)
-    return [Move(s.engine, s.target) for s in seats if s.moved]
+    scarce = _scarce_layers(engines, model)
+    return [
+        Move(s.engine, s.target, any(layer in s.target for layer in scarce))
+        for s in seats
+        if s.moved
+    ]
+
+
+def _scarce_layers(engines: list[Engine], model: ModelShape) -> set[int]:
+    """Returns layers with fewer holders than half of the data centres."""
+    holders = [0] * model.layers
+    for engine in engines:
+        if not engine.loading:
+            for layer in range(engine.holds.first, engine.holds.end):
+                holders[layer] += 1
+    wanted = len({e.data_centre for e in engines}) / 2
+    return {layer for layer, count in enumerate(holders) if count < wanted}
 
 
 def _by_speed(engine: Engine) -> tuple[float, str]:
--- a/caroblug/gateway/_context.py
+++ b/caroblug/gateway/_context.py
@@ -31,6 +31,7 @@
         configuration: The newest configuration; None before the first.
         configuration_ms: When it was taken.
         raw_configuration: The same as the operator wrote it.
+        ask_about: Engines that are to be asked about themselves.
     """
 
     settings: GatewaySettings
@@ -45,6 +46,7 @@
     configuration: Configuration | None = None
     configuration_ms: int = 0
     raw_configuration: str = ""
+    ask_about: set[str] = attrs.field(factory=set)
 
     def limits(self) -> RequestLimits:
         """Returns what callers may send."""
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -29,9 +29,12 @@
 """How long a full engine is not sent to: about a stream's share of the time
 in which thirty streams of two seconds make room for one."""
 
-_HEARD_KEPT_MS = 2200
-"""How long an engine's own word on its layers goes before the list's: a
-heartbeat and a read of the list."""
+_HEARD_KEPT_MS = 1500
+"""A list that was read this much after an engine's own word on its layers goes
+before it: a heartbeat, and what the list lags behind."""
+
+_TELL_ON_MS = 4000
+"""How long an engine's own word is told to other gateways."""
 
 _UNLISTED_KEPT_MS = 15000
 """How long what was met at a backend server outlives its place in the list."""
@@ -52,7 +55,8 @@
     placed_until_ms: int = 0
     seen_ms: int = 0
     told_holds: LayerRange | None = None
-    told_holds_until_ms: int = 0
+    told_holds_ms: int = 0
+    leaving_ms: int = -1
 
 
 class Fleet:
@@ -101,10 +105,14 @@
         """
         if listing.end < self._listing.end:
             return False
+        before = self._listing.backends
         self._listing = listing
         self._listed_ms = now_ms
-        for name in listing.backends:
-            self._met[name].seen_ms = now_ms
+        for name, backend in listing.backends.items():
+            met = self._met[name]
+            met.seen_ms = now_ms
+            if name not in before or before[name].holds != backend.holds:
+                met.told_holds = None
         for name, met in list(self._met.items()):
             if now_ms - met.seen_ms > _UNLISTED_KEPT_MS and not met.in_flight:
                 del self._met[name]
@@ -115,9 +123,23 @@
         return [
             b
             for b in self._listing.backends.values()
-            if b.service == service and not b.leaving
+            if b.service == service and not self._is_leaving(b)
         ]
 
+    def on_leaving(self, name: str, now_ms: int) -> None:
+        """Notes that a backend server itself takes no new work.
+
+        Guards against a list that can't be read: a backend server that
+        leaves meanwhile turns each request away, and its layers look held.
+        """
+        self._met[name].leaving_ms = now_ms
+
+    def _is_leaving(self, backend: BackendServer) -> bool:
+        if backend.leaving:
+            return True
+        leaving_ms = self._met[backend.name].leaving_ms
+        return leaving_ms >= 0 and self._listed_ms < leaving_ms + _HEARD_KEPT_MS
+
     def find(self, address: tuple[str, int]) -> BackendServer | None:
         """Returns the backend server that is listed at an address."""
         for backend in self._listing.backends.values():
@@ -200,7 +222,7 @@
     def _engine(self, backend: BackendServer, kind, now_ms: int) -> Engine:
         met = self._met[backend.name]
         holds = backend.holds
-        if met.told_holds is not None and now_ms < met.told_holds_until_ms:
+        if self._told_is_newer(met):
             holds = met.told_holds
         loading = False
         if met.placed is not None:
@@ -235,11 +257,32 @@
         until the next heartbeat: requests would be turned away.
         """
         backend = self._listing.backends.get(name)
-        if holds is None or backend is None or holds == backend.holds:
+        if holds is None or backend is None:
             return
         met = self._met[name]
+        if now_ms < met.told_holds_ms:
+            return
         met.told_holds = holds
-        met.told_holds_until_ms = now_ms + _HEARD_KEPT_MS
+        met.told_holds_ms = now_ms
+
+    def recently_told(self, now_ms: int) -> dict[str, tuple[LayerRange, int]]:
+        """Returns layers that engines told lately, with the age in ms."""
+        return {
+            name: (met.told_holds, now_ms - met.told_holds_ms)
+            for name, met in self._met.items()
+            if met.told_holds is not None
+            and now_ms - met.told_holds_ms < _TELL_ON_MS
+        }
+
+    def _told_is_newer(self, met: _Met) -> bool:
+        """Returns whether an engine's own word goes before the list's."""
+        if met.told_holds is None:
+            return False
+        return self._listed_ms < met.told_holds_ms + _HEARD_KEPT_MS
+
+    def on_loaded(self, name: str) -> None:
+        """Notes that an engine holds the layers that it was ordered to."""
+        self._met[name].placed = None
 
     def avoided(self, name: str, now_ms: int) -> bool:
         """Returns whether a backend server failed lately."""
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -52,9 +52,9 @@
     def __init__(self, context: Context, registry: Registry) -> None:
         self._context = context
         self._watches = Watches(context, registry)
-        self._placement = Placement(context, registry)
         self._peers = Peers(context, registry)
-        self._rechecks = Rechecks(context, self._peers)
+        self._placement = Placement(context, registry, self._peers)
+        self._rechecks = Rechecks(context)
         self._calls = Calls(context)
         self._streams = Streams(context)
         self._leaving = event.Event()
--- a/caroblug/gateway/_interfaces.py
+++ b/caroblug/gateway/_interfaces.py
@@ -302,9 +302,18 @@
     def read_report(self, address: Address) -> EngineReport | Unavailable:
         """Asks an engine about itself."""
 
+    @abc.abstractmethod
+    def read_health(self, address: Address, path: str) -> bool | Unavailable:
+        """Asks a backend server whether it takes new work.
+
+        Args:
+            address: The backend server.
+            path: Where its service answers this.
+        """
+
     @abc.abstractmethod
     def place(
-        self, address: Address, layers: LayerRange, orders: int
+        self, address: Address, layers: LayerRange, orders: int, urgent: bool
     ) -> OrderOutcome:
         """Orders an engine to hold layers.
 
@@ -313,6 +322,8 @@
             layers: Layers to hold, all of them.
             orders: Orders that it has begun so far; it rejects this one if
                 there was another, so that a late one can do no harm.
+            urgent: Whether work that passes through layers which are given
+                up is cut, not waited for.
         """
 
     @abc.abstractmethod
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -5,10 +5,12 @@
 serves others. Each tells a bounded number of others, however many there are.
 """
 
+import enum
 import json
 
 import gevent
 
+from caroblug.core.placement import LayerRange
 from caroblug.gateway._caller_requests import RawRequest
 from caroblug.gateway._context import Context
 from caroblug.gateway._http_client import Address, fetch, format_request
@@ -40,9 +42,21 @@
 _STALE_LIST_MS = 1600
 """Age of one's own list from which another gateway's is asked for."""
 
+_HOLDERLESS_MS = 2500
+"""Time without word of a holder of the lease after which a deputy places
+layers; word of one passes through fifty gateways in two or three exchanges."""
+
 _CALL_S = 0.3
 
 
+class TenureState(enum.Enum):
+    """How a gateway stands to the lease on placing layers."""
+
+    NONE = "none"
+    HELD = "held"
+    LEAVING = "leaving"
+
+
 class Peers:
     """Talks with other gateways.
 
@@ -58,7 +72,9 @@
         self._seen_ms: dict[str, int] = {}
         self._heard_ms: dict[str, int] = {}
         self._busy: set[str] = set()
-        self._suspects: set[str] = set()
+        self._tenures: dict[str, TenureState] = {}
+        self._holder_ms = context.clock.now_ms()
+        self.tenure = TenureState.NONE
 
     def run_members(self) -> None:
         """Reads who takes part until the process ends."""
@@ -132,6 +148,7 @@
         context = self._context
         now_ms = context.clock.now_ms()
         settings = context.settings
+        told = context.fleet.recently_told(now_ms)
         return {
             "name": settings.instance,
             "address": list(settings.peers),
@@ -139,6 +156,12 @@
             "version": self._version(),
             "list_age_ms": self._list_age_ms(),
             "suspects": context.fleet.avoided_now(now_ms),
+            "told": {
+                engine: [layers.first, layers.end, age_ms]
+                for engine, (layers, age_ms) in told.items()
+            },
+            "tenure": self.tenure.value,
+            "holder_age_ms": self._holder_age_ms(now_ms),
         }
 
     def _take(self, message: dict) -> dict:
@@ -146,8 +169,7 @@
         name = message["name"]
         host, port = message["address"]
         self._on_member(Member(name, (str(host), int(port))))
-        self._on_loads(name, message["loads"])
-        self._on_suspects(message["suspects"])
+        self._take_news(name, message)
         answer = self._message()
         if message["version"] < self._version():
             answer["configuration"] = self._context.raw_configuration
@@ -159,8 +181,7 @@
 
     def _take_answer(self, answer: dict, name: str) -> None:
         context = self._context
-        self._on_loads(name, answer["loads"])
-        self._on_suspects(answer["suspects"])
+        self._take_news(name, answer)
         raw = answer.get("configuration")
         if raw:
             configuration = self._registry.decode_configuration(raw)
@@ -183,6 +204,29 @@
         self._members[member.name] = member.address
         self._seen_ms[member.name] = self._context.clock.now_ms()
 
+    def _take_news(self, name: str, message: dict) -> None:
+        self._on_loads(name, message["loads"])
+        self._on_suspects(message["suspects"])
+        self._on_told(message["told"])
+        now_ms = self._context.clock.now_ms()
+        before = self._tenures.get(name)
+        self._tenures[name] = TenureState(message["tenure"])
+        heard_ms = now_ms - int(message["holder_age_ms"])
+        self._holder_ms = max(self._holder_ms, heard_ms)
+        if (before, self._tenures[name]) == (
+            TenureState.HELD,
+            TenureState.LEAVING,
+        ):
+            # It gives no more orders: a deputy need not wait for its silence.
+            self._holder_ms = now_ms - _HOLDERLESS_MS
+
+    def _on_told(self, told: dict) -> None:
+        """Takes what engines have told another gateway of their layers."""
+        now_ms = self._context.clock.now_ms()
+        for engine, (first, end, age_ms) in told.items():
+            layers = LayerRange(int(first), int(end))
+            self._context.fleet.on_report(engine, layers, now_ms - int(age_ms))
+
     def _on_loads(self, name: str, loads: dict) -> None:
         tokens = {str(key): float(value) for key, value in loads.items()}
         self._heard_ms[name] = self._context.clock.now_ms()
@@ -193,13 +237,34 @@
 
         Its word alone isn't believed: it may itself be cut off.
         """
-        for name in names:
-            self._suspects.add(str(name))
+        self._context.ask_about.update(str(name) for name in names)
+
+    def is_deputy(self) -> bool:
+        """Returns whether this gateway places layers for want of a holder.
+
+        That is the first by name of those that are heard and stay, once no
+        holder of the lease has been heard of for some time.
+        """
+        now_ms = self._context.clock.now_ms()
+        if self._holder_age_ms(now_ms) < _HOLDERLESS_MS:
+            return False
+        me = self._context.settings.instance
+        staying = [
+            name
+            for name, tenure in self._tenures.items()
+            if tenure is not TenureState.LEAVING
+        ]
+        return me == min([me, *staying])
+
+    def _holder_age_ms(self, now_ms: int) -> int:
+        """Returns how long ago a holder of the lease was heard of."""
+        if self.tenure is TenureState.HELD:
+            return 0
+        return now_ms - self._holder_ms
 
-    def take_suspects(self) -> set[str]:
-        """Returns what others suspect, and forgets it."""
-        suspects, self._suspects = self._suspects, set()
-        return suspects
+    def describe(self) -> dict[str, str]:
+        """Returns how the gateways that are heard stand to the lease."""
+        return {name: t.value for name, t in self._tenures.items()}
 
     def _forget_old(self) -> None:
         now_ms = self._context.clock.now_ms()
@@ -213,6 +278,7 @@
         for name, heard_ms in list(self._heard_ms.items()):
             if now_ms - heard_ms > _SILENT_MS:
                 del self._heard_ms[name]
+                self._tenures.pop(name, None)
                 self._context.fleet.loads.forget(name)
 
     def _gateways(self) -> int:
--- a/caroblug/gateway/_pending.py
+++ b/caroblug/gateway/_pending.py
@@ -12,6 +12,10 @@
 """Mean time after which a request that found no room is asked to come back:
 a third of what a caller of a two-second objective may wait."""
 
+NO_ENGINES_MS = 2500
+"""The same where layers are held by nobody: the time in which a lost engine
+is missed, its layers are ordered elsewhere and loaded."""
+
 UNREADY_MS = 400
 """The same for a gateway that doesn't know the configuration yet; it reads it
 within some tens of ms of its start."""
@@ -61,15 +65,22 @@
     def __init__(self, context: Context) -> None:
         self._context = context
 
-    def refuse(self, pending: Pending, reason: str) -> None:
+    def refuse(
+        self, pending: Pending, reason: str, mean_ms: int = NO_ROOM_MS
+    ) -> None:
         """Answers that the request has not run, and when to come back.
 
         If it may have run, the answer says nothing of the kind.
+
+        Args:
+            pending: The request.
+            reason: Why, for the caller and the log.
+            mean_ms: Mean time after which to come back.
         """
         if pending.ran:
             self.fail(pending, 502, reason)
             return
-        after_ms = self._context.retry_after.ms(NO_ROOM_MS)
+        after_ms = self._context.retry_after.ms(mean_ms)
         self._end(pending, 503, reason, after_ms)
 
     def fail(self, pending: Pending, status: int, reason: str) -> None:
--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -14,6 +14,7 @@
 from caroblug.gateway._context import Context
 from caroblug.gateway._fleet import model_of
 from caroblug.gateway._interfaces import OrderOutcome, Registry, Unavailable
+from caroblug.gateway._peers import Peers, TenureState
 
 _RENEW_MS = 800
 _LEASE_MS = 2600
@@ -34,8 +35,11 @@
 crash of some seconds brings it back empty, a pause brings it back whole."""
 
 _LOAD_SLACK_MS = 2500
-"""Added to the time that a load should take before it is ordered again: the
-engine's next heartbeat and the next read of the list."""
+"""Added to the time that a load should take before it is ordered again: others
+may load at the same time."""
+
+_FOLLOW_S = 0.4
+"""How often an engine that loads is asked; a load takes one to two seconds."""
 
 
 class Placement:
@@ -44,11 +48,15 @@
     Args:
         context: What the gateway's parts share.
         registry: The platform's list and group.
+        peers: Other gateways.
     """
 
-    def __init__(self, context: Context, registry: Registry) -> None:
+    def __init__(
+        self, context: Context, registry: Registry, peers: Peers
+    ) -> None:
         self._context = context
         self._registry = registry
+        self._peers = peers
         self._until_ms = -1
         self._stopped = False
         self._listed = -1
@@ -64,6 +72,21 @@
         """
         return self._context.clock.now_ms() < self._until_ms
 
+    @property
+    def acting(self) -> bool:
+        """Whether this gateway gives orders now, by lease or as a deputy.
+
+        While the store is away every lease runs out, and after the death of
+        a holder it takes seconds until the store names the next one; engines
+        go on failing meanwhile. The deputy isn't agreed upon, and two gateways
+        that can't hear each other may both act. That does no harm: each order
+        names the number of orders that the engine has begun, so the engine
+        itself takes the first and rejects the second.
+        """
+        if self._stopped:
+            return False
+        return self.holder or self._peers.is_deputy()
+
     def run_lease(self) -> None:
         """Renews the lease until stopped."""
         while not self._stopped:
@@ -73,14 +96,34 @@
             if not isinstance(tenure, Unavailable):
                 self._until_ms = asked_ms + _LEASE_MS if tenure.holder else -1
                 self._context.fleet.loads.gateways = tenure.gateways
+            self._peers.tenure = self._state()
             if held != self.holder:
                 self._context.log.write("placement.lease", held=self.holder)
+            if held and not self.holder and not isinstance(tenure, Unavailable):
+                # The successor gets the lease when this gateway says that it
+                # has heard of the change; waiting a renewal would leave
+                # nobody to place layers meanwhile.
+                continue
             gevent.sleep(_RENEW_MS / 1000)
 
+    def _state(self) -> TenureState:
+        if self._stopped:
+            return TenureState.LEAVING
+        return TenureState.HELD if self.holder else TenureState.NONE
+
     def run_plan(self) -> None:
         """Compares plan and fleet until stopped."""
+        acted = False
         while not self._stopped:
-            if self.holder and self._context.configuration is not None:
+            if self.acting != acted:
+                acted = self.acting
+                self._context.log.write(
+                    "placement.acting",
+                    acting=acted,
+                    lease=self.holder,
+                    gateways=self._peers.describe(),
+                )
+            if acted and self._context.configuration is not None:
                 for service in self._context.configuration.services.values():
                     if service.model is not None:
                         self._place(service)
@@ -89,6 +132,7 @@
     def stop(self) -> None:
         """Gives the lease back."""
         self._stopped = True
+        self._peers.tenure = self._state()
         if self.holder:
             self._until_ms = -1
             self._registry.end_tenure()
@@ -137,13 +181,19 @@
         layers = model_of(service).layers
         load_ms = model_of(service).load_s * 1000 * len(move.target) / layers
         if report.holds == move.target:
-            # Loaded already; the list will say so with the next heartbeat.
-            self._wait_for_list(move, 0)
+            context.fleet.on_report(
+                engine.name, report.holds, context.clock.now_ms()
+            )
             return
-        if report.busy or report.holds != engine.holds or not self.holder:
+        if report.holds != engine.holds:
+            context.fleet.on_report(
+                engine.name, report.holds, context.clock.now_ms()
+            )
+            return
+        if report.busy or not self.acting:
             return
         outcome = context.dialect.place(
-            engine.address, move.target, report.orders
+            engine.address, move.target, report.orders, move.urgent
         )
         context.tallies.count("orders", outcome=outcome.value)
         context.log.write(
@@ -152,16 +202,40 @@
             layers=[move.target.first, move.target.end],
             before=[engine.holds.first, engine.holds.end],
             orders=report.orders,
+            urgent=move.urgent,
             outcome=outcome.value,
         )
         if outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS):
-            self._wait_for_list(move, load_ms)
+            now_ms = context.clock.now_ms()
+            for_ms = int(load_ms + _LOAD_SLACK_MS)
+            context.fleet.on_placed(engine.name, move.target, now_ms, for_ms)
+            gevent.spawn(self._follow, move, now_ms + for_ms)
+
+    def _follow(self, move: Move, end_ms: int) -> None:
+        """Asks an engine that loads until it holds its layers.
 
-    def _wait_for_list(self, move: Move, load_ms: float) -> None:
+        The list tells a heartbeat and a read later, two seconds during which
+        the layers would answer nobody; not at all while the store is away.
+        """
         context = self._context
-        context.fleet.on_placed(
-            move.engine.name,
-            move.target,
-            context.clock.now_ms(),
-            int(load_ms + _LOAD_SLACK_MS),
+        while context.clock.now_ms() < end_ms:
+            gevent.sleep(_FOLLOW_S)
+            report = context.dialect.read_report(move.engine.address)
+            if isinstance(report, Unavailable) or report.busy:
+                continue
+            now_ms = context.clock.now_ms()
+            context.fleet.on_report(move.engine.name, report.holds, now_ms)
+            if report.holds == move.target:
+                context.fleet.on_loaded(move.engine.name)
+                context.log.write(
+                    "placement.loaded",
+                    backend_server=move.engine.name,
+                    layers=[move.target.first, move.target.end],
+                    left_ms=end_ms - now_ms,
+                )
+                return
+        context.log.write(
+            "placement.not_loaded",
+            backend_server=move.engine.name,
+            layers=[move.target.first, move.target.end],
         )
--- a/caroblug/gateway/_rechecks.py
+++ b/caroblug/gateway/_rechecks.py
@@ -4,11 +4,13 @@
 
 from caroblug.gateway._context import Context
 from caroblug.gateway._interfaces import BackendServer, Unavailable
-from caroblug.gateway._peers import Peers
 
 _EVERY_S = 0.1
+_OLD_LIST_MS = 2500
+"""Age of the list from which it is taken to be out of date: two reads."""
+
 _ASK_AGAIN_MS = 1000
-"""Shortest time between two looks at the same engine on others' word."""
+"""Shortest time between two looks at an engine that did not fail here."""
 
 
 class Rechecks:
@@ -20,12 +22,10 @@
 
     Args:
         context: What the gateway's parts share.
-        peers: Tells what others suspect.
     """
 
-    def __init__(self, context: Context, peers: Peers) -> None:
+    def __init__(self, context: Context) -> None:
         self._context = context
-        self._peers = peers
         self._asked_ms: dict[str, int] = {}
         self._asking: set[str] = set()
 
@@ -36,17 +36,19 @@
             now_ms = self._context.clock.now_ms()
             for backend in self._context.fleet.failing(now_ms):
                 self.ask(backend)
-            self._look_into(self._peers.take_suspects(), now_ms)
+            names = set(self._context.ask_about)
+            self._context.ask_about.clear()
+            self._look_into(names, now_ms)
 
     def _look_into(self, names: set[str], now_ms: int) -> None:
-        """Asks engines that another gateway takes to be gone."""
+        """Asks engines that others take to be gone or that turned away."""
         fleet = self._context.fleet
         for name in names:
             backend = fleet.listing.backends.get(name)
             if backend is None or backend.holds is None:
                 continue
             due_ms = self._asked_ms.get(name, -_ASK_AGAIN_MS) + _ASK_AGAIN_MS
-            if now_ms >= due_ms and not fleet.avoided(name, now_ms):
+            if now_ms >= due_ms:
                 self._asked_ms[name] = now_ms
                 self.ask(backend)
 
@@ -57,6 +59,24 @@
         self._asking.add(backend.name)
         gevent.spawn(self._ask, backend)
 
+    def _ask_health(self, backend: BackendServer) -> None:
+        """Finds out whether a backend server leaves, as the list can't say."""
+        context = self._context
+        known = context.configuration
+        service = known.services.get(backend.service) if known else None
+        if service is None:
+            return
+        healthy = context.dialect.read_health(
+            backend.address, service.health_path
+        )
+        if healthy is False:
+            context.fleet.on_leaving(backend.name, context.clock.now_ms())
+            context.log.write(
+                "backend_server.leaving",
+                backend_server=backend.name,
+                list_age_ms=context.fleet.age_ms(context.clock.now_ms()),
+            )
+
     def _ask(self, backend: BackendServer) -> None:
         context = self._context
         try:
@@ -69,11 +89,16 @@
         finally:
             self._asking.discard(backend.name)
         now_ms = context.clock.now_ms()
+        was_failing = context.fleet.failed_for_ms(backend.name, now_ms) > 0
         if isinstance(report, Unavailable):
             context.fleet.avoid(backend.name, now_ms)
             return
         context.fleet.on_answer(backend.name, None, 0, now_ms)
         context.fleet.on_report(backend.name, report.holds, now_ms)
+        if context.fleet.age_ms(now_ms) > _OLD_LIST_MS:
+            self._ask_health(backend)
+        if not was_failing:
+            return
         context.log.write(
             "backend_server.back",
             backend_server=backend.name,
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -18,13 +18,14 @@
 from caroblug.gateway._http_client import Exchange
 from caroblug.gateway._interfaces import (
     AnswerFacts,
+    CallerRequest,
     OrderOutcome,
     RunState,
     Sending,
     Unavailable,
 )
 from caroblug.gateway._outcomes import Broken, End, Failure, Head, Quiet
-from caroblug.gateway._pending import Answers, Pending
+from caroblug.gateway._pending import NO_ENGINES_MS, Answers, Pending
 
 _HEAD_LOOK_S = 0.7
 """Wait for a first event after which a run is looked into: the objective of
@@ -48,6 +49,7 @@
 
     WHOLE = "whole"
     NOT_SENT = "not_sent"
+    NO_PATH = "no_path"
     TURNED_AWAY = "turned_away"
     ANSWERED = "answered"
     LOST = "lost"
@@ -103,9 +105,7 @@
         self._exchange: Exchange | None = None
         self._avoid: set[str] = set()
         self._last_event_ms = 0
-        self._tokens = max(
-            1, pending.caller.prompt_tokens + pending.caller.answer_tokens
-        )
+        self._tokens = max(1, _mean_tokens(pending.caller))
 
     def serve(self) -> None:
         pending = self._pending
@@ -116,8 +116,9 @@
                 break
             path = self._choose_path()
             if isinstance(path, NoPath):
-                reason = f"no engine for layer {path.layer}"
-                result = RunResult(result.end, reason)
+                result = RunResult(
+                    RunEnd.NO_PATH, f"no engine for layer {path.layer}"
+                )
                 break
             if pending.sends and not self._may_send_again():
                 result = attrs.evolve(result, reason="retry budget is spent")
@@ -149,6 +150,8 @@
             )
         elif result.end is RunEnd.OUT_OF_TIME and pending.ran:
             self._answers.fail(pending, 504, result.reason)
+        elif result.end is RunEnd.NO_PATH:
+            self._answers.refuse(pending, result.reason, NO_ENGINES_MS)
         else:
             self._answers.refuse(pending, result.reason)
 
@@ -298,6 +301,8 @@
         if name in self._path.names:
             self._avoid.add(name)
         fleet.on_full(name, self._now_ms())
+        if at_fault is not None:
+            self._context.ask_about.add(at_fault.name)
         return RunResult(RunEnd.TURNED_AWAY, f"{reason} by {name}")
 
     def _on_quiet(self, look_s: float) -> RunResult | None:
@@ -410,5 +415,14 @@
         return max(0.001, min(look_s, self._left_ms() / 1000))
 
 
+def _mean_tokens(caller: CallerRequest) -> int:
+    """Returns the memory that a stream takes on the mean of its time.
+
+    The answer grows from nothing to its end, which is the most that the
+    caller allows or less.
+    """
+    return caller.prompt_tokens + caller.answer_tokens // 2
+
+
 def _whole(text: str | None) -> int | None:
     return int(text) if text is not None and text.isdigit() else None
--- /dev/null
+++ b/caroblug/gateway/tests/test_caller_requests.py
@@ -0,0 +1,106 @@
+"""Bytes of callers' connections: whole requests, bad ones, limits."""
+
+import hypothesis
+import hypothesis.strategies as st
+
+from caroblug.gateway._caller_requests import BadRequest, RequestReader
+
+POST = (
+    b"POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n"
+    b"Content-Length: 5\r\n\r\nhello"
+)
+CHUNKED = (
+    b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+)
+
+
+def make_reader(header_bytes=1000, body_bytes=1000):
+    return RequestReader(header_bytes, body_bytes)
+
+
+def test_request_with_a_length():
+    (request,) = make_reader().feed(POST, 7)
+
+    assert (request.method, request.target) == ("POST", "/a/b?c=d")
+    assert request.path == "/a/b"
+    assert request.get("x-a") == "1"
+    assert request.body == b"hello"
+    assert request.began_ms == 7
+
+
+def test_request_in_chunks():
+    (request,) = make_reader().feed(CHUNKED, 0)
+
+    assert request.body == b"abcde"
+
+
+def test_two_requests_in_one_read():
+    first, second = make_reader().feed(POST + CHUNKED, 0)
+
+    assert first.body == b"hello"
+    assert second.body == b"abcde"
+
+
+@hypothesis.given(st.lists(st.integers(0, len(POST + CHUNKED)), max_size=6))
+def test_any_cuts_give_the_same_requests(cuts):
+    data = POST + CHUNKED
+    edges = sorted({0, len(data), *cuts})
+    reader = make_reader()
+    found = []
+    for start, end in zip(edges, edges[1:], strict=False):
+        found.extend(reader.feed(data[start:end], start))
+
+    assert [r.body for r in found] == [b"hello", b"abcde"]
+
+
+def test_header_that_never_ends_is_refused():
+    # A caller sends header after header. Without a bound the gateway would
+    # keep them all until its memory is gone.
+    reader = make_reader(header_bytes=100)
+    result = reader.feed(b"GET / HTTP/1.1\r\n", 0)
+    for _ in range(20):
+        if isinstance(result, BadRequest):
+            break
+        result = reader.feed(b"X-Pad: aaaaaaaaaaaaaaaa\r\n", 0)
+
+    assert result.status == 431
+
+
+def test_body_over_its_limit_is_refused():
+    declared = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n"
+    chunked = (
+        b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"7d0\r\n" + b"x" * 2000
+    )
+
+    assert make_reader().feed(declared, 0).status == 413
+    assert make_reader().feed(chunked, 0).status == 413
+
+
+def test_what_is_not_http_is_refused():
+    assert make_reader().feed(b"\x16\x03\x01 hello\r\n\r\n", 0).status == 400
+
+
+def test_two_framings_at_once_are_refused():
+    # A request inside another one: two readers that trust different headers
+    # would cut the bytes differently, and the inner one would run unasked.
+    smuggled = (
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n"
+    )
+
+    assert make_reader().feed(smuggled, 0).status == 400
+
+
+def test_partial_request_is_known_as_one():
+    reader = make_reader()
+    reader.feed(POST[:20], 3)
+
+    assert reader.in_head
+    assert reader.began_ms == 3
+    reader.feed(POST[20:-2], 4)
+    assert reader.partial
+    assert not reader.in_head
+    reader.feed(POST[-2:], 5)
+    assert not reader.partial
