Let gateways share one read of the list, and one bound on repeats

Ruled out: spreading the reads at random (four gateways still made 4.2 reads a second, as all came due between two exchanges).

--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -16,6 +16,7 @@
     OpenedSince,
     estimate_wait_ms,
 )
+from caroblug.core.limits._repeat_window import RepeatWindow
 from caroblug.core.limits._retry_after import RetryAfter
 from caroblug.core.limits._retry_budget import RetryBudget, RetryRule
 from caroblug.core.limits._run_gate import RunGate, Ticket
@@ -45,6 +46,7 @@
     "Homes",
     "ItemQueue",
     "OpenedSince",
+    "RepeatWindow",
     "RetryAfter",
     "RetryBudget",
     "RetryRule",
--- a/caroblug/core/placement/_load.py
+++ b/caroblug/core/placement/_load.py
@@ -16,16 +16,18 @@
         self._own: collections.Counter[str] = collections.Counter()
         self._heard: dict[str, dict[str, float]] = {}
         self._sums: dict[str, float] = {}
-        self._gateways = 1
+        self._gateways = 0
 
     @property
     def gateways(self) -> int:
-        """Gateways that share the engines, this one included."""
+        """Gateways that share the engines, this one included; 0 if unknown."""
+        if not self._gateways and not self._heard:
+            return 0
         return max(self._gateways, len(self._heard) + 1)
 
     @gateways.setter
     def gateways(self, gateways: int) -> None:
-        self._gateways = max(1, gateways)
+        self._gateways = gateways
 
     def open(self, names: tuple[str, ...], tokens: int) -> None:
         """Counts a request of `tokens` tokens on the engines named."""
@@ -56,7 +58,8 @@
     def tokens(self, name: str) -> float:
         """Returns the tokens of all gateways on an engine."""
         known = self._own.get(name, 0) + self._sums.get(name, 0.0)
-        return known * self.gateways / (len(self._heard) + 1)
+        heard = len(self._heard) + 1
+        return known * max(self.gateways, heard) / heard
 
     def use(self, engine: Engine, model: ModelShape) -> float:
         """Returns the share of an engine's room that is taken."""
--- a/caroblug/gateway/__init__.py
+++ b/caroblug/gateway/__init__.py
@@ -19,6 +19,7 @@
     Sending,
     Tenure,
     Unavailable,
+    make_listing,
 )
 from caroblug.gateway._outcomes import Answer, Broken, Head
 from caroblug.gateway._settings import (
@@ -55,4 +56,5 @@
     "fetch",
     "format_request",
     "make_gateway",
+    "make_listing",
 ]
--- a/caroblug/gateway/_calls.py
+++ b/caroblug/gateway/_calls.py
@@ -83,7 +83,9 @@
             )
             if backend is None:
                 break
-            if pending.sends and not self._may_send_again(pending):
+            if pending.sends and not self._context.may_repeat(
+                pending.admitted.service.name
+            ):
                 break
             tried = self._try(pending, backend)
             if tried.next is Next.ANSWERED and not self._worth_another(
@@ -129,7 +131,7 @@
         left_s = pending.left_ms(clock.now_ms()) / 1000
         problem = exchange.connect(min(CONNECT_S, left_s))
         if problem is None:
-            pending.sends += 1
+            pending.on_send(self._context)
             data = self._encode(pending, backend)
             problem = exchange.send(data, left_s, self._bodiless(pending))
         if problem is not None:
@@ -200,14 +202,6 @@
             return left_s * _PATIENCE
         return left_s
 
-    def _may_send_again(self, pending: Pending) -> bool:
-        wait_ms = self._context.budget.take(
-            pending.account or "", self._context.clock.now_ms()
-        )
-        if wait_ms:
-            self._context.tallies.count("retries_denied")
-        return wait_ms == 0
-
     def _worth_another(self, pending: Pending, tried: Tried) -> bool:
         """Returns whether a failure of the backend server is tried again."""
         route = pending.admitted.route
@@ -219,8 +213,6 @@
 
     def _pass_on(self, pending: Pending, tried: Tried) -> None:
         status = tried.head.status
-        if status < _ERROR:
-            self._context.budget.on_success(pending.account or "")
         self._answers.log(pending, status)
         pending.reply.send(status, list(tried.facts.headers), tried.body)
 
--- a/caroblug/gateway/_context.py
+++ b/caroblug/gateway/_context.py
@@ -5,7 +5,7 @@
 import attrs
 
 from caroblug.core.access import Configuration, RequestLimits
-from caroblug.core.limits import RetryAfter, RetryBudget
+from caroblug.core.limits import RepeatWindow, RetryAfter
 from caroblug.gateway._decision_log import DecisionLog
 from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._interfaces import Dialect
@@ -24,7 +24,7 @@
         rng: Source of randomness.
         dialect: How requests look on the wire.
         fleet: Backend servers.
-        budget: What may be sent a second time.
+        repeats: What may be sent a second time.
         retry_after: When refused callers are asked to come back.
         log: Log of decisions.
         tallies: Metrics.
@@ -39,7 +39,7 @@
     rng: random.Random
     dialect: Dialect
     fleet: Fleet
-    budget: RetryBudget
+    repeats: RepeatWindow
     retry_after: RetryAfter
     log: DecisionLog
     tallies: Tallies
@@ -54,6 +54,15 @@
             return RequestLimits()
         return self.configuration.limits
 
+    def may_repeat(self, service: str) -> bool:
+        """Takes one repeat of a request; returns whether it is allowed."""
+        allowed = self.repeats.take(
+            service, self.fleet.loads.gateways, self.clock.now_ms()
+        )
+        if not allowed:
+            self.tallies.count("repeats_denied", service=service)
+        return allowed
+
     def take_configuration(
         self, configuration: Configuration, raw: str, source: str
     ) -> bool:
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -118,6 +118,14 @@
                 del self._met[name]
         return True
 
+    def confirm_listing(self, digest: str, end: int, listed_ms: int) -> None:
+        """Notes that another gateway read the same list later."""
+        if digest == self._listing.digest and listed_ms > self._listed_ms:
+            self._listing = attrs.evolve(
+                self._listing, end=max(end, self._listing.end)
+            )
+            self._listed_ms = listed_ms
+
     def backends(self, service: str) -> list[BackendServer]:
         """Returns the backend servers of a service that are not leaving."""
         return [
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -7,7 +7,7 @@
 from gevent import event
 
 from caroblug.core.access import DenialReason, Denied, RouteKind, admit
-from caroblug.core.limits import RetryAfter, RetryBudget, RetryRule
+from caroblug.core.limits import RepeatWindow, RetryAfter
 from caroblug.gateway._caller_requests import RawRequest
 from caroblug.gateway._calls import Calls
 from caroblug.gateway._context import Context
@@ -51,8 +51,8 @@
 
     def __init__(self, context: Context, registry: Registry) -> None:
         self._context = context
-        self._watches = Watches(context, registry)
         self._peers = Peers(context, registry)
+        self._watches = Watches(context, registry, self._peers)
         self._placement = Placement(context, registry, self._peers)
         self._rechecks = Rechecks(context)
         self._calls = Calls(context)
@@ -213,38 +213,13 @@
         rng=rng,
         dialect=dialect,
         fleet=Fleet(settings.data_centre, rng),
-        budget=make_retry_budget(settings),
+        repeats=RepeatWindow(
+            settings.retry_ratio,
+            settings.retry_extra,
+            settings.retry_window_ms,
+        ),
         retry_after=RetryAfter(rng),
         log=DecisionLog(settings.instance, clock),
         tallies=Tallies(),
     )
     return Gateway(context, registry)
-
-
-_RATIO_KEPT = 0.75
-"""Share of the allowed ratio that is used: requests that succeed earn it, and
-a window may see fewer of them than the one before."""
-
-_EXTRA_KEPT = 0.4
-"""Share of the allowed extra that a full bucket holds; as much again comes in
-by time during one window, and the rest is left for entries not known of."""
-
-
-_SHARERS = 5
-"""Gateways among which the extra is divided: the sites have four, and one more
-while one is replaced."""
-
-
-def make_retry_budget(settings: GatewaySettings) -> RetryBudget:
-    """Returns this gateway's part of what may be sent again.
-
-    Each takes an equal part of the extra, so that all of them together keep
-    within it without talking to each other.
-    """
-    extra = settings.retry_extra * _EXTRA_KEPT / _SHARERS
-    rule = RetryRule(
-        burst=max(2.0, extra),
-        share=settings.retry_ratio * _RATIO_KEPT,
-        per_s=max(0.1, extra * 1000 / settings.retry_window_ms),
-    )
-    return RetryBudget(account=rule, total=rule)
--- a/caroblug/gateway/_interfaces.py
+++ b/caroblug/gateway/_interfaces.py
@@ -2,6 +2,7 @@
 
 import abc
 import enum
+import hashlib
 
 import attrs
 
@@ -48,12 +49,24 @@
         end: Grows with each change of the list.
         ignored: Entries that could not be used.
         raw: The list as the platform wrote it, to hand on to other gateways.
+        digest: The same for lists with the same backend servers; heartbeats
+            change `raw` and `end` all the time, but not this.
     """
 
     backends: dict[str, BackendServer]
     end: int
     ignored: int = 0
     raw: str = ""
+    digest: str = ""
+
+
+def make_listing(
+    backends: dict[str, BackendServer], end: int, ignored: int, raw: str
+) -> Listing:
+    """Returns a list with its digest."""
+    text = "".join(repr(backends[name]) for name in sorted(backends))
+    digest = hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+    return Listing(backends, end, ignored, raw, digest)
 
 
 @attrs.frozen
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -31,6 +31,9 @@
 
 _MEMBERS_MS = 10000
 _FIRST_MEMBERS_MS = 1000
+_FIRST_READS = 4
+"""Reads with the shorter pause after a start, while gateways join."""
+
 _KEPT_MS = 20000
 """How long a gateway that has left the group is still told: its lease may
 have run out only because the store was away."""
@@ -39,9 +42,6 @@
 """After this a gateway's load is forgotten: its streams have been taken over
 or are lost."""
 
-_STALE_LIST_MS = 1600
-"""Age of one's own list from which another gateway's is asked for."""
-
 _HOLDERLESS_MS = 2500
 """Time without word of a holder of the lease after which a deputy places
 layers; word of one passes through fifty gateways in two or three exchanges."""
@@ -72,20 +72,23 @@
         self._seen_ms: dict[str, int] = {}
         self._heard_ms: dict[str, int] = {}
         self._busy: set[str] = set()
+        self._fetch_from: set[str] = set()
         self._tenures: dict[str, TenureState] = {}
         self._holder_ms = context.clock.now_ms()
         self.tenure = TenureState.NONE
 
     def run_members(self) -> None:
         """Reads who takes part until the process ends."""
+        reads = 0
         while True:
             members = self._registry.read_members()
+            reads += 1
             if not isinstance(members, Unavailable):
                 for member in members:
                     self._on_member(member)
             self._forget_old()
-            complete = len(self._members) + 1 >= self._gateways()
-            pause_ms = _MEMBERS_MS if complete else _FIRST_MEMBERS_MS
+            young = reads <= _FIRST_READS and not self._enough()
+            pause_ms = _FIRST_MEMBERS_MS if young else _MEMBERS_MS
             gevent.sleep(pause_ms / 1000)
 
     def run_exchange(self) -> None:
@@ -117,7 +120,9 @@
             name
             for name in sorted(self._members)
             if now_ms - self._heard_ms.get(name, -_FRESH_MS) >= _FRESH_MS
+            or name in self._fetch_from
         ]
+        self._fetch_from.clear()
         if len(names) <= _PARTNERS:
             return names
         return self._context.rng.sample(names, _PARTNERS)
@@ -155,6 +160,8 @@
             "loads": context.fleet.loads.own(),
             "version": self._version(),
             "list_age_ms": self._list_age_ms(),
+            "list_digest": context.fleet.listing.digest,
+            "list_end": context.fleet.listing.end,
             "suspects": context.fleet.avoided_now(now_ms),
             "told": {
                 engine: [layers.first, layers.end, age_ms]
@@ -173,12 +180,16 @@
         answer = self._message()
         if message["version"] < self._version():
             answer["configuration"] = self._context.raw_configuration
-        if message["list_age_ms"] > _STALE_LIST_MS > self._list_age_ms():
-            listing = self._context.fleet.listing
-            answer["list"] = listing.raw
-            answer["list_end"] = listing.end
+        if self._differs(message) and answer["list_age_ms"] < int(
+            message["list_age_ms"]
+        ):
+            answer["list"] = self._context.fleet.listing.raw
         return answer
 
+    def _differs(self, message: dict) -> bool:
+        """Returns whether another gateway's list has other entries."""
+        return message["list_digest"] != self._context.fleet.listing.digest
+
     def _take_answer(self, answer: dict, name: str) -> None:
         context = self._context
         self._take_news(name, answer)
@@ -208,6 +219,7 @@
         self._on_loads(name, message["loads"])
         self._on_suspects(message["suspects"])
         self._on_told(message["told"])
+        self._on_list_age(name, message)
         now_ms = self._context.clock.now_ms()
         before = self._tenures.get(name)
         self._tenures[name] = TenureState(message["tenure"])
@@ -220,6 +232,20 @@
             # It gives no more orders: a deputy need not wait for its silence.
             self._holder_ms = now_ms - _HOLDERLESS_MS
 
+    def _on_list_age(self, name: str, message: dict) -> None:
+        """Takes the age of another gateway's list as one's own if it's equal.
+
+        A list that differs and is younger is fetched with the next exchange.
+        """
+        age_ms = int(message["list_age_ms"])
+        if not self._differs(message):
+            listed_ms = self._context.clock.now_ms() - age_ms
+            self._context.fleet.confirm_listing(
+                message["list_digest"], int(message["list_end"]), listed_ms
+            )
+        elif age_ms < self._list_age_ms():
+            self._fetch_from.add(name)
+
     def _on_told(self, told: dict) -> None:
         """Takes what engines have told another gateway of their layers."""
         now_ms = self._context.clock.now_ms()
@@ -239,6 +265,14 @@
         """
         self._context.ask_about.update(str(name) for name in names)
 
+    def is_first(self) -> bool:
+        """Returns whether this is the first by name of those that are heard.
+
+        Of very many gateways each hears some, so that a few are first.
+        """
+        me = self._context.settings.instance
+        return me == min([me, *self._staying()])
+
     def is_deputy(self) -> bool:
         """Returns whether this gateway places layers for want of a holder.
 
@@ -248,13 +282,15 @@
         now_ms = self._context.clock.now_ms()
         if self._holder_age_ms(now_ms) < _HOLDERLESS_MS:
             return False
-        me = self._context.settings.instance
-        staying = [
+        return self.is_first()
+
+    def _staying(self) -> list[str]:
+        """Returns the names of gateways that are heard and don't leave."""
+        return [
             name
             for name, tenure in self._tenures.items()
             if tenure is not TenureState.LEAVING
         ]
-        return me == min([me, *staying])
 
     def _holder_age_ms(self, now_ms: int) -> int:
         """Returns how long ago a holder of the lease was heard of."""
@@ -281,10 +317,10 @@
                 self._tenures.pop(name, None)
                 self._context.fleet.loads.forget(name)
 
-    def _gateways(self) -> int:
-        """Returns how many gateways there should be, up to the partners."""
-        known = self._context.fleet.loads.gateways
-        return max(2, min(known, _PARTNERS + 1))
+    def _enough(self) -> bool:
+        """Returns whether as many are known as are told each time."""
+        gateways = self._context.fleet.loads.gateways
+        return len(self._members) >= max(1, min(gateways - 1, _PARTNERS))
 
     def _version(self) -> int:
         known = self._context.configuration
--- a/caroblug/gateway/_pending.py
+++ b/caroblug/gateway/_pending.py
@@ -48,6 +48,14 @@
         """Returns the time left, in ms."""
         return self.end_ms - now_ms
 
+    def on_send(self, context: Context) -> None:
+        """Counts a send; the first one earns a part of a later repeat."""
+        if not self.sends:
+            context.repeats.on_first(
+                self.admitted.service.name, context.clock.now_ms()
+            )
+        self.sends += 1
+
     @property
     def account(self) -> str | None:
         """Name of the client account."""
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -120,7 +120,9 @@
                     RunEnd.NO_PATH, f"no engine for layer {path.layer}"
                 )
                 break
-            if pending.sends and not self._may_send_again():
+            if pending.sends and not self._context.may_repeat(
+                pending.admitted.service.name
+            ):
                 result = attrs.evolve(result, reason="retry budget is spent")
                 break
             result = self._run(path)
@@ -135,7 +137,6 @@
         pending = self._pending
         reply = pending.reply
         if result.end is RunEnd.WHOLE:
-            self._context.budget.on_success(pending.account or "")
             self._answers.log(pending, 200)
             reply.finish()
         elif reply.begun:
@@ -173,13 +174,6 @@
             return True
         return route.resumable and self._pending.ran < route.max_attempts
 
-    def _may_send_again(self) -> bool:
-        account = self._pending.account or ""
-        wait_ms = self._context.budget.take(account, self._now_ms())
-        if wait_ms:
-            self._context.tallies.count("retries_denied")
-        return wait_ms == 0
-
     # One run.
 
     def _run(self, path: Path) -> RunResult:
@@ -201,7 +195,7 @@
         first = self._path.first.name
         problem = exchange.connect(min(CONNECT_S, left_s))
         if problem is None:
-            pending.sends += 1
+            pending.on_send(self._context)
             pending.tried.add(first)
             problem = exchange.send(self._encode(), left_s)
         if problem is not None:
--- a/caroblug/gateway/_watches.py
+++ b/caroblug/gateway/_watches.py
@@ -8,13 +8,26 @@
     Registry,
     Unavailable,
 )
+from caroblug.gateway._peers import Peers
 
-_LIST_MS = 1000
-"""How often the list of backend servers is read. A read is paid for; one a
-second keeps what is sent to leaving backend servers under two seconds."""
+_LIST_MS = 700
+"""Age of the list of backend servers from which the first by name of the
+gateways that hear each other reads it again, in ms. It tells the others within
+half a second, so that what is sent to leaving backend servers ends within two
+seconds, and all gateways together make some two paid reads a second."""
 
+_OTHERS_LIST_MS = 1300
+"""The same for the other gateways, which read only if they hear nothing."""
+
+_LIST_SPREAD_MS = 200
+"""Added at random, so that gateways don't read at the same moment."""
+
+_LIST_AGAIN_MS = 900
+"""Pause after a read that failed; refused calls are paid for as well."""
+
+_LIST_LOOK_S = 0.05
 _START_LIST_MS = 150
-"""The same until a first list has been read."""
+"""Pause until a first list has been read."""
 
 _WAIT_MS = 20000
 """Longest wait for a change of the configuration; one call a wait."""
@@ -29,10 +42,14 @@
     Args:
         context: What the gateway's parts share.
         registry: The platform's list and configuration.
+        peers: Other gateways.
     """
 
-    def __init__(self, context: Context, registry: Registry) -> None:
+    def __init__(
+        self, context: Context, registry: Registry, peers: Peers
+    ) -> None:
         self._context = context
+        self._peers = peers
         self._registry = registry
         self._lost: set[str] = set()
         self._ignored = 0
@@ -57,27 +74,35 @@
                 )
 
     def run_list(self) -> None:
-        """Reads the list of backend servers again and again."""
+        """Keeps the list of backend servers young until the process ends."""
+        fleet = self._context.fleet
         while True:
-            began_ms = self._context.clock.now_ms()
-            self._read_list()
-            pause_ms = _LIST_MS if self._context.fleet.known else _START_LIST_MS
-            took_ms = self._context.clock.now_ms() - began_ms
-            gevent.sleep(max(20, pause_ms - took_ms) / 1000)
-
-    def _read_list(self) -> None:
-        """Reads the list of backend servers once."""
+            now_ms = self._context.clock.now_ms()
+            if fleet.known and fleet.age_ms(now_ms) < self._due_age_ms():
+                gevent.sleep(_LIST_LOOK_S)
+                continue
+            if not self._read_list():
+                pause_ms = _LIST_AGAIN_MS if fleet.known else _START_LIST_MS
+                gevent.sleep(pause_ms / 1000)
+
+    def _due_age_ms(self) -> float:
+        base_ms = _LIST_MS if self._peers.is_first() else _OTHERS_LIST_MS
+        return base_ms + self._context.rng.random() * _LIST_SPREAD_MS
+
+    def _read_list(self) -> bool:
+        """Reads the list of backend servers once; returns whether it came."""
         context = self._context
         asked_ms = context.clock.now_ms()
         listing = self._registry.read_backends()
         self._note("backends", listing)
         if isinstance(listing, Unavailable):
-            return
+            return False
         if listing.ignored != self._ignored:
             self._ignored = listing.ignored
             context.log.write("backends.ignored", records=listing.ignored)
         context.fleet.take_listing(listing, asked_ms)
         context.tallies.gauge("backends", len(listing.backends))
+        return True
 
     def _note(self, what: str, read) -> None:
         """Writes a line when a dependency is lost or regained."""
