--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -90,21 +90,29 @@
     def run_lease(self) -> None:
         """Renews the lease until stopped."""
         while not self._stopped:
-            asked_ms = self._context.clock.now_ms()
-            held = self.holder
-            tenure = self._registry.keep_tenure(_LEASE_MS)
-            if not isinstance(tenure, Unavailable):
-                self._until_ms = asked_ms + _LEASE_MS if tenure.holder else -1
-                self._context.fleet.loads.gateways = tenure.gateways
-            self._peers.tenure = self._state()
-            if held != self.holder:
-                self._context.log.write("placement.lease", held=self.holder)
-            if held and not self.holder and not isinstance(tenure, Unavailable):
-                # The successor gets the lease when this gateway says that it
-                # has heard of the change; waiting a renewal would leave
-                # nobody to place layers meanwhile.
-                continue
-            gevent.sleep(_RENEW_MS / 1000)
+            lost = self.renew()
+            if not lost:
+                gevent.sleep(_RENEW_MS / 1000)
+
+    def renew(self) -> bool:
+        """Renews the lease once.
+
+        Returns:
+            Whether the store has given the lease to another gateway. That one
+            gets it when this one calls again; waiting a renewal would leave
+            nobody to place layers meanwhile.
+        """
+        asked_ms = self._context.clock.now_ms()
+        held = self.holder
+        tenure = self._registry.keep_tenure(_LEASE_MS)
+        answered = not isinstance(tenure, Unavailable)
+        if answered:
+            self._until_ms = asked_ms + _LEASE_MS if tenure.holder else -1
+            self._context.fleet.loads.gateways = tenure.gateways
+        self._peers.tenure = self._state()
+        if held != self.holder:
+            self._context.log.write("placement.lease", held=self.holder)
+        return answered and held and not tenure.holder
 
     def _state(self) -> TenureState:
         if self._stopped:
@@ -123,12 +131,18 @@
                     lease=self.holder,
                     gateways=self._peers.describe(),
                 )
-            if acted and self._context.configuration is not None:
-                for service in self._context.configuration.services.values():
-                    if service.model is not None:
-                        self._place(service)
+            self.plan_once()
             gevent.sleep(_PLAN_MS / 1000)
 
+    def plan_once(self) -> None:
+        """Gives the orders that are missing, if they are this gateway's."""
+        configuration = self._context.configuration
+        if not self.acting or configuration is None:
+            return
+        for service in configuration.services.values():
+            if service.model is not None:
+                self._place(service)
+
     def stop(self) -> None:
         """Gives the lease back."""
         self._stopped = True
--- /dev/null
+++ b/caroblug/gateway/tests/fakes.py
@@ -0,0 +1,129 @@
+"""A platform in memory, for decisions of gateways without sockets."""
+
+import random
+
+import attrs
+
+from caroblug.core.access import Configuration, Service
+from caroblug.core.limits import RepeatWindow, RetryAfter
+from caroblug.core.placement import LayerRange
+from caroblug.core.placement.tests.fleets import MODEL
+from caroblug.gateway import (
+    Dialect,
+    EngineReport,
+    GatewaySettings,
+    Member,
+    OrderOutcome,
+    Registry,
+    Tenure,
+    Unavailable,
+)
+from caroblug.gateway._context import Context
+from caroblug.gateway._decision_log import DecisionLog
+from caroblug.gateway._fleet import Fleet
+from caroblug.gateway._tallies import Tallies
+from caroblug.utils import ManualClock
+
+NOWHERE = ("127.0.0.1", 1)
+
+
+class FakeDialect(Dialect):
+    """Engines by address that answer reports and carry out orders."""
+
+    def __init__(self) -> None:
+        self.reports: dict[tuple[str, int], EngineReport] = {}
+        self.orders: list[tuple] = []
+        self.outcome = OrderOutcome.BEGUN
+
+    def add(self, address, holds: LayerRange, orders: int = 0) -> None:
+        """Adds an engine."""
+        self.reports[address] = EngineReport(
+            holds, False, orders, (), 1.0, "big", 0
+        )
+
+    def decode_request(self, request):
+        raise NotImplementedError
+
+    def encode_request(self, request, caller, sending):
+        raise NotImplementedError
+
+    def decode_answer(self, head):
+        raise NotImplementedError
+
+    def own_headers(self, caller, retry_after_ms):
+        raise NotImplementedError
+
+    def read_report(self, address):
+        return self.reports.get(address, Unavailable("connect"))
+
+    def read_health(self, address, path):
+        raise NotImplementedError
+
+    def place(self, address, layers, orders, urgent):
+        report = self.reports[address]
+        if report.orders != orders:
+            return OrderOutcome.CONFLICT
+        self.orders.append((address, layers, orders, urgent))
+        if self.outcome is OrderOutcome.BEGUN:
+            self.reports[address] = attrs.evolve(
+                report, holds=layers, orders=orders + 1
+            )
+        return self.outcome
+
+    def change_path(self, address, request_id, path):
+        raise NotImplementedError
+
+
+class FakeRegistry(Registry):
+    """A store whose answers a test sets."""
+
+    def __init__(self) -> None:
+        self.tenure: Tenure | Unavailable = Tenure(True, 2)
+        self.members: tuple[Member, ...] | Unavailable = ()
+
+    def read_configuration(self):
+        return Unavailable("not set")
+
+    def wait_for_change(self, end, wait_ms):
+        return Unavailable("not set")
+
+    def read_backends(self):
+        return Unavailable("not set")
+
+    def keep_tenure(self, lease_ms):
+        return self.tenure
+
+    def read_members(self):
+        return self.members
+
+    def decode_configuration(self, raw):
+        return Configuration(int(raw), {}, {})
+
+    def decode_listing(self, raw, end):
+        return Unavailable("not set")
+
+    def end_tenure(self):
+        self.tenure = Tenure(False)
+
+
+def make_context(name: str = "g1", clock: ManualClock | None = None) -> Context:
+    """Returns a context with a configuration of one model service."""
+    clock = clock or ManualClock(100_000)
+    rng = random.Random(1)
+    settings = GatewaySettings(
+        name, "a", NOWHERE, NOWHERE, NOWHERE, NOWHERE, NOWHERE
+    )
+    context = Context(
+        settings=settings,
+        clock=clock,
+        rng=rng,
+        dialect=FakeDialect(),
+        fleet=Fleet("a", rng),
+        repeats=RepeatWindow(0.2, 50, 10000),
+        retry_after=RetryAfter(rng),
+        log=DecisionLog(name, clock),
+        tallies=Tallies(),
+    )
+    pool = Service("pool", "/health", 10, MODEL)
+    context.configuration = Configuration(5, {}, {"pool": pool})
+    return context
--- /dev/null
+++ b/caroblug/gateway/tests/test_decision_log.py
@@ -0,0 +1,77 @@
+"""Log lines: bounded, never waited for, failures before successes."""
+
+import json
+import os
+
+from caroblug.gateway._decision_log import DecisionLog
+from caroblug.utils import ManualClock
+
+
+def make_log():
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    clock = ManualClock(5000)
+    return DecisionLog("g1", clock, writer), reader, writer, clock
+
+
+def read_lines(reader) -> list[dict]:
+    os.set_blocking(reader, False)
+    data = b""
+    try:
+        while piece := os.read(reader, 65536):
+            data += piece
+    except BlockingIOError:
+        pass
+    return [json.loads(line) for line in data.splitlines()]
+
+
+def test_lines_carry_the_instance():
+    log, reader, _, _ = make_log()
+    log.take({"message_type": "x", "request": "r1"})
+    log.flush()
+
+    assert read_lines(reader) == [
+        {"message_type": "x", "request": "r1", "instance": "g1"}
+    ]
+
+
+def test_reader_that_stands_still_is_not_waited_for():
+    # Nobody reads the pipe any more. The gateway must go on serving, keep a
+    # bounded number of lines, and say later how many it left out.
+    log, reader, _, _ = make_log()
+    for number in range(10_000):
+        log.take({"message_type": "x", "number": number, "pad": "p" * 100})
+        log.flush()
+    left_out = log.left_out
+    assert left_out > 0
+    while read_lines(reader):
+        log.flush()
+    log.take({"message_type": "y"})
+    log.flush()
+
+    last = read_lines(reader)[-1]
+    assert last["message_type"] == "y"
+    assert last["left_out"] == left_out
+
+
+def test_successes_are_bounded_each_second_and_failures_are_not():
+    log, _, _, clock = make_log()
+    for _ in range(300):
+        log.write("request", status=200)
+    assert log.left_out == 200
+    for _ in range(300):
+        log.write("request.failed", status=503)
+    assert log.left_out == 200
+    clock.advance(1000)
+    log.write("request", status=200)
+    assert log.left_out == 200
+
+
+def test_closed_output_is_no_reason_to_stop():
+    log, reader, writer, _ = make_log()
+    os.close(reader)
+    log.take({"message_type": "x"})
+    log.flush()
+
+    assert log.left_out == 1
+    os.close(writer)
--- /dev/null
+++ b/caroblug/gateway/tests/test_fleet.py
@@ -0,0 +1,149 @@
+"""What a gateway believes of backend servers, from lists and meetings."""
+
+import random
+
+from caroblug.core.access import Service
+from caroblug.core.placement import LayerRange, NoPath
+from caroblug.core.placement.tests.fleets import MODEL
+from caroblug.gateway import BackendServer, make_listing
+from caroblug.gateway._fleet import Fleet
+
+POOL = Service("pool", "/health", 10, MODEL)
+DESK = Service("desk", "/health", 10)
+
+
+def make_engine(name, first, end, leaving=False):
+    number = sum(map(ord, name)) % 60000
+    return BackendServer(
+        name,
+        "pool",
+        ("10.0.0.1", number),
+        "a",
+        leaving,
+        8,
+        "big",
+        LayerRange(first, end),
+    )
+
+
+def make_desk(name, leaving=False):
+    return BackendServer(name, "desk", ("10.0.0.2", 1), "a", leaving, 4)
+
+
+def make_fleet(*backends, end=1, now_ms=0):
+    fleet = Fleet("a", random.Random(1))
+    fleet.take_listing(list_of(*backends, end=end), now_ms)
+    return fleet
+
+
+def list_of(*backends, end=1):
+    return make_listing({b.name: b for b in backends}, end, 0, "")
+
+
+def names(path):
+    return path if isinstance(path, NoPath) else path.names
+
+
+def test_leaving_backend_servers_are_not_chosen():
+    fleet = make_fleet(make_desk("d1", leaving=True), make_desk("d2"))
+
+    for _ in range(20):
+        assert fleet.choose_backend(DESK, set(), 0).name == "d2"
+
+
+def test_older_list_is_left_out():
+    # The store answers from before: a backend server that has left would be
+    # sent to again.
+    fleet = make_fleet(make_desk("d1"), end=5)
+
+    assert not fleet.take_listing(list_of(make_desk("d0"), end=4), 10)
+    assert fleet.choose_backend(DESK, set(), 10).name == "d1"
+
+
+def test_equal_list_that_another_gateway_read_makes_ours_younger():
+    fleet = make_fleet(make_desk("d1"), now_ms=0)
+    digest = fleet.listing.digest
+
+    fleet.confirm_listing("other", 9, 800)
+    assert fleet.age_ms(1000) == 1000
+    fleet.confirm_listing(digest, 9, 800)
+    assert fleet.age_ms(1000) == 200
+
+
+def test_failed_engine_is_on_no_path_until_it_answers():
+    fleet = make_fleet(make_engine("e1", 0, 80), make_engine("e2", 0, 80))
+    fleet.avoid("e1", 0)
+
+    assert names(fleet.choose_engines(POOL, 10)) == ("e2",)
+    assert names(fleet.choose_engines(POOL, 10_000)) == ("e2",)
+    assert [b.name for b in fleet.failing(10_000)] == ["e1"]
+    fleet.on_answer("e1", None, 0, 10_001)
+    fleet.avoid("e2", 10_001)
+    assert names(fleet.choose_engines(POOL, 10_002)) == ("e1",)
+
+
+def test_full_engine_is_passed_by_for_a_moment_only():
+    fleet = make_fleet(make_engine("e1", 0, 80))
+    fleet.on_full("e1", 0)
+
+    assert names(fleet.choose_engines(POOL, 10)) == NoPath(0)
+    assert names(fleet.choose_engines(POOL, 1000)) == ("e1",)
+    assert fleet.failed_for_ms("e1", 1000) == 0
+
+
+def test_engines_own_word_goes_before_an_old_list():
+    # An engine crashed and is back empty. The list names its old layers until
+    # the next heartbeat; requests sent there would be turned away.
+    fleet = make_fleet(make_engine("e1", 0, 80), now_ms=0)
+    fleet.on_report("e1", LayerRange(0, 0), 500)
+
+    assert names(fleet.choose_engines(POOL, 600)) == NoPath(0)
+    fleet.take_listing(list_of(make_engine("e1", 0, 80), end=2), 1000)
+    assert names(fleet.choose_engines(POOL, 1001)) == NoPath(0)
+
+
+def test_list_that_tells_other_layers_goes_before_an_older_word():
+    fleet = make_fleet(make_engine("e1", 0, 40), now_ms=0)
+    fleet.on_report("e1", LayerRange(0, 0), 500)
+    fleet.take_listing(list_of(make_engine("e1", 0, 80), end=2), 900)
+
+    assert names(fleet.choose_engines(POOL, 901)) == ("e1",)
+
+
+def test_engine_that_says_it_leaves_is_out_while_the_list_is_old():
+    # The store is away while engines are emptied. They turn requests away,
+    # but the old list says that they are ready and hold their layers.
+    fleet = make_fleet(make_engine("e1", 0, 80), now_ms=0)
+    fleet.on_leaving("e1", 5000)
+
+    assert names(fleet.choose_engines(POOL, 5001)) == NoPath(0)
+    fleet.take_listing(list_of(make_engine("e1", 0, 80), end=2), 9000)
+    assert names(fleet.choose_engines(POOL, 9001)) == ("e1",)
+
+
+def test_ordered_layers_are_not_served_before_they_are_loaded():
+    fleet = make_fleet(make_engine("e1", 0, 40), make_engine("e2", 40, 80))
+    fleet.on_placed("e1", LayerRange(0, 60), 0, 5000)
+
+    assert names(fleet.choose_engines(POOL, 10)) == NoPath(0)
+    fleet.on_report("e1", LayerRange(0, 60), 2000)
+    fleet.on_loaded("e1")
+    assert names(fleet.choose_engines(POOL, 2001)) == ("e1", "e2")
+
+
+def test_what_was_met_is_forgotten_after_the_server_has_gone():
+    fleet = make_fleet(make_desk("d1"))
+    fleet.avoid("d1", 0)
+    fleet.take_listing(list_of(make_desk("d2"), end=2), 60_000)
+    fleet.take_listing(list_of(make_desk("d1"), end=3), 60_001)
+
+    assert not fleet.failing(60_002)
+
+
+def test_least_busy_desk_is_chosen():
+    fleet = make_fleet(make_desk("d1"), make_desk("d2"))
+    fleet.on_answer("d1", 4, 4, 0)
+
+    assert fleet.choose_backend(DESK, set(), 10).name == "d2"
+    assert fleet.choose_backend(DESK, {"d2"}, 10).name == "d1"
+    assert fleet.choose_backend(DESK, {"d1", "d2"}, 10) is None
--- /dev/null
+++ b/caroblug/gateway/tests/test_placement.py
@@ -0,0 +1,154 @@
+"""Who places layers, and that late orders do no harm."""
+
+from caroblug.core.placement import LayerRange
+from caroblug.gateway import OrderOutcome, Tenure, Unavailable
+from caroblug.gateway._peers import Peers, TenureState
+from caroblug.gateway._placement import Placement
+from caroblug.gateway.tests.fakes import FakeRegistry, make_context
+from caroblug.gateway.tests.test_fleet import list_of, make_engine
+from caroblug.utils import ManualClock
+
+
+def make_placement(name="g1", clock=None):
+    context = make_context(name, clock)
+    registry = FakeRegistry()
+    peers = Peers(context, registry)
+    return context, registry, peers, Placement(context, registry, peers)
+
+
+def with_engines(context, *engines):
+    context.fleet.take_listing(list_of(*engines), context.clock.now_ms())
+    for engine in engines:
+        context.dialect.add(engine.address, engine.holds)
+
+
+def tell(peers, name, tenure, holder_age_ms=100_000):
+    """Lets a gateway hear of another one."""
+    message = {
+        "loads": {},
+        "suspects": [],
+        "told": {},
+        "list_age_ms": 1_000_000,
+        "list_digest": "",
+        "list_end": 0,
+        "tenure": tenure.value,
+        "holder_age_ms": holder_age_ms,
+    }
+    peers._take_news(name, message)
+
+
+def test_lease_counts_from_before_it_was_asked_for():
+    # The holder is suspended while the answer to its renewal is on its way.
+    # When it wakes its time is over, and another gateway may be placing.
+    clock = ManualClock(100_000)
+    _, registry, _, placement = make_placement(clock=clock)
+
+    def slow_tenure(lease_ms):
+        clock.advance(5000)
+        return Tenure(True, 2)
+
+    registry.keep_tenure = slow_tenure
+    placement.renew()
+
+    assert not placement.holder
+
+
+def test_holder_that_was_suspended_gives_no_order():
+    clock = ManualClock(100_000)
+    context, _, peers, placement = make_placement(clock=clock)
+    with_engines(context, make_engine("e1", 0, 0), make_engine("e2", 0, 0))
+    placement.renew()
+    assert placement.acting
+    clock.advance(10_000)
+    tell(peers, "g0", TenureState.HELD, 0)
+
+    placement.plan_once()
+
+    assert context.dialect.orders == []
+
+
+def test_orders_are_given_only_by_the_holder():
+    context, registry, _, placement = make_placement()
+    with_engines(context, make_engine("e1", 0, 0))
+    registry.tenure = Tenure(False, 2)
+    placement.renew()
+
+    assert not placement.acting
+    registry.tenure = Tenure(True, 2)
+    placement.renew()
+    assert placement.acting
+
+
+def test_order_of_another_since_the_report_wins():
+    # Two gateways think that they are to place layers. Each order names the
+    # number of orders begun, so that the engine takes only the first.
+    context, _, _, placement = make_placement()
+    engine = make_engine("e1", 0, 0)
+    with_engines(context, engine)
+    dialect = context.dialect
+    report = dialect.read_report(engine.address)
+    dialect.place(engine.address, LayerRange(3, 9), report.orders, False)
+
+    late = dialect.place(engine.address, LayerRange(0, 5), report.orders, False)
+
+    assert late is OrderOutcome.CONFLICT
+
+
+def test_engine_that_holds_other_layers_than_listed_is_not_ordered():
+    # The list is a heartbeat old: the engine has taken an order since.
+    context, _, _, placement = make_placement()
+    engine = make_engine("e1", 0, 0)
+    with_engines(context, engine)
+    context.fleet.take_listing(list_of(engine, end=2), context.clock.now_ms())
+    context.dialect.add(engine.address, LayerRange(0, 16), orders=1)
+    placement.renew()
+    placement.plan_once()
+
+    assert context.dialect.orders == []
+
+
+def test_deputy_is_the_first_by_name_once_no_holder_is_heard_of():
+    # The store is away and every lease has run out. Engines go on failing,
+    # and somebody must give their layers to others.
+    clock = ManualClock(100_000)
+    _, registry, peers, placement = make_placement("g2", clock)
+    registry.tenure = Unavailable("busy")
+    placement.renew()
+    tell(peers, "g3", TenureState.NONE)
+    assert not placement.acting
+    clock.advance(3000)
+    assert placement.acting
+    tell(peers, "g1", TenureState.NONE)
+    assert not placement.acting
+    tell(peers, "g1", TenureState.LEAVING)
+    assert placement.acting
+
+
+def test_holder_heard_through_others_keeps_deputies_still():
+    clock = ManualClock(100_000)
+    _, _, peers, placement = make_placement("g1", clock)
+    clock.advance(3000)
+    tell(peers, "g5", TenureState.NONE, holder_age_ms=400)
+
+    assert not placement.acting
+
+
+def test_leaving_holder_is_followed_at_once():
+    clock = ManualClock(100_000)
+    _, _, peers, placement = make_placement("g1", clock)
+    tell(peers, "g0", TenureState.HELD, 0)
+    assert not placement.acting
+    tell(peers, "g0", TenureState.LEAVING, 100)
+
+    assert placement.acting
+
+
+def test_stopped_gateway_neither_holds_nor_deputises():
+    clock = ManualClock(100_000)
+    _, registry, _, placement = make_placement(clock=clock)
+    placement.renew()
+    placement.stop()
+    clock.advance(10_000)
+
+    assert not placement.acting
+    assert registry.tenure == Tenure(False)
