--- /dev/null
+++ b/caroblug/cli/explain.py
@@ -0,0 +1,8 @@
+"""`caroblug-explain`: what happened, from log lines."""
+
+import sys
+
+from caroblug.explain import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/caroblug/explain/_commands.py
@@ -0,0 +1,95 @@
+"""The command line of `caroblug-explain`."""
+
+import argparse
+import datetime
+import fileinput
+import json
+import sys
+
+import attrs
+
+from caroblug.explain._lines import LogLine, read_lines
+from caroblug.explain._stories import Belief, believe, tell_request
+
+_EXIT_NOT_FOUND = 1
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs the program and returns its exit code."""
+    options = _make_parser().parse_args(arguments)
+    with fileinput.input(options.files, encoding="utf-8") as files:
+        lines = list(read_lines(files))
+    if options.command == "request":
+        return _explain_request(lines, options.id, options.json)
+    return _explain_moment(lines, options.time, options.json)
+
+
+def _make_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        "caroblug-explain",
+        description="Tells from instances' log lines what happened.",
+    )
+    parser.add_argument("--json", action="store_true", help="as JSON")
+    commands = parser.add_subparsers(dest="command", required=True)
+    request = commands.add_parser(
+        "request", help="the story of one request, in order of time"
+    )
+    request.add_argument("id", help="the request's id")
+    moment = commands.add_parser(
+        "moment", help="what each instance believed at a moment"
+    )
+    moment.add_argument(
+        "time", type=float, help="seconds since 1970, as `timestamp` in lines"
+    )
+    for command in (request, moment):
+        command.add_argument(
+            "files", nargs="*", help="log files; standard input if none"
+        )
+    return parser
+
+
+def _explain_request(lines: list[LogLine], request: str, as_json: bool) -> int:
+    story = tell_request(lines, request)
+    if not story:
+        print(f"no line names request {request}", file=sys.stderr)
+        return _EXIT_NOT_FOUND
+    if as_json:
+        print(json.dumps([attrs.asdict(line) for line in story]))
+        return 0
+    for line in story:
+        told = " ".join(
+            f"{key}={value}"
+            for key, value in line.fields.items()
+            if key != "request"
+        )
+        print(f"{_clock(line.at_s)} {line.instance} {line.kind} {told}")
+    return 0
+
+
+def _explain_moment(lines: list[LogLine], at_s: float, as_json: bool) -> int:
+    beliefs = believe(lines, at_s)
+    if not beliefs:
+        print(f"no line is as old as {at_s}", file=sys.stderr)
+        return _EXIT_NOT_FOUND
+    if as_json:
+        table = {name: attrs.asdict(b) for name, b in beliefs.items()}
+        print(json.dumps(table))
+        return 0
+    for name in sorted(beliefs):
+        _print_belief(beliefs[name])
+    return 0
+
+
+def _print_belief(belief: Belief) -> None:
+    print(belief.instance)
+    for name, value in belief.values.items():
+        print(f"  {name}: {value}")
+    for name, reason in belief.lost.items():
+        print(f"  lost {name}: {reason}")
+    for name, reason in belief.avoided.items():
+        print(f"  avoids {name}: {reason}")
+
+
+def _clock(at_s: float) -> str:
+    moment = datetime.datetime.fromtimestamp(at_s, datetime.UTC)
+    return moment.strftime("%H:%M:%S.%f")[:-3]
--- /dev/null
+++ b/caroblug/explain/_stories.py
@@ -0,0 +1,109 @@
+"""Stories made of log lines."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from caroblug.explain._lines import LogLine
+
+_BELIEFS = {
+    "configuration.taken": ("configuration", "version"),
+    "placement.acting": ("places layers", "acting"),
+    "placement.lease": ("holds the lease", "held"),
+}
+_LOST = "store.lost"
+_REGAINED = "store.regained"
+_AVOIDED = "backend_server.avoided"
+_BACK = "backend_server.back"
+
+
+@attrs.define
+class Belief:
+    """What one instance believed at a moment.
+
+    Attributes:
+        instance: The instance.
+        values: What it last said of itself, by name.
+        lost: Dependencies that it had lost.
+        avoided: Backend servers that it took to be gone, and why.
+    """
+
+    instance: str
+    values: dict[str, Any] = attrs.field(factory=dict)
+    lost: dict[str, str] = attrs.field(factory=dict)
+    avoided: dict[str, str] = attrs.field(factory=dict)
+
+
+def tell_request(lines: Iterable[LogLine], request: str) -> list[LogLine]:
+    """Returns what concerns a request, in order of time.
+
+    Besides its own lines these are the ones by which an instance that had it
+    gave up a backend server that the request was on.
+
+    Args:
+        lines: Lines of any number of instances.
+        request: The request's id.
+    """
+    known = list(lines)
+    own = [line for line in known if line.fields.get("request") == request]
+    if not own:
+        return []
+    servers = {name for line in own for name in _servers_of(line)}
+    first = min(line.at_s for line in own)
+    last = max(line.at_s for line in own)
+    took_s = max(line.fields.get("took_ms", 0) for line in own) / 1000
+    instances = {line.instance for line in own}
+    around = [
+        line
+        for line in known
+        if line.kind in (_AVOIDED, _BACK)
+        and line.instance in instances
+        and line.fields.get("backend_server") in servers
+        and first - took_s <= line.at_s <= last
+    ]
+    return sorted(own + around, key=lambda line: line.at_s)
+
+
+def _servers_of(line: LogLine) -> list[str]:
+    names = list(line.fields.get("path") or ())
+    names += line.fields.get("tried") or ()
+    for key in ("backend_server", "lost"):
+        if key in line.fields:
+            names.append(line.fields[key])
+    return names
+
+
+def believe(lines: Iterable[LogLine], at_s: float) -> dict[str, Belief]:
+    """Returns what each instance believed at a moment.
+
+    Args:
+        lines: Lines of any number of instances.
+        at_s: The moment, in seconds since 1970.
+    """
+    beliefs: dict[str, Belief] = {}
+    for line in sorted(lines, key=lambda line: line.at_s):
+        if line.at_s > at_s:
+            break
+        belief = beliefs.setdefault(line.instance, Belief(line.instance))
+        _update(belief, line)
+    return beliefs
+
+
+def _update(belief: Belief, line: LogLine) -> None:
+    fields = line.fields
+    if line.kind in _BELIEFS:
+        name, key = _BELIEFS[line.kind]
+        belief.values[name] = fields.get(key)
+    elif line.kind == "program.started":
+        belief.values.clear()
+        belief.lost.clear()
+        belief.avoided.clear()
+    elif line.kind == _LOST:
+        belief.lost[fields["what"]] = fields.get("reason", "")
+    elif line.kind == _REGAINED:
+        belief.lost.pop(fields["what"], None)
+    elif line.kind == _AVOIDED:
+        belief.avoided[fields["backend_server"]] = fields.get("reason", "")
+    elif line.kind == _BACK:
+        belief.avoided.pop(fields["backend_server"], None)
