Quarantine requests that crash backend servers; read settings again on SIGHUP

Ruled out: naming a crash by the request's id: eight equal requests on one crashed engine counted as eight crashes and were refused (seen in test_engine_that_crashes_under_streams_cuts_none). A crash is named by the backend server and its start.

--- a/caroblug/core/limits/_repeat_window.py
+++ b/caroblug/core/limits/_repeat_window.py
@@ -41,6 +41,12 @@
         self._window_ms = window_ms
         self._services: dict[str, _Window] = collections.defaultdict(_Window)
 
+    def set_bound(self, ratio: float, extra: float, window_ms: int) -> None:
+        """Changes the bound; what was counted so far stays counted."""
+        self._ratio = ratio
+        self._extra = extra
+        self._window_ms = window_ms
+
     def on_first(self, service: str, now_ms: int) -> None:
         """Counts a request's first send."""
         window = self._services[service]
--- a/caroblug/core/limits/_suspicions.py
+++ b/caroblug/core/limits/_suspicions.py
@@ -64,9 +64,14 @@
 
 
 class Suspicions:
-    """What one instance knows of crashes; bounded, oldest forgotten first."""
+    """What one instance knows of crashes; bounded, oldest forgotten first.
 
-    def __init__(self) -> None:
+    Args:
+        quarantine_crashes: Crashes after which a request is quarantined.
+    """
+
+    def __init__(self, quarantine_crashes: int = QUARANTINE_CRASHES) -> None:
+        self._quarantine_crashes = quarantine_crashes
         self._records: collections.OrderedDict[str, _Record] = (
             collections.OrderedDict()
         )
@@ -98,7 +103,7 @@
         record = self._live(fingerprint, now_ms)
         if record is None:
             return Verdict.CLEAR
-        if record.against >= QUARANTINE_CRASHES:
+        if record.against >= self._quarantine_crashes:
             return Verdict.QUARANTINED
         return Verdict.SUSPECT if record.against else Verdict.CLEAR
 
@@ -168,6 +173,14 @@
             for suspicion in self.known(fingerprint, now_ms)
         ]
 
+    def suspected(self, now_ms: int) -> list[Suspicion]:
+        """Returns everything known against any request."""
+        return [
+            suspicion
+            for fingerprint in list(self._records)
+            for suspicion in self.known(fingerprint, now_ms)
+        ]
+
     def count_quarantined(self, now_ms: int) -> int:
         """Returns how many requests are quarantined."""
         return sum(
--- a/caroblug/gateway/_calls.py
+++ b/caroblug/gateway/_calls.py
@@ -5,6 +5,7 @@
 import attrs
 
 from caroblug.gateway._context import Context
+from caroblug.gateway._crashes import Crashes
 from caroblug.gateway._fleet import seems_gone
 from caroblug.gateway._http_client import Exchange
 from caroblug.gateway._interfaces import (
@@ -64,10 +65,12 @@
 
     Args:
         context: What the gateway's parts share.
+        crashes: Requests that crash backend servers.
     """
 
-    def __init__(self, context: Context) -> None:
+    def __init__(self, context: Context, crashes: Crashes) -> None:
         self._context = context
+        self._crashes = crashes
         self._answers = Answers(context)
 
     def serve(self, pending: Pending) -> None:
@@ -99,6 +102,8 @@
                 break
             if pending.ran >= pending.admitted.route.max_attempts:
                 break
+            if self._crashes.is_quarantined(pending):
+                break
         self._give_up(pending, last)
 
     def _try(self, pending: Pending, backend: BackendServer) -> Tried:
@@ -178,6 +183,7 @@
         if not broken.sent:
             return Tried(Next.NOT_SENT, broken.failure.value)
         pending.ran += 1
+        self._crashes.on_lost(pending, backend.name, backend.address)
         return Tried(Next.FAILED, broken.failure.value)
 
     def _encode(self, pending: Pending, backend: BackendServer) -> bytes:
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+from collections.abc import Callable
 
 import gevent
 from gevent import event
@@ -11,15 +12,21 @@
 from caroblug.gateway._caller_requests import RawRequest
 from caroblug.gateway._calls import Calls
 from caroblug.gateway._context import Context
+from caroblug.gateway._crashes import Crashes
 from caroblug.gateway._decision_log import DecisionLog
 from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._http_server import CallerServer, Reply
 from caroblug.gateway._interfaces import CallerRequest, Dialect, Registry
 from caroblug.gateway._peers import Peers
-from caroblug.gateway._pending import UNREADY_MS, Pending
+from caroblug.gateway._pending import (
+    QUARANTINE_MS,
+    UNREADY_MS,
+    Answers,
+    Pending,
+)
 from caroblug.gateway._placement import Placement
 from caroblug.gateway._rechecks import Rechecks
-from caroblug.gateway._settings import GatewaySettings
+from caroblug.gateway._settings import GatewaySettings, SettingsProblem
 from caroblug.gateway._streams import Streams
 from caroblug.gateway._tallies import Tallies
 from caroblug.gateway._watches import Watches
@@ -38,6 +45,9 @@
 _EXIT_RESERVE_MS = 250
 """Time kept between the end of the drain and the platform's SIGKILL."""
 
+_SETTINGS_S = 5.0
+"""How often the settings are read without a signal; it takes a millisecond."""
+
 _POLL_S = 0.05
 
 
@@ -47,17 +57,27 @@
     Args:
         context: What its parts share.
         registry: The platform's list, configuration and group.
+        reload: Reads the settings again.
     """
 
-    def __init__(self, context: Context, registry: Registry) -> None:
+    def __init__(
+        self,
+        context: Context,
+        registry: Registry,
+        reload: Callable[[], GatewaySettings | SettingsProblem],
+    ) -> None:
         self._context = context
-        self._peers = Peers(context, registry)
+        self._reload = reload
+        self._crashes = Crashes(context.clock, context.fleet)
+        self._peers = Peers(context, registry, self._crashes)
         self._watches = Watches(context, registry, self._peers)
         self._placement = Placement(context, registry, self._peers)
         self._rechecks = Rechecks(context)
-        self._calls = Calls(context)
-        self._streams = Streams(context)
+        self._answers = Answers(context)
+        self._calls = Calls(context, self._crashes)
+        self._streams = Streams(context, self._crashes)
         self._leaving = event.Event()
+        self._settings_problem = ""
         self._callers = self._listen(context.settings.callers, self._answer)
         self._ready = self._listen(context.settings.ready, self._answer_ready)
         self._peer_calls = self._listen(
@@ -83,6 +103,7 @@
         context.log.write("program.started", settings=str(context.settings))
         gevent.signal_handler(signal.SIGTERM, self._leaving.set)
         gevent.signal_handler(signal.SIGINT, self._leaving.set)
+        gevent.signal_handler(signal.SIGHUP, self._read_settings)
         self._ready.start()
         self._peer_calls.start()
         for loop in (
@@ -93,6 +114,7 @@
             self._peers.run_members,
             self._peers.run_exchange,
             self._rechecks.run,
+            self._follow_settings,
         ):
             gevent.spawn(loop)
         self._callers.start()
@@ -100,6 +122,34 @@
         self._leaving.wait()
         self._drain()
 
+    def _follow_settings(self) -> None:
+        """Reads the settings now and then: they may change without a word."""
+        while True:
+            gevent.sleep(_SETTINGS_S)
+            self._read_settings()
+
+    def _read_settings(self) -> None:
+        """Takes changed settings; keeps the old ones if they can't be used.
+
+        Requests that run are not touched. Addresses that this process
+        listens on hold until its next start.
+        """
+        context = self._context
+        settings = self._reload()
+        if isinstance(settings, SettingsProblem):
+            if str(settings) != self._settings_problem:
+                context.log.write("settings.rejected", reason=str(settings))
+            self._settings_problem = str(settings)
+            return
+        self._settings_problem = ""
+        if settings == context.settings:
+            return
+        context.log.write("settings.taken", settings=str(settings))
+        context.settings = settings
+        context.repeats.set_bound(
+            settings.retry_ratio, settings.retry_extra, settings.retry_window_ms
+        )
+
     def _listen(self, address, handler) -> CallerServer:
         return CallerServer(
             address, handler, self._context.limits, self._context.clock
@@ -151,6 +201,9 @@
         pending = Pending(
             request, caller, decision, reply, request.began_ms + budget_ms
         )
+        if self._crashes.is_quarantined(pending):
+            self._answers.refuse(pending, "quarantined", QUARANTINE_MS)
+            return
         if decision.route.kind is RouteKind.STREAMING and (
             decision.service.model is not None
         ):
@@ -196,7 +249,10 @@
 
 
 def make_gateway(
-    settings: GatewaySettings, dialect: Dialect, registry: Registry
+    settings: GatewaySettings,
+    dialect: Dialect,
+    registry: Registry,
+    reload: Callable[[], GatewaySettings | SettingsProblem],
 ) -> Gateway:
     """Returns a gateway that isn't running yet.
 
@@ -204,6 +260,7 @@
         settings: Checked settings.
         dialect: How requests look on the wire.
         registry: The platform's list, configuration and group.
+        reload: Reads the settings again.
     """
     clock = BoottimeClock()
     rng = random.Random()
@@ -222,4 +279,4 @@
         log=DecisionLog(settings.instance, clock),
         tallies=Tallies(),
     )
-    return Gateway(context, registry)
+    return Gateway(context, registry, reload)
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -13,6 +13,7 @@
 from caroblug.core.placement import LayerRange
 from caroblug.gateway._caller_requests import RawRequest
 from caroblug.gateway._context import Context
+from caroblug.gateway._crashes import Crashes
 from caroblug.gateway._http_client import Address, fetch, format_request
 from caroblug.gateway._http_server import Reply
 from caroblug.gateway._interfaces import Member, Registry, Unavailable
@@ -63,10 +64,14 @@
     Args:
         context: What the gateway's parts share.
         registry: Who takes part.
+        crashes: Requests that crash backend servers.
     """
 
-    def __init__(self, context: Context, registry: Registry) -> None:
+    def __init__(
+        self, context: Context, registry: Registry, crashes: Crashes
+    ) -> None:
         self._context = context
+        self._crashes = crashes
         self._registry = registry
         self._members: dict[str, Address] = {}
         self._seen_ms: dict[str, int] = {}
@@ -167,6 +172,7 @@
                 engine: [layers.first, layers.end, age_ms]
                 for engine, (layers, age_ms) in told.items()
             },
+            "crashes": self._crashes.tell(),
             "tenure": self.tenure.value,
             "holder_age_ms": self._holder_age_ms(now_ms),
         }
@@ -220,6 +226,7 @@
         self._on_suspects(message["suspects"])
         self._on_told(message["told"])
         self._on_list_age(name, message)
+        self._crashes.hear(message["crashes"])
         now_ms = self._context.clock.now_ms()
         before = self._tenures.get(name)
         self._tenures[name] = TenureState(message["tenure"])
--- a/caroblug/gateway/_pending.py
+++ b/caroblug/gateway/_pending.py
@@ -16,6 +16,10 @@
 """The same where layers are held by nobody: the time in which a lost engine
 is missed, its layers are ordered elsewhere and loaded."""
 
+QUARANTINE_MS = 60_000
+"""The same for a request that has crashed backend servers; sooner it would
+only be refused again."""
+
 UNREADY_MS = 400
 """The same for a gateway that doesn't know the configuration yet; it reads it
 within some tens of ms of its start."""
@@ -102,13 +106,26 @@
         self.log(pending, status, reason)
         pending.reply.send(status, headers, reason.encode())
 
-    def log(self, pending: Pending, status: int, reason: str = "") -> None:
-        """Writes the request's line and counts it."""
+    def log(
+        self,
+        pending: Pending,
+        status: int,
+        reason: str = "",
+        cut: bool = False,
+    ) -> None:
+        """Writes the request's line and counts it.
+
+        Args:
+            pending: The request.
+            status: Status that the caller got.
+            reason: Why, if it failed.
+            cut: Whether the answer ended before it was whole.
+        """
         context = self._context
         now_ms = context.clock.now_ms()
         took_ms = now_ms - pending.request.began_ms
         kind = pending.admitted.route.kind.value
-        good = 200 <= status < 500
+        good = 200 <= status < 500 and not cut
         context.tallies.count(
             "requests", kind=kind, status=str(status), reason=reason
         )
@@ -120,6 +137,7 @@
             client_account=pending.account,
             status=status,
             reason=reason,
+            cut=cut,
             took_ms=took_ms,
             sends=pending.sends,
             ran=pending.ran,
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -14,6 +14,7 @@
 from caroblug.core.placement import NoPath, Path
 from caroblug.gateway._calls import CONNECT_S
 from caroblug.gateway._context import Context
+from caroblug.gateway._crashes import Crashes
 from caroblug.gateway._events import EventSequence, Misordered
 from caroblug.gateway._http_client import Exchange
 from caroblug.gateway._interfaces import (
@@ -80,24 +81,31 @@
 
     Args:
         context: What the gateway's parts share.
+        crashes: Requests that crash backend servers.
     """
 
-    def __init__(self, context: Context) -> None:
+    def __init__(self, context: Context, crashes: Crashes) -> None:
         self._context = context
+        self._crashes = crashes
         self._answers = Answers(context)
 
     def serve(self, pending: Pending) -> None:
         """Answers one request, at the end of its time at the latest."""
-        _Stream(self._context, self._answers, pending).serve()
+        _Stream(self._context, self._answers, self._crashes, pending).serve()
 
 
 class _Stream:
     """One stream, over all its runs."""
 
     def __init__(
-        self, context: Context, answers: Answers, pending: Pending
+        self,
+        context: Context,
+        answers: Answers,
+        crashes: Crashes,
+        pending: Pending,
     ) -> None:
         self._context = context
+        self._crashes = crashes
         self._answers = answers
         self._pending = pending
         self._events = EventSequence(_whole(pending.caller.resume_after))
@@ -123,7 +131,7 @@
             if pending.sends and not self._context.may_repeat(
                 pending.admitted.service.name
             ):
-                result = attrs.evolve(result, reason="retry budget is spent")
+                result = attrs.evolve(result, reason="repeats are spent")
                 break
             result = self._run(path)
             self._note(result)
@@ -143,7 +151,7 @@
             # The connection ends without the mark of a whole answer, so that
             # the caller can't take what it has for all there is.
             reply.end_connection()
-            self._answers.log(pending, 502, f"cut: {result.reason}")
+            self._answers.log(pending, 200, result.reason, cut=True)
         elif result.end is RunEnd.ANSWERED:
             self._answers.log(pending, result.head.status, "engine's answer")
             reply.send(
@@ -172,7 +180,11 @@
         route = self._pending.admitted.route
         if result.end in (RunEnd.NOT_SENT, RunEnd.TURNED_AWAY):
             return True
-        return route.resumable and self._pending.ran < route.max_attempts
+        return (
+            route.resumable
+            and self._pending.ran < route.max_attempts
+            and not self._crashes.is_quarantined(self._pending)
+        )
 
     # One run.
 
@@ -286,6 +298,7 @@
         report = self._context.dialect.read_report(first.address)
         if isinstance(report, Unavailable):
             self._avoid_engine(first.name, f"report: {report.message}")
+            self._crashes.on_lost(self._pending, first.name, first.address)
 
     def _on_turned_away(self, head: Head, facts: AnswerFacts) -> RunResult:
         reason = f"turned away with {head.status}"
@@ -325,6 +338,7 @@
         ]
         for engine in dead:
             self._avoid_engine(engine.name, "named as stalled")
+            self._crashes.on_lost(self._pending, engine.name, engine.address)
         if not dead or dead[0].name == self._path.first.name:
             return RunResult(RunEnd.LOST, "stalled")
         path = self._choose_path(keep_first=True)
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 from caroblug.core.placement import LayerRange
 from caroblug.gateway import OrderOutcome, Tenure, Unavailable
+from caroblug.gateway._crashes import Crashes
 from caroblug.gateway._peers import Peers, TenureState
 from caroblug.gateway._placement import Placement
 from caroblug.gateway.tests.fakes import FakeRegistry, make_context
@@ -12,7 +13,7 @@
 def make_placement(name="g1", clock=None):
     context = make_context(name, clock)
     registry = FakeRegistry()
-    peers = Peers(context, registry)
+    peers = Peers(context, registry, Crashes(context.clock, context.fleet))
     return context, registry, peers, Placement(context, registry, peers)
 
 
@@ -27,6 +28,7 @@
     message = {
         "loads": {},
         "suspects": [],
+        "crashes": [],
         "told": {},
         "list_age_ms": 1_000_000,
         "list_digest": "",
