Refuse streams that the exit would cut

Ruled out: closing the listener (callers learn less from it than from a 503).

Change: from 2.9 s after SIGTERM a request is taken only if its time ends before the exit; others are refused at once, not run, back in 150 ms.

--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -19,6 +19,7 @@
 from caroblug.gateway._interfaces import CallerRequest, Dialect, Registry
 from caroblug.gateway._peers import Peers
 from caroblug.gateway._pending import (
+    LEAVING_MS,
     QUARANTINE_MS,
     UNREADY_MS,
     Answers,
@@ -42,6 +43,11 @@
 """Time from SIGTERM after which nobody sends new connections: the balancer
 asks once a second and believes the second refusal."""
 
+_LATE_MS = 2900
+"""Time from SIGTERM after which requests are taken only if they must end
+before the exit. Earlier ones can't know of it yet; a stream of five seconds
+that begins later would be cut, thirteen of them on one day of restarts."""
+
 _EXIT_RESERVE_MS = 250
 """Time kept between the end of the drain and the platform's SIGKILL."""
 
@@ -78,6 +84,7 @@
         self._streams = Streams(context, self._crashes)
         self._leaving = event.Event()
         self._settings_problem = ""
+        self._left_ms = 0
         self._callers = self._listen(context.settings.callers, self._answer)
         self._ready = self._listen(context.settings.ready, self._answer_ready)
         self._peer_calls = self._listen(
@@ -101,8 +108,8 @@
         context = self._context
         context.log.start()
         context.log.write("program.started", settings=str(context.settings))
-        gevent.signal_handler(signal.SIGTERM, self._leaving.set)
-        gevent.signal_handler(signal.SIGINT, self._leaving.set)
+        gevent.signal_handler(signal.SIGTERM, self._leave)
+        gevent.signal_handler(signal.SIGINT, self._leave)
         gevent.signal_handler(signal.SIGHUP, self._read_settings)
         self._ready.start()
         self._peer_calls.start()
@@ -155,6 +162,11 @@
             address, handler, self._context.limits, self._context.clock
         )
 
+    def _leave(self) -> None:
+        if not self._leaving.is_set():
+            self._left_ms = self._context.clock.now_ms()
+            self._leaving.set()
+
     def _drain(self) -> None:
         """Ends what runs, takes what still comes, then returns.
 
@@ -162,13 +174,11 @@
         isn't ready; refusing them would fail requests without need.
         """
         context = self._context
-        began_ms = context.clock.now_ms()
         context.log.write("program.leaving", busy=self._callers.busy)
         self._callers.close_after_answers()
         gevent.spawn(self._placement.stop)
-        end_ms = began_ms + context.settings.drain_ms - _EXIT_RESERVE_MS
-        while context.clock.now_ms() < end_ms:
-            if context.clock.now_ms() - began_ms > _NOTICED_MS:
+        while context.clock.now_ms() < self._exit_ms():
+            if context.clock.now_ms() - self._left_ms > _NOTICED_MS:
                 self._callers.close_idle()
                 if not self._callers.busy:
                     break
@@ -201,6 +211,9 @@
         pending = Pending(
             request, caller, decision, reply, request.began_ms + budget_ms
         )
+        if self._comes_too_late(pending):
+            self._answers.refuse(pending, "leaving", LEAVING_MS)
+            return
         if self._crashes.is_quarantined(pending):
             self._answers.refuse(pending, "quarantined", QUARANTINE_MS)
             return
@@ -211,6 +224,20 @@
         else:
             self._calls.serve(pending)
 
+    def _comes_too_late(self, pending: Pending) -> bool:
+        """Returns whether the exit would cut a request that begins now."""
+        if not self._leaving.is_set():
+            return False
+        late_ms = self._left_ms + _LATE_MS
+        return (
+            pending.request.began_ms > late_ms
+            and pending.end_ms > self._exit_ms()
+        )
+
+    def _exit_ms(self) -> int:
+        drain_ms = self._context.settings.drain_ms
+        return self._left_ms + drain_ms - _EXIT_RESERVE_MS
+
     def _deny(
         self,
         request: RawRequest,
--- a/caroblug/gateway/_pending.py
+++ b/caroblug/gateway/_pending.py
@@ -16,6 +16,9 @@
 """The same where layers are held by nobody: the time in which a lost engine
 is missed, its layers are ordered elsewhere and loaded."""
 
+LEAVING_MS = 150
+"""The same for a gateway that leaves: another one takes the request."""
+
 QUARANTINE_MS = 60_000
 """The same for a request that has crashed backend servers; sooner it would
 only be refused again."""
