--- a/caroblug/gateway/tests/test_decision_log.py
+++ b/caroblug/gateway/tests/test_decision_log.py
@@ -69,7 +69,9 @@
 
 def test_closed_output_is_no_reason_to_stop():
     log, reader, writer, _ = make_log()
-    os.close(reader)
+    # A file object closes at once; os.close may be gevent's, which waits for
+    # the event loop where stand-ins of other tests have patched it.
+    open(reader, "rb", buffering=0).close()
     log.take({"message_type": "x"})
     log.flush()
 
