--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -155,11 +155,6 @@
                 return backend
         return None
 
-    def is_listed(self, name: str) -> bool:
-        """Returns whether a backend server may be sent new work."""
-        backend = self._listing.backends.get(name)
-        return backend is not None and not backend.leaving
-
     def choose_backend(
         self, service: Service, tried: set[str], now_ms: int
     ) -> BackendServer | None:
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -25,7 +25,7 @@
 
 _FRESH_MS = 300
 """Two gateways exchange once for both: who was told this lately does not tell.
-It halves the bytes, a quarter of a MB a minute and pair."""
+It halves the exchanges."""
 
 _PARTNERS = 4
 """Gateways told each time: with five or fewer, everybody."""
