Make chains of the fastest engines, and copies of the rest; price crossings by the link

Cause: a data centre's one chain was spread over all its engines, so that the two fast ones held 10 layers each and streams took 2.6 s on the mean; a stop of all gateways cuts what is in flight, and nobody held a lost engine's layers in the same data centre. A crossing inside a path cost the same on a pipe of 2 Gbit/s as on one of 9.3: on the grown site streams stood still for seconds. Change: room for 60 streams, engines ordered by the time of a layer with its hop, what is left over goes where a second holder or a faster one is missing; crossing cost = twice the time of a usual prompt on the link.

--- a/caroblug/core/placement/_paths.py
+++ b/caroblug/core/placement/_paths.py
@@ -6,17 +6,14 @@
 import attrs
 
 from caroblug.core.placement._load import EngineLoads
+from caroblug.core.placement._planner import HOP_MS
 from caroblug.core.placement._types import Engine, LayerRange, ModelShape
 
-_HOP_MS = 0.5
-"""Cost of one more engine on the path: its pass is waited for."""
-
-_CROSSING_MS = 60.0
-"""Cost of leaving a data centre inside the path.
-
-A prompt of 770 tokens is 33 MB of activations, 28 ms of a pipe of 9.3 Gbit/s
-that everybody shares; as a share of the 73 steps of an answer, with the delay
-of each token, and doubled because the pipe queues.
+_CROSSING_QUEUE = 2.0
+"""Cost of leaving a data centre inside the path, in times that a usual
+prompt's activations take on the link alone: everybody shares it, and what
+waits there waits with each token. Where a prompt takes 100 ms, eight a second
+fill the link, and streams that crossed it stood still for seconds.
 """
 
 _AWAY_MS = 15.0
@@ -78,6 +75,11 @@
         """Names of the engines, in order."""
         return tuple(part.engine.name for part in self.parts)
 
+    @property
+    def crosses(self) -> bool:
+        """Whether it runs over engines of more than one data centre."""
+        return len({part.engine.data_centre for part in self.parts}) > 1
+
 
 @attrs.frozen
 class NoPath:
@@ -117,6 +119,7 @@
     use = {e.name: loads.use(e, model) for e in ready}
     weight = {e.name: _weight_ms(use[e.name], rng) for e in ready}
     layer_ms = model.step_ms / model.layers
+    crossing_ms = model.crossing_ms * _CROSSING_QUEUE
     start = after.layers.end if after else 0
     origin = after.engine.data_centre if after else data_centre
     queue: list[tuple[float, int, int, Engine | None]] = [
@@ -141,9 +144,9 @@
                 continue
             end = engine.holds.end
             step = (end - layer) * layer_ms * engine.kind.step_pace
-            step += _HOP_MS + weight[engine.name]
+            step += HOP_MS + weight[engine.name]
             if engine.data_centre != place:
-                step += _CROSSING_MS if last else _AWAY_MS
+                step += crossing_ms if last else _AWAY_MS
             key = (end, engine.data_centre)
             if cost + step < best.get(key, float("inf")):
                 best[key] = cost + step
--- a/caroblug/core/placement/_planner.py
+++ b/caroblug/core/placement/_planner.py
@@ -14,17 +14,21 @@
 
 from caroblug.core.placement._types import Engine, LayerRange, ModelShape
 
-STREAMS_PER_CHAIN = 48
+STREAMS_PER_CHAIN = 60
 """Requests of usual size for which a chain keeps room beside its weights.
 
-A data centre gets as many whole chains as leave each this much: a second chain
-is worth more than room that is never used. Where only one fits, its engines
-hold fewer layers each and have room for more: chains that were filled for 32
-turned away one request in 40 of a site of 26 gateways on a calm day.
+A chain is made of the fastest engines, as full as this allows, and the others
+hold its layers a second time. Room for 100 and more streams on every engine
+made chains of 11 to 15 engines, whose streams took 2.6 s on the mean instead
+of 2.0 s, and nobody held a lost engine's layers in the same data centre. Room
+for 36 was used up when one of three data centres lost its chain: prompts
+waited 0.9 s for memory. A second chain is worth more than more room.
 """
 
-_MOST_STREAMS = 400
-"""Room beyond this brings nothing: an engine runs a hundred requests."""
+HOP_MS = 0.5
+"""Time that one more engine on the path adds to a token: the delay of the
+link and the wait for the engine's pass, from the mean time of streams over
+chains of 7 to 13 engines."""
 
 _GROWN_STREAMS = 24
 """Requests for which an engine keeps room when it grows into a hole."""
@@ -84,7 +88,8 @@
             that its layers are placed again while it still serves.
         model: The model.
     """
-    seats = [_Seat(e, e.holds) for e in sorted(engines, key=_by_speed)]
+    engines = sorted(engines, key=lambda e: _by_speed(e, model))
+    seats = [_Seat(e, e.holds) for e in engines]
     for data_centre in sorted({e.data_centre for e in engines}):
         local = [s for s in seats if s.engine.data_centre == data_centre]
         _plan_data_centre(local, model)
@@ -107,8 +112,11 @@
     return {layer for layer, count in enumerate(holders) if count < wanted}
 
 
-def _by_speed(engine: Engine) -> tuple[float, str]:
-    return (engine.kind.step_pace, engine.name)
+def _by_speed(engine: Engine, model: ModelShape) -> tuple[float, str]:
+    """Orders engines by the time that a layer costs there, hop included."""
+    most = model.most_layers(engine.kind, STREAMS_PER_CHAIN)
+    layer_ms = model.step_ms / model.layers * engine.kind.step_pace
+    return (layer_ms + HOP_MS / max(1, most), engine.name)
 
 
 def _plan_data_centre(seats: list[_Seat], model: ModelShape) -> None:
@@ -131,10 +139,9 @@
     Returns:
         Number of chains, one at least, and requests of usual size.
     """
-    chains = max(
-        1, _layers_held(seats, model, STREAMS_PER_CHAIN) // model.layers
-    )
-    low, high = _TIGHT_STREAMS, _MOST_STREAMS
+    held = _layers_held(seats, model, STREAMS_PER_CHAIN)
+    chains = max(1, held // model.layers)
+    low, high = _TIGHT_STREAMS, STREAMS_PER_CHAIN
     while low < high:
         middle = (low + high + 1) // 2
         if _layers_held(seats, model, middle) >= chains * model.layers:
@@ -189,7 +196,7 @@
     left = []
     for hole in holes:
         free = [s for s in seats if (s.empty if only_empty else s.free)]
-        free.sort(key=lambda s: (len(s.target) > 0, _by_speed(s.engine)))
+        free.sort(key=lambda s: (len(s.target) > 0, _by_speed(s.engine, model)))
         layer = hole.first
         for seat in free:
             end = min(hole.end, layer + seat.most(model, streams))
@@ -269,34 +276,44 @@
 
 
 def _use_the_empty(seats: list[_Seat], model: ModelShape, streams: int) -> None:
-    """Gives engines that hold nothing the layers with the least room.
+    """Gives engines that hold nothing the layers that need one more holder.
 
     A layer that one more engine holds can be served at once when a holder
-    dies, without waiting for a load.
+    dies, without waiting for a load. A fast engine goes where only slow ones
+    are: one that comes back after a crash takes its old place again.
     """
-    room = [0.0] * model.layers
-    for seat in seats:
-        _add_room(room, seat, model)
     for seat in seats:
         most = seat.most(model, streams)
         if not seat.empty or most < 1:
             continue
-        first = _thinnest(room, most)
+        first = _neediest(seats, seat, most, model)
         seat.target = LayerRange(first, first + most)
         seat.used = True
-        _add_room(room, seat, model)
-
 
-def _add_room(room: list[float], seat: _Seat, model: ModelShape) -> None:
-    tokens = model.token_room(seat.engine.kind, len(seat.target))
-    for layer in range(seat.target.first, seat.target.end):
-        room[layer] += tokens
 
-
-def _thinnest(room: list[float], width: int) -> int:
-    """Returns where a range of `width` layers meets the least room."""
+def _neediest(
+    seats: list[_Seat], seat: _Seat, width: int, model: ModelShape
+) -> int:
+    """Returns where a range of `width` layers on an engine helps most."""
+    needs = [_need(seats, seat, layer, model) for layer in range(model.layers)]
     sums = [
-        (sum(room[first : first + width]), first)
-        for first in range(len(room) - width + 1)
+        (-sum(needs[first : first + width]), first)
+        for first in range(len(needs) - width + 1)
     ]
     return min(sums)[1]
+
+
+def _need(
+    seats: list[_Seat], seat: _Seat, layer: int, model: ModelShape
+) -> float:
+    """Returns what a layer gains from one more holder, 1 for its second one.
+
+    Each further holder is worth half of the one before; speed counts beside
+    it, as the share of the fastest holder's time that is saved.
+    """
+    holders = [s.engine for s in seats if layer in s.target]
+    if not holders:
+        return 2.0
+    pace = min(e.kind.step_pace for e in holders)
+    saved = max(0.0, pace - seat.engine.kind.step_pace) / pace
+    return 2.0 ** (1 - len(holders)) + saved
--- a/caroblug/core/placement/_types.py
+++ b/caroblug/core/placement/_types.py
@@ -54,6 +54,8 @@
         usual_tokens: Mean prompt and answer of a request together, in tokens.
         kinds: Kinds of accelerator by name.
         load_s: Time to load all layers, in seconds.
+        crossing_ms: Time that a usual prompt's activations take from one data
+            centre to another, when nobody else uses the link.
     """
 
     layers: int
@@ -63,6 +65,7 @@
     usual_tokens: int
     kinds: dict[str, EngineKind]
     load_s: float = 0.0
+    crossing_ms: float = 28.0
 
     def most_layers(self, kind: EngineKind, streams: int) -> int:
         """Returns how many layers fit beside the memory of `streams`.
--- a/caroblug/core/placement/tests/test_paths.py
+++ b/caroblug/core/placement/tests/test_paths.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import hypothesis
 import hypothesis.strategies as st
 
@@ -57,6 +58,24 @@
     assert path.first.data_centre != "c"
 
 
+def test_thin_link_is_not_crossed_while_a_whole_chain_has_room():
+    # Streams stand still for seconds at once in several data centres. One has
+    # lost an engine, and each of its streams fetches those layers elsewhere:
+    # a prompt takes 97 ms of a link of 2 Gbit/s (770 tokens of 32.8 KB), so
+    # ten streams a second fill it.
+    model = attrs.evolve(MODEL, crossing_ms=97.0)
+    engines = [e for e in planned() if e.name != "c-big-0"]
+    loads = EngineLoads()
+    for engine in engines:
+        if engine.data_centre != "c":
+            room = model.token_room(engine.kind, len(engine.holds))
+            loads.open((engine.name,), int(0.9 * room))
+
+    path = choose_path(engines, model, loads, "c", random.Random(1))
+
+    assert not path.crosses
+
+
 def test_part_may_be_cut_from_a_longer_range():
     engines = [
         make_engine("x", BIG, first=0, end=50),
