Watch the engines on running paths, and repair all their streams at once

Cause: a dead later engine shows only as a pause; each stream waited 0.3 s, then for the first engine's report, which lags 0.2 s. All streams were late (pauses of 200 ms), and the plan waited 1.5 s for an engine that was surely gone. Change: an idle connection to each engine in use; its end and a refused new one mean that the process has ended. Streams are moved by one order each; where the other part is in another data centre, a new run over a whole chain there is begun instead.

--- a/caroblug/gateway/_crashes.py
+++ b/caroblug/gateway/_crashes.py
@@ -66,7 +66,11 @@
         exchange.close()
         if problem is None or problem.failure is not Failure.REFUSED:
             return False
-        now_ms = self._clock.now_ms()
+        self.on_ended(pending, name)
+        return True
+
+    def on_ended(self, pending: Pending, name: str) -> None:
+        """Suspects a request that was on a backend server as it ended."""
         self._suspicions.on_suspicion(
             Suspicion(
                 fingerprint(pending),
@@ -76,9 +80,8 @@
                 False,
                 _REMEMBERED_MS,
             ),
-            now_ms,
+            self._clock.now_ms(),
         )
-        return True
 
     def _name_crash(self, name: str) -> str:
         """Names the end of one start of a backend server.
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -51,6 +51,7 @@
     failed_since_ms: int = 0
     full_until_ms: int = 0
     failures: int = 0
+    ended: bool = False
     placed: LayerRange | None = None
     placed_until_ms: int = 0
     seen_ms: int = 0
@@ -297,6 +298,22 @@
         met = self._met[name]
         return now_ms - met.failed_since_ms if met.failures else 0
 
+    def on_ended(self, name: str) -> None:
+        """Notes that a backend server's process has ended.
+
+        What it held is gone, also if it starts again: its layers needn't be
+        waited for.
+        """
+        self._met[name].ended = True
+
+    def has_ended(self, name: str) -> bool:
+        """Returns whether a backend server's process ended and isn't back."""
+        return self._met[name].ended
+
+    def is_failing(self, name: str) -> bool:
+        """Returns whether a backend server's last word was a failure."""
+        return self._met[name].failures > 0
+
     def failing(self, now_ms: int) -> list[BackendServer]:
         """Returns backend servers whose failure is due to be looked into."""
         return [
@@ -341,6 +358,7 @@
         """Notes what an answer says of a backend server's load."""
         met = self._met[name]
         met.failures = 0
+        met.ended = False
         met.avoid_until_ms = 0
         if running is not None:
             met.running = running + waiting
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -17,6 +17,7 @@
 from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._http_server import CallerServer, Reply
 from caroblug.gateway._interfaces import CallerRequest, Dialect, Registry
+from caroblug.gateway._liveness import Liveness
 from caroblug.gateway._peers import Peers
 from caroblug.gateway._pending import (
     LEAVING_MS,
@@ -27,6 +28,7 @@
 )
 from caroblug.gateway._placement import Placement
 from caroblug.gateway._rechecks import Rechecks
+from caroblug.gateway._running import RunningStreams
 from caroblug.gateway._settings import GatewaySettings, SettingsProblem
 from caroblug.gateway._streams import Streams
 from caroblug.gateway._tallies import Tallies
@@ -81,7 +83,9 @@
         self._rechecks = Rechecks(context)
         self._answers = Answers(context)
         self._calls = Calls(context, self._crashes)
-        self._streams = Streams(context, self._crashes)
+        self._running = RunningStreams(context)
+        self._liveness = Liveness(context, self._running)
+        self._streams = Streams(context, self._crashes, self._running)
         self._leaving = event.Event()
         self._settings_problem = ""
         self._left_ms = 0
@@ -121,6 +125,7 @@
             self._peers.run_members,
             self._peers.run_exchange,
             self._rechecks.run,
+            self._liveness.run,
             self._follow_settings,
         ):
             gevent.spawn(loop)
--- a/caroblug/gateway/_http_client.py
+++ b/caroblug/gateway/_http_client.py
@@ -123,6 +123,21 @@
                 return piece
             pieces.append(piece)
 
+    def is_open(self, wait_s: float) -> bool:
+        """Waits on an idle connection; returns whether it is still open.
+
+        Bytes that nobody asked for are no answer to anything: they end it.
+        """
+        self._socket.settimeout(max(0.001, wait_s))
+        try:
+            self._socket.recv(1)
+        except TimeoutError:
+            return True
+        except OSError:
+            # A reset says what the return value says.
+            return False
+        return False
+
     def close(self) -> None:
         """Ends the connection; the other side drops what it still does."""
         if self._socket is not None:
--- /dev/null
+++ b/caroblug/gateway/_liveness.py
@@ -0,0 +1,184 @@
+"""Finding out at once that an engine on the path of a stream has died.
+
+The first engine of a path is the only one that a gateway talks to. When a
+later one dies, nothing is reset here: events just stop, and the first engine's
+report names the dead one some hundred ms later. Two looks are quicker:
+
+- An idle connection to each engine in use. The end of a process closes it, and
+  a new one is refused; an engine that merely closed an idle connection takes
+  the next one.
+- The newest event of all streams over an engine. An engine without power, or
+  behind a cut, closes nothing, but all its streams stop together.
+"""
+
+from collections.abc import Callable
+
+import gevent
+
+from caroblug.core.placement import Engine
+from caroblug.gateway._context import Context
+from caroblug.gateway._http_client import Exchange
+from caroblug.gateway._outcomes import Failure
+from caroblug.gateway._running import EngineUse, RunningStreams
+
+_CONNECT_S = 0.25
+_LOOK_S = 1.0
+"""How often a watch looks whether its engine is still in use."""
+
+_KEPT_MS = 5000
+"""How long an engine is watched after its last stream, in ms: paths come back
+to it within that time, and a new connection is paid for."""
+
+_TICK_S = 0.02
+_MANY = 4
+_SILENT_MANY_MS = 60
+"""Pause of all streams over an engine, four at least, after which it is asked.
+Each has an event every 30 to 40 ms, so that one comes every 10 ms."""
+
+_SILENT_FEW_MS = 120
+"""The same for fewer streams; a pause of 200 ms makes a stream late."""
+
+_PROBE_S = 0.04
+"""Bound on the answer to such a question. The longest way inside a region and
+back is some 2 ms, and an engine accepts within 1 ms."""
+
+_PROBES = 2
+"""Connections tried at once; one alone fails with each lost packet."""
+
+_CONTROLS = 2
+"""Engines whose streams go on that are asked beside silent ones."""
+
+_ASK_AGAIN_MS = 400
+"""Shortest time between two such questions to one engine."""
+
+
+def _connect(engine: Engine) -> Failure | None:
+    """Opens and closes a connection; returns what went wrong, if anything."""
+    exchange = Exchange(engine.address)
+    problem = exchange.connect(_PROBE_S)
+    exchange.close()
+    return problem.failure if problem is not None else None
+
+
+class Liveness:
+    """Watches the engines on the paths of running streams.
+
+    Args:
+        context: What the gateway's parts share.
+        running: Streams that run.
+        connect: Opens and closes a connection to an engine.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        running: RunningStreams,
+        connect: Callable[[Engine], Failure | None] = _connect,
+    ) -> None:
+        self._context = context
+        self._running = running
+        self._connect = connect
+        self._used_ms: dict[str, int] = {}
+        self._asked_ms: dict[str, int] = {}
+
+    def run(self) -> None:
+        """Looks after running streams until the process ends."""
+        while True:
+            gevent.sleep(_TICK_S)
+            self.look()
+
+    def look(self) -> None:
+        """Looks once at every engine that is in use."""
+        now_ms = self._context.clock.now_ms()
+        silent = []
+        sound = []
+        for use in self._running.uses():
+            name = use.engine.name
+            if name not in self._used_ms:
+                gevent.spawn(self._watch, use.engine)
+            self._used_ms[name] = now_ms
+            if now_ms - use.event_ms < _silent_ms(use):
+                sound.append(use.engine)
+            elif self._may_ask(name, now_ms):
+                silent.append(use.engine)
+        if silent:
+            others = self._context.rng.sample(sound, min(len(sound), _CONTROLS))
+            gevent.spawn(self._ask, silent, others)
+
+    def _may_ask(self, name: str, now_ms: int) -> bool:
+        asked_ms = self._asked_ms.get(name, -_ASK_AGAIN_MS)
+        if now_ms - asked_ms < _ASK_AGAIN_MS:
+            return False
+        self._asked_ms[name] = now_ms
+        return True
+
+    def _watch(self, engine: Engine) -> None:
+        """Keeps a connection to an engine for as long as it is in use."""
+        while self._in_use(engine):
+            exchange = Exchange(engine.address)
+            problem = exchange.connect(_CONNECT_S)
+            if problem is None:
+                while self._in_use(engine) and exchange.is_open(_LOOK_S):
+                    pass
+                exchange.close()
+                continue
+            if problem.failure is Failure.REFUSED:
+                self._running.on_engine_lost(engine, ended=True)
+            self._wait_until_back(engine)
+        del self._used_ms[engine.name]
+
+    def _wait_until_back(self, engine: Engine) -> None:
+        """Waits while an engine is known to fail: others ask it meanwhile."""
+        fleet = self._context.fleet
+        gevent.sleep(_CONNECT_S)
+        while self._in_use(engine) and fleet.is_failing(engine.name):
+            gevent.sleep(_CONNECT_S)
+
+    def _in_use(self, engine: Engine) -> bool:
+        now_ms = self._context.clock.now_ms()
+        return now_ms - self._used_ms[engine.name] < _KEPT_MS
+
+    def _ask(self, silent: list[Engine], others: list[Engine]) -> None:
+        """Finds out which silent engines take no connection any more.
+
+        Guards against the gateway's own link: while it is full or broken
+        nobody answers, and every stream would be moved for nothing. What is
+        seen counts only if most of those that are asked answer, engines whose
+        streams go on among them.
+
+        Args:
+            silent: Engines whose streams have all paused.
+            others: Engines that are asked for comparison.
+        """
+        asked = silent + others
+        tries = [gevent.spawn(self._probe, engine) for engine in asked]
+        gevent.joinall(tries)
+        self._context.tallies.count("engine_probes")
+        failures = {
+            engine.name: job.value
+            for engine, job in zip(asked, tries, strict=True)
+            if job.value is not None
+        }
+        if len(failures) * 2 > len(asked):
+            self._context.tallies.count("engine_probes_not_believed")
+            return
+        for engine in silent:
+            failure = failures.get(engine.name)
+            if failure is not None:
+                ended = failure is Failure.REFUSED
+                self._running.on_engine_lost(engine, ended)
+
+    def _probe(self, engine: Engine) -> Failure | None:
+        """Tries to connect; returns what went wrong if no try succeeds."""
+        tries = [gevent.spawn(self._connect, engine) for _ in range(_PROBES)]
+        gevent.joinall(tries)
+        failures = [job.value for job in tries]
+        if None in failures:
+            return None
+        refused = Failure.REFUSED in failures
+        return Failure.REFUSED if refused else failures[0]
+
+
+def _silent_ms(use: EngineUse) -> int:
+    """Returns the pause after which an engine is asked."""
+    return _SILENT_MANY_MS if use.streams >= _MANY else _SILENT_FEW_MS
--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -157,7 +157,8 @@
         engines = [
             e
             for e in context.fleet.engines(service, now_ms)
-            if context.fleet.failed_for_ms(e.name, now_ms) < _LOST_MS
+            if not context.fleet.has_ended(e.name)
+            and context.fleet.failed_for_ms(e.name, now_ms) < _LOST_MS
         ]
         if self._settling(engines, now_ms):
             return
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -27,11 +27,16 @@
 )
 from caroblug.gateway._outcomes import Broken, End, Failure, Head, Quiet
 from caroblug.gateway._pending import NO_ENGINES_MS, Answers, Pending
+from caroblug.gateway._running import RunningStream, RunningStreams
 
 _HEAD_LOOK_S = 0.7
 """Wait for a first event after which a run is looked into: the objective of
 the users' streams is half a second, and a sound run takes a tenth of that."""
 
+_FIRST_EVENT_MS = 150
+"""Time in which a sound run brings its first event, prompt and queue included;
+the median is 50 ms."""
+
 _PAUSE_LOOK_S = 0.3
 """Pause between events after which a run is looked into. Events come every 30
 to 60 ms; a pause of 200 ms makes the stream late, and looking costs a call."""
@@ -82,19 +87,25 @@
     Args:
         context: What the gateway's parts share.
         crashes: Requests that crash backend servers.
+        running: Takes streams while they run.
     """
 
-    def __init__(self, context: Context, crashes: Crashes) -> None:
+    def __init__(
+        self, context: Context, crashes: Crashes, running: RunningStreams
+    ) -> None:
         self._context = context
         self._crashes = crashes
+        self._running = running
         self._answers = Answers(context)
 
     def serve(self, pending: Pending) -> None:
         """Answers one request, at the end of its time at the latest."""
-        _Stream(self._context, self._answers, self._crashes, pending).serve()
+        _Stream(
+            self._context, self._answers, self._crashes, self._running, pending
+        ).serve()
 
 
-class _Stream:
+class _Stream(RunningStream):
     """One stream, over all its runs."""
 
     def __init__(
@@ -102,10 +113,12 @@
         context: Context,
         answers: Answers,
         crashes: Crashes,
+        running: RunningStreams,
         pending: Pending,
     ) -> None:
         self._context = context
         self._crashes = crashes
+        self._running = running
         self._answers = answers
         self._pending = pending
         self._events = EventSequence(_whole(pending.caller.resume_after))
@@ -114,6 +127,21 @@
         self._avoid: set[str] = set()
         self._last_event_ms = 0
         self._tokens = max(1, _mean_tokens(pending.caller))
+        self._repairing = False
+        self._given_up = ""
+        self._events_of_run = False
+
+    @property
+    def path(self) -> Path:
+        """The path that it runs over."""
+        return self._path
+
+    @property
+    def event_ms(self) -> int:
+        """When its newest event came, or its first one was due."""
+        if self._events_of_run:
+            return self._last_event_ms
+        return self._last_event_ms + _FIRST_EVENT_MS
 
     def serve(self) -> None:
         pending = self._pending
@@ -177,9 +205,13 @@
         )
 
     def _may_run_again(self, result: RunResult) -> bool:
-        route = self._pending.admitted.route
         if result.end in (RunEnd.NOT_SENT, RunEnd.TURNED_AWAY):
             return True
+        return self._may_begin_anew()
+
+    def _may_begin_anew(self) -> bool:
+        """Returns whether one more run is allowed."""
+        route = self._pending.admitted.route
         return (
             route.resumable
             and self._pending.ran < route.max_attempts
@@ -190,12 +222,14 @@
 
     def _run(self, path: Path) -> RunResult:
         self._path = path
+        self._given_up = ""
         self._open_load()
         self._exchange = Exchange(path.first.address)
         self._context.fleet.enter(path.first.name)
         try:
             return self._send_and_read()
         finally:
+            self._running.remove(self)
             self._exchange.close()
             self._context.fleet.leave(path.first.name)
             self._close_load()
@@ -213,7 +247,9 @@
         if problem is not None:
             return self._on_broken(problem)
         self._events.begin_run()
+        self._events_of_run = False
         self._last_event_ms = self._now_ms()
+        self._running.add(self)
         head = self._read_head()
         if isinstance(head, RunResult):
             return head
@@ -267,6 +303,7 @@
                 if not reply.begun:
                     reply.begin(head.status, list(facts.headers))
                 reply.send_piece(b"".join(events))
+                self._events_of_run = True
                 self._last_event_ms = self._now_ms()
 
     def _read_failure(self, head: Head, facts: AnswerFacts) -> RunResult:
@@ -281,6 +318,8 @@
 
     def _on_broken(self, broken: Broken) -> RunResult:
         first = self._path.first
+        if self._given_up:
+            return RunResult(RunEnd.LOST, self._given_up)
         if not broken.sent:
             self._avoid_engine(first.name, broken.failure.value)
             return RunResult(RunEnd.NOT_SENT, broken.failure.value)
@@ -333,6 +372,8 @@
 
     def _on_stalled(self, address: tuple[str, int]) -> RunResult | None:
         """Replaces the part of the path where the run stands still."""
+        if self._repairing:
+            return None
         dead = [
             p.engine for p in self._path.parts if p.engine.address == address
         ]
@@ -341,9 +382,54 @@
             self._crashes.on_lost(self._pending, engine.name, engine.address)
         if not dead or dead[0].name == self._path.first.name:
             return RunResult(RunEnd.LOST, "stalled")
+        problem = self._replace(dead[0].name)
+        return RunResult(RunEnd.LOST, problem) if problem else None
+
+    def on_engine_lost(self, name: str, ended: bool) -> None:
+        """Goes on without an engine of its path.
+
+        Runs beside the greenlet that reads the stream. Where the path can't
+        be changed, that one is woken by the end of its connection, and a new
+        run begins after the last event passed on.
+        """
+        if self._path is None or name not in self._path.names:
+            return
+        self._avoid.add(name)
+        if ended:
+            self._crashes.on_ended(self._pending, name)
+        if name == self._path.first.name:
+            self._give_up_run("first engine is lost")
+        elif not self._repairing:
+            problem = self._replace(name)
+            if problem:
+                self._give_up_run(problem)
+
+    def _give_up_run(self, reason: str) -> None:
+        self._given_up = reason
+        self._exchange.close()
+
+    def _replace(self, name: str) -> str:
+        """Changes the path so that it avoids an engine.
+
+        Returns:
+            What went wrong; empty if the run goes on.
+        """
+        self._repairing = True
+        try:
+            return self._change_path(name)
+        finally:
+            self._repairing = False
+
+    def _change_path(self, name: str) -> str:
         path = self._choose_path(keep_first=True)
         if isinstance(path, NoPath):
-            return RunResult(RunEnd.LOST, "stalled, no other part")
+            return "part is lost, no other one"
+        if path.crosses and self._may_begin_anew():
+            # All that was read so far would have to cross, for every stream
+            # at once; a whole path elsewhere reads it again in a tenth of
+            # that time.
+            return "part is lost, the next one is far"
+        exchange = self._exchange
         outcome = self._context.dialect.change_path(
             path.first.address, self._pending.caller.id, path
         )
@@ -351,18 +437,21 @@
         self._context.log.write(
             "stream.path_changed",
             request=self._pending.caller.id,
-            lost=dead[0].name,
+            lost=name,
             path=path.names,
             outcome=outcome.value,
             events=self._events.count,
         )
+        if exchange is not self._exchange:
+            # The run ended meanwhile; its successor has its own path.
+            return ""
         if outcome not in (OrderOutcome.BEGUN, OrderOutcome.HOLDS):
-            return RunResult(RunEnd.LOST, "stalled, path not changed")
+            return "part is lost, path not changed"
         self._close_load()
         self._path = path
         self._open_load()
         self._last_event_ms = self._now_ms()
-        return None
+        return ""
 
     def _avoid_engine(self, name: str, reason: str) -> None:
         self._avoid.add(name)
