--- a/caroblug/core/placement/__init__.py
+++ b/caroblug/core/placement/__init__.py
@@ -2,7 +2,7 @@
 
 from caroblug.core.placement._load import EngineLoads
 from caroblug.core.placement._paths import NoPath, Path, PathPart, choose_path
-from caroblug.core.placement._planner import Move, plan_moves
+from caroblug.core.placement._planner import Move, covers, plan_moves
 from caroblug.core.placement._types import (
     Engine,
     EngineKind,
@@ -21,5 +21,6 @@
     "Path",
     "PathPart",
     "choose_path",
+    "covers",
     "plan_moves",
 ]
--- a/caroblug/core/placement/_planner.py
+++ b/caroblug/core/placement/_planner.py
@@ -30,8 +30,10 @@
 link and the wait for the engine's pass, from the mean time of streams over
 chains of 7 to 13 engines."""
 
-_GROWN_STREAMS = 24
-"""Requests for which an engine keeps room when it grows into a hole."""
+_GROWN_STREAMS = 40
+"""Requests for which an engine keeps room when it grows into a hole. With room
+for 24 a fast engine that had grown turned 280 requests away in half a minute:
+everybody's path leads over it."""
 
 _TIGHT_STREAMS = 6
 """The same where a hole has no other filler."""
@@ -44,10 +46,10 @@
     Attributes:
         engine: The engine as it was when the plan was made.
         target: Layers it is to hold.
-        urgent: Whether it brings a layer that hardly any engine holds, so
-            that nearly every request waits for it. Work that passes through
-            layers which are given up is then not waited for: it would take
-            as long as a stream, some five seconds.
+        urgent: Whether it brings a layer that no engine of its data centre
+            holds, so that all requests there go elsewhere. Work that passes
+            through layers which are given up is then not waited for: that
+            took 3 to 7 s, while the other data centres had no memory left.
     """
 
     engine: Engine
@@ -93,23 +95,38 @@
     for data_centre in sorted({e.data_centre for e in engines}):
         local = [s for s in seats if s.engine.data_centre == data_centre]
         _plan_data_centre(local, model)
-    scarce = _scarce_layers(engines, model)
+    missing = {
+        data_centre: _missing_layers(engines, data_centre, model)
+        for data_centre in {e.data_centre for e in engines}
+    }
     return [
-        Move(s.engine, s.target, any(layer in s.target for layer in scarce))
+        Move(s.engine, s.target, _brings(s, missing[s.engine.data_centre]))
         for s in seats
         if s.moved
     ]
 
 
-def _scarce_layers(engines: list[Engine], model: ModelShape) -> set[int]:
-    """Returns layers with fewer holders than half of the data centres."""
-    holders = [0] * model.layers
-    for engine in engines:
-        if not engine.loading:
-            for layer in range(engine.holds.first, engine.holds.end):
-                holders[layer] += 1
-    wanted = len({e.data_centre for e in engines}) / 2
-    return {layer for layer, count in enumerate(holders) if count < wanted}
+def _brings(seat: _Seat, layers: set[int]) -> bool:
+    return any(layer in seat.target for layer in layers)
+
+
+def covers(engines: list[Engine], model: ModelShape) -> bool:
+    """Returns whether engines hold every layer of a model between them."""
+    return all(
+        any(layer in e.holds for e in engines) for layer in range(model.layers)
+    )
+
+
+def _missing_layers(
+    engines: list[Engine], data_centre: str, model: ModelShape
+) -> set[int]:
+    """Returns the layers that no engine of a data centre holds."""
+    local = [e for e in engines if e.data_centre == data_centre]
+    return {
+        layer
+        for layer in range(model.layers)
+        if not any(layer in e.holds and not e.loading for e in local)
+    }
 
 
 def _by_speed(engine: Engine, model: ModelShape) -> tuple[float, str]:
--- a/caroblug/core/placement/tests/test_planner.py
+++ b/caroblug/core/placement/tests/test_planner.py
@@ -104,6 +104,23 @@
 def test_hole_without_free_engines_is_closed_by_its_neighbours():
     # Everybody is in use and one engine is lost. Its neighbours hold fewer
     # requests for a while instead of nobody holding those layers.
+    engines = [
+        make_engine("n1", BIG, first=0, end=14),
+        make_engine("n2", BIG, first=16, end=30),
+        make_engine("n3", BIG, first=30, end=46),
+        make_engine("n4", BIG, first=46, end=62),
+        make_engine("n5", BIG, first=62, end=80),
+    ]
+
+    moves = plan_moves(engines, MODEL)
+
+    assert covered(carry_out(engines, moves)) == set(range(MODEL.layers))
+    assert {m.engine.name for m in moves} == {"n1", "n2"}
+
+
+def test_full_engine_does_not_grow_while_its_neighbour_has_room():
+    # A fast engine on everybody's path took two more layers and kept room for
+    # 24 requests: it turned hundreds away while its neighbour had room.
     engines = [
         make_engine("n1", BIG, first=0, end=14),
         make_engine("n2", BIG, first=16, end=32),
@@ -114,8 +131,9 @@
 
     moves = plan_moves(engines, MODEL)
 
-    assert covered(carry_out(engines, moves)) == set(range(MODEL.layers))
-    assert {m.engine.name for m in moves} == {"n1", "n2"}
+    assert [(m.engine.name, m.target) for m in moves] == [
+        ("n1", LayerRange(0, 16))
+    ]
 
 
 def test_data_centre_with_room_for_two_chains_gets_two():
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -27,7 +27,11 @@
 _AVOID_MOST_MS = 2000
 _NO_ROOM_MS = 300
 """How long a full engine is not sent to: about a stream's share of the time
-in which thirty streams of two seconds make room for one."""
+in which thirty streams of two seconds make room for one. Doubled with each
+refusal in a row: each one counts against the repeats that all gateways share,
+and 26 gateways that ask again after 0.3 s spend them in seconds."""
+
+_NO_ROOM_MOST_MS = 1200
 
 _HEARD_KEPT_MS = 1500
 """A list that was read this much after an engine's own word on its layers goes
@@ -50,6 +54,7 @@
     avoid_until_ms: int = 0
     failed_since_ms: int = 0
     full_until_ms: int = 0
+    refusals: int = 0
     failures: int = 0
     ended: bool = False
     placed: LayerRange | None = None
@@ -141,7 +146,16 @@
         Guards against a list that can't be read: a backend server that
         leaves meanwhile turns each request away, and its layers look held.
         """
-        self._met[name].leaving_ms = now_ms
+        met = self._met[name]
+        met.leaving_ms = max(met.leaving_ms, now_ms)
+
+    def recently_leaving(self, now_ms: int) -> dict[str, int]:
+        """Returns backend servers found to leave, with the age in ms."""
+        return {
+            name: now_ms - met.leaving_ms
+            for name, met in self._met.items()
+            if met.leaving_ms >= 0 and now_ms - met.leaving_ms < _TELL_ON_MS
+        }
 
     def _is_leaving(self, backend: BackendServer) -> bool:
         if backend.leaving:
@@ -350,7 +364,16 @@
     def on_full(self, name: str, now_ms: int) -> None:
         """Notes that a backend server had no room."""
         met = self._met[name]
-        met.full_until_ms = max(met.full_until_ms, now_ms + _NO_ROOM_MS)
+        if met.full_until_ms > now_ms:
+            return
+        for_ms = min(_NO_ROOM_MOST_MS, _NO_ROOM_MS << min(met.refusals, 4))
+        met.refusals += 1
+        met.full_until_ms = now_ms + for_ms
+
+    def on_room(self, names: tuple[str, ...]) -> None:
+        """Notes that backend servers took a request."""
+        for name in names:
+            self._met[name].refusals = 0
 
     def on_answer(
         self, name: str, running: int | None, waiting: int, now_ms: int
--- a/caroblug/gateway/_liveness.py
+++ b/caroblug/gateway/_liveness.py
@@ -94,9 +94,8 @@
         sound = []
         for use in self._running.uses():
             name = use.engine.name
-            if name not in self._used_ms:
-                gevent.spawn(self._watch, use.engine)
-            self._used_ms[name] = now_ms
+            if name in self._used_ms or self._is_worth_a_watch(use):
+                self._keep_watch(use.engine, now_ms)
             if now_ms - use.event_ms < _silent_ms(use):
                 sound.append(use.engine)
             elif self._may_ask(name, now_ms):
@@ -105,6 +104,20 @@
             others = self._context.rng.sample(sound, min(len(sound), _CONTROLS))
             gevent.spawn(self._ask, silent, others)
 
+    def _is_worth_a_watch(self, use: EngineUse) -> bool:
+        """Returns whether an engine is watched by a connection of its own.
+
+        Engines of other data centres are used for some streams and a moment.
+        Watching them made half of all connections of 26 gateways.
+        """
+        home = self._context.settings.data_centre
+        return use.engine.data_centre == home or use.streams >= _MANY
+
+    def _keep_watch(self, engine: Engine, now_ms: int) -> None:
+        if engine.name not in self._used_ms:
+            gevent.spawn(self._watch, engine)
+        self._used_ms[engine.name] = now_ms
+
     def _may_ask(self, name: str, now_ms: int) -> bool:
         asked_ms = self._asked_ms.get(name, -_ASK_AGAIN_MS)
         if now_ms - asked_ms < _ASK_AGAIN_MS:
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -182,6 +182,7 @@
                 engine: [layers.first, layers.end, age_ms]
                 for engine, (layers, age_ms) in told.items()
             },
+            "leaving": context.fleet.recently_leaving(now_ms),
             "crashes": self._crashes.tell(),
             "tenure": self.tenure.value,
             "holder_age_ms": self._holder_age_ms(now_ms),
@@ -237,6 +238,7 @@
         self._on_loads(name, message["loads"])
         self._on_suspects(message["suspects"])
         self._on_told(message["told"])
+        self._on_leaving(message["leaving"])
         self._on_list_age(name, message)
         self._crashes.hear(message["crashes"])
         now_ms = self._context.clock.now_ms()
@@ -273,6 +275,16 @@
             layers = LayerRange(int(first), int(end))
             self._context.fleet.on_report(engine, layers, now_ms - int(age_ms))
 
+    def _on_leaving(self, leaving: dict) -> None:
+        """Takes which backend servers another gateway has found to leave.
+
+        Guards against a store that is away: each gateway would find out by
+        itself, a turned away request and a question at a time.
+        """
+        now_ms = self._context.clock.now_ms()
+        for name, age_ms in leaving.items():
+            self._context.fleet.on_leaving(str(name), now_ms - int(age_ms))
+
     def _on_loads(self, name: str, loads: dict) -> None:
         tokens = {str(key): float(value) for key, value in loads.items()}
         self._heard_ms[name] = self._context.clock.now_ms()
@@ -304,6 +316,10 @@
         me = self._context.settings.instance
         return me == min([me, *self._staying()])
 
+    def hear_holder(self) -> bool:
+        """Returns whether another gateway says that it holds the lease."""
+        return TenureState.HELD in self._tenures.values()
+
     def _staying(self) -> list[str]:
         """Returns the names of gateways that are heard and don't leave."""
         return [
--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -10,7 +10,7 @@
 import gevent
 
 from caroblug.core.access import Service
-from caroblug.core.placement import Engine, Move, plan_moves
+from caroblug.core.placement import Engine, Move, covers, plan_moves
 from caroblug.gateway._context import Context
 from caroblug.gateway._fleet import model_of
 from caroblug.gateway._interfaces import OrderOutcome, Registry, Unavailable
@@ -30,9 +30,11 @@
 """Time without a new engine after which a fleet that holds nothing is planned
 for: a heartbeat and some reads of the list."""
 
-_LOST_MS = 1500
-"""Time after which the layers of an engine that only fails are placed anew. A
-crash of some seconds brings it back empty, a pause brings it back whole."""
+_LOST_MS = 700
+"""Time after which the layers of an engine that only fails are placed anew: a
+second look, half a second after the first, has failed as well. A data centre
+without a whole chain sends every request to others; a load for an engine that
+comes back whole after all costs less."""
 
 _LOAD_SLACK_MS = 2500
 """Added to the time that a load should take before it is ordered again: others
@@ -58,6 +60,7 @@
         self._registry = registry
         self._peers = peers
         self._until_ms = -1
+        self._stays = False
         self._stopped = False
         self._listed = -1
         self._listed_ms = 0
@@ -78,14 +81,19 @@
 
         While the store is away every lease runs out, and after the death of
         a holder it takes seconds until the store names the next one; engines
-        go on failing meanwhile. The deputy isn't agreed upon, and two gateways
-        that can't hear each other may both act. That does no harm: each order
-        names the number of orders that the engine has begun, so the engine
-        itself takes the first and rejects the second.
+        go on failing meanwhile. So a holder whose renewal got no answer stays
+        until it hears of another one, and a deputy follows one that is gone.
+        Neither is agreed upon, and two gateways that can't hear each other may
+        both act. That does no harm: each order names the number of orders that
+        the engine has begun, so the engine itself takes the first and rejects
+        the second.
         """
         if self._stopped:
             return False
-        return self.holder or self._peers.is_deputy()
+        return self.holder or self._stays_on() or self._peers.is_deputy()
+
+    def _stays_on(self) -> bool:
+        return self._stays and not self._peers.hear_holder()
 
     def run_lease(self) -> None:
         """Renews the lease until stopped."""
@@ -108,7 +116,10 @@
         answered = not isinstance(tenure, Unavailable)
         if answered:
             self._until_ms = asked_ms + _LEASE_MS if tenure.holder else -1
+            self._stays = False
             self._context.fleet.loads.gateways = tenure.gateways
+        elif held:
+            self._stays = True
         self._peers.tenure = self._state()
         if held != self.holder:
             self._context.log.write("placement.lease", held=self.holder)
@@ -117,7 +128,8 @@
     def _state(self) -> TenureState:
         if self._stopped:
             return TenureState.LEAVING
-        return TenureState.HELD if self.holder else TenureState.NONE
+        held = self.holder or self._stays_on()
+        return TenureState.HELD if held else TenureState.NONE
 
     def run_plan(self) -> None:
         """Compares plan and fleet until stopped."""
@@ -154,12 +166,7 @@
     def _place(self, service: Service) -> None:
         context = self._context
         now_ms = context.clock.now_ms()
-        engines = [
-            e
-            for e in context.fleet.engines(service, now_ms)
-            if not context.fleet.has_ended(e.name)
-            and context.fleet.failed_for_ms(e.name, now_ms) < _LOST_MS
-        ]
+        engines = self._engines_to_count_on(service, now_ms)
         if self._settling(engines, now_ms):
             return
         moves = plan_moves(engines, model_of(service))
@@ -168,6 +175,25 @@
             jobs = [gevent.spawn(self._move, service, move) for move in batch]
             gevent.joinall(jobs)
 
+    def _engines_to_count_on(
+        self, service: Service, now_ms: int
+    ) -> list[Engine]:
+        """Returns the engines whose layers needn't be placed anew.
+
+        One that only fails is waited for, as long as every layer has another
+        holder. Where it has none, each request is refused meanwhile: loading
+        the layers elsewhere costs less, even if the engine comes back whole.
+        """
+        fleet = self._context.fleet
+        engines = [
+            e
+            for e in fleet.engines(service, now_ms)
+            if not fleet.has_ended(e.name)
+            and fleet.failed_for_ms(e.name, now_ms) < _LOST_MS
+        ]
+        sound = [e for e in engines if not fleet.is_failing(e.name)]
+        return engines if covers(sound, model_of(service)) else sound
+
     def _settling(self, engines: list[Engine], now_ms: int) -> bool:
         """Returns whether the first list is still growing.
 
@@ -214,6 +240,7 @@
         context.log.write(
             "placement.order",
             backend_server=engine.name,
+            data_centre=engine.data_centre,
             layers=[move.target.first, move.target.end],
             before=[engine.holds.first, engine.holds.end],
             orders=report.orders,
--- a/caroblug/gateway/_rechecks.py
+++ b/caroblug/gateway/_rechecks.py
@@ -6,8 +6,9 @@
 from caroblug.gateway._interfaces import BackendServer, Unavailable
 
 _EVERY_S = 0.1
-_OLD_LIST_MS = 2500
-"""Age of the list from which it is taken to be out of date: two reads."""
+_OLD_LIST_MS = 1800
+"""Age of the list from which it is taken to be out of date: the longest pause
+between two reads, and a failed one."""
 
 _ASK_AGAIN_MS = 1000
 """Shortest time between two looks at an engine that did not fail here."""
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -45,6 +45,18 @@
 """Pause after which a stream is continued elsewhere though nothing was found:
 callers leave after two seconds."""
 
+_FULL_USE = 1.2
+"""Use of the fullest engine of the best path above which a request is refused
+at once. Up to there it may find room, as answers end sooner than their callers
+allow; beyond, engines turned nearly all away, and each such send counted
+against the repeats that all gateways share."""
+
+_ROOM_USE = 0.7
+"""Use of the fullest engine of a path below which it has room for one more."""
+
+_PATH_TRIES = 2
+"""Other paths that a run is offered; each is a call, and the caller waits."""
+
 _MOST_SENDS = 5
 _MISDIRECTED_AVOID_MS = 1000
 _ERROR = 500
@@ -156,6 +168,9 @@
                     RunEnd.NO_PATH, f"no engine for layer {path.layer}"
                 )
                 break
+            if not pending.sends and path.use > _FULL_USE:
+                result = RunResult(RunEnd.NOT_SENT, "engines are full")
+                break
             if pending.sends and not self._context.may_repeat(
                 pending.admitted.service.name
             ):
@@ -194,12 +209,16 @@
 
     # Choosing and trying again.
 
-    def _choose_path(self, keep_first: bool = False) -> Path | NoPath:
+    def _choose_path(
+        self,
+        keep_first: bool = False,
+        refused: frozenset[str] = frozenset(),
+    ) -> Path | NoPath:
         pending = self._pending
         return self._context.fleet.choose_engines(
             pending.admitted.service,
             self._now_ms(),
-            frozenset(self._avoid),
+            frozenset(self._avoid) | refused,
             frozenset() if keep_first else frozenset(pending.tried),
             self._path.parts[0] if keep_first else None,
         )
@@ -260,6 +279,7 @@
         if facts.request_id != pending.caller.id or not facts.genuine:
             return RunResult(RunEnd.LOST, f"unproved answer {head.status}")
         self._context.fleet.on_answer(first, None, 0, self._now_ms())
+        self._context.fleet.on_room(self._path.names)
         if head.status != 200:
             return self._read_failure(head, facts)
         return self._read_events(head, facts)
@@ -366,10 +386,20 @@
         for request_id, address in report.stalled:
             if request_id == self._pending.caller.id:
                 return self._on_stalled(address)
-        if paused_ms < _PAUSE_MOST_MS:
+        if paused_ms < _PAUSE_MOST_MS or not self._is_better_elsewhere():
             return None
         return RunResult(RunEnd.LOST, f"no event for {paused_ms} ms")
 
+    def _is_better_elsewhere(self) -> bool:
+        """Returns whether a run that waits would go on sooner elsewhere.
+
+        Guards against giving up what waits for memory where all memory is
+        taken: the new run reads the whole prompt again, is the first to be
+        put back, and uses up a repeat that another stream needs.
+        """
+        path = self._choose_path()
+        return isinstance(path, Path) and path.use < _ROOM_USE
+
     def _on_stalled(self, address: tuple[str, int]) -> RunResult | None:
         """Replaces the part of the path where the run stands still."""
         if self._repairing:
@@ -378,7 +408,9 @@
             p.engine for p in self._path.parts if p.engine.address == address
         ]
         for engine in dead:
-            self._avoid_engine(engine.name, "named as stalled")
+            # It may be dead or have given up its layers: its report tells.
+            self._avoid.add(engine.name)
+            self._context.ask_about.add(engine.name)
             self._crashes.on_lost(self._pending, engine.name, engine.address)
         if not dead or dead[0].name == self._path.first.name:
             return RunResult(RunEnd.LOST, "stalled")
@@ -421,15 +453,34 @@
             self._repairing = False
 
     def _change_path(self, name: str) -> str:
-        path = self._choose_path(keep_first=True)
-        if isinstance(path, NoPath):
-            return "part is lost, no other one"
-        if path.crosses and self._may_begin_anew():
-            # All that was read so far would have to cross, for every stream
-            # at once; a whole path elsewhere reads it again in a tenth of
-            # that time.
-            return "part is lost, the next one is far"
         exchange = self._exchange
+        refused: frozenset[str] = frozenset()
+        for _ in range(_PATH_TRIES):
+            path = self._choose_path(keep_first=True, refused=refused)
+            if isinstance(path, NoPath):
+                return "part is lost, no other one"
+            if path.crosses and self._may_begin_anew():
+                # All that was read so far would have to cross, for every
+                # stream at once; a whole path elsewhere reads it again in a
+                # tenth of that time.
+                return "part is lost, the next one is far"
+            outcome = self._order_path(name, path)
+            if exchange is not self._exchange:
+                # The run ended meanwhile; its successor has its own path.
+                return ""
+            if outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS):
+                self._close_load()
+                self._path = path
+                self._open_load()
+                self._last_event_ms = self._now_ms()
+                return ""
+            if outcome is not OrderOutcome.CONFLICT:
+                break
+            # A part that is new on the path is gone or has no room.
+            refused |= frozenset(path.names) - frozenset(self._path.names)
+        return "part is lost, path not changed"
+
+    def _order_path(self, lost: str, path: Path) -> OrderOutcome:
         outcome = self._context.dialect.change_path(
             path.first.address, self._pending.caller.id, path
         )
@@ -437,21 +488,12 @@
         self._context.log.write(
             "stream.path_changed",
             request=self._pending.caller.id,
-            lost=name,
+            lost=lost,
             path=path.names,
             outcome=outcome.value,
             events=self._events.count,
         )
-        if exchange is not self._exchange:
-            # The run ended meanwhile; its successor has its own path.
-            return ""
-        if outcome not in (OrderOutcome.BEGUN, OrderOutcome.HOLDS):
-            return "part is lost, path not changed"
-        self._close_load()
-        self._path = path
-        self._open_load()
-        self._last_event_ms = self._now_ms()
-        return ""
+        return outcome
 
     def _avoid_engine(self, name: str, reason: str) -> None:
         self._avoid.add(name)
@@ -473,6 +515,7 @@
             outcome=result.end.value,
             reason=result.reason,
             path=self._path.names,
+            use=round(self._path.use, 2),
             events=self._events.count,
         )
 
--- a/caroblug/gateway/tests/test_fleet.py
+++ b/caroblug/gateway/tests/test_fleet.py
@@ -147,3 +147,28 @@
     assert fleet.choose_backend(DESK, set(), 10).name == "d2"
     assert fleet.choose_backend(DESK, {"d2"}, 10).name == "d1"
     assert fleet.choose_backend(DESK, {"d1", "d2"}, 10) is None
+
+
+def test_engine_that_goes_on_refusing_is_asked_less_often():
+    # An engine on every path is out of memory. 26 gateways ask it again each
+    # 0.3 s, every refusal counts as a repeat, and after seconds no stream may
+    # be repeated any more: 950 requests failed for that alone.
+    fleet = make_fleet(make_engine("x", 0, 80))
+    asked = 0
+    for now_ms in range(0, 6000, 50):
+        if not fleet.avoided("x", now_ms):
+            fleet.on_full("x", now_ms)
+            asked += 1
+
+    assert asked <= 7
+
+
+def test_engine_that_has_room_again_is_asked_at_once_after_the_next_refusal():
+    fleet = make_fleet(make_engine("x", 0, 80))
+    fleet.on_full("x", 0)
+    fleet.on_full("x", 400)
+    fleet.on_room(("x",))
+    fleet.on_full("x", 2000)
+
+    assert fleet.avoided("x", 2200)
+    assert not fleet.avoided("x", 2400)
--- a/caroblug/gateway/tests/test_liveness.py
+++ b/caroblug/gateway/tests/test_liveness.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import attrs
 import gevent
 import pytest
 
@@ -169,6 +170,25 @@
     assert set(site.asked) == {"x", "y", "z"}
 
 
+def test_engines_far_away_are_watched_only_for_many_streams():
+    # Watching every engine that a stream passes cost 37,000 connections on
+    # one day of 26 gateways, for 5,700 requests.
+    streams = [FakeStream(100_000, "x") for _ in range(3)]
+    site = Site(*streams)
+    watched = []
+    site.liveness._watch = lambda engine: watched.append(engine.name)
+    site.context.settings = attrs.evolve(
+        site.context.settings, data_centre="elsewhere"
+    )
+
+    site.look()
+    assert watched == []
+
+    site.running.add(FakeStream(100_000, "x"))
+    site.look()
+    assert watched == ["x"]
+
+
 def test_questions_to_one_engine_keep_a_distance():
     site = Site(*[FakeStream(100_000, "x") for _ in range(5)])
 
--- a/caroblug/gateway/tests/test_peers.py
+++ b/caroblug/gateway/tests/test_peers.py
@@ -2,7 +2,12 @@
 
 from caroblug.gateway._interfaces import Member
 from caroblug.gateway._peers import TenureState
-from caroblug.gateway.tests.test_placement import make_placement, tell
+from caroblug.gateway.tests.test_fleet import make_engine
+from caroblug.gateway.tests.test_placement import (
+    make_placement,
+    tell,
+    with_engines,
+)
 
 
 def make_peers(near: int, far: int, heard: bool = True):
@@ -44,3 +49,24 @@
     peers = make_peers(near=5, far=20, heard=False)
 
     assert len(peers._partners()) == 4
+
+
+def test_word_of_a_leaving_engine_is_believed_until_a_newer_list():
+    # The store is away while engines are drained. Each of 26 gateways found
+    # out by itself, with a request that was turned away and a question.
+    context, _, peers, _ = make_placement("g0")
+    with_engines(context, make_engine("x", 0, 40), make_engine("y", 0, 40))
+    context.clock.advance(3000)
+
+    tell(peers, "g1", TenureState.NONE, leaving={"x": 200})
+
+    assert [b.name for b in context.fleet.backends("pool")] == ["y"]
+
+
+def test_old_word_of_a_leaving_engine_loses_to_the_list():
+    context, _, peers, _ = make_placement("g0")
+    with_engines(context, make_engine("x", 0, 40))
+
+    tell(peers, "g1", TenureState.NONE, leaving={"x": 3000})
+
+    assert [b.name for b in context.fleet.backends("pool")] == ["x"]
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -23,7 +23,14 @@
         context.dialect.add(engine.address, engine.holds)
 
 
-def tell(peers, name, tenure, holder_age_ms=100_000, data_centre="a"):
+def tell(
+    peers,
+    name,
+    tenure,
+    holder_age_ms=100_000,
+    data_centre="a",
+    leaving=None,
+):
     """Lets a gateway hear of another one."""
     message = {
         "data_centre": data_centre,
@@ -31,6 +38,7 @@
         "suspects": [],
         "crashes": [],
         "told": {},
+        "leaving": leaving or {},
         "list_age_ms": 1_000_000,
         "list_digest": "",
         "list_end": 0,
@@ -40,6 +48,10 @@
     peers._take_news(name, message)
 
 
+def layers_of(layers):
+    return range(layers.first, layers.end)
+
+
 def test_lease_counts_from_before_it_was_asked_for():
     # The holder is suspended while the answer to its renewal is on its way.
     # When it wakes its time is over, and another gateway may be placing.
@@ -187,6 +199,84 @@
     assert placement.acting
 
 
+def test_layers_that_only_a_silent_engine_holds_are_not_waited_for():
+    # An engine without power was the last one to hold some layers. Each
+    # request is refused while the plan waits whether it comes back whole:
+    # 1.5 s, and as long again until another one has loaded them.
+    context, _, _, placement = make_placement()
+    with_engines(
+        context,
+        make_engine("x", 0, 16),
+        make_engine("y", 16, 32),
+        make_engine("z", 32, 48),
+        make_engine("v", 48, 64),
+        make_engine("w", 64, 80),
+        make_engine("spare", 0, 16),
+    )
+    placement.renew()
+    context.fleet.avoid("y", context.clock.now_ms())
+
+    placement.plan_once()
+
+    orders = {
+        address: layers for address, layers, _, _ in context.dialect.orders
+    }
+    placed = [
+        layer for layers in orders.values() for layer in layers_of(layers)
+    ]
+    assert set(range(16, 32)) <= set(placed)
+
+
+def test_silent_engine_whose_layers_others_hold_is_waited_for():
+    context, _, _, placement = make_placement()
+    with_engines(
+        context,
+        *(
+            make_engine(f"{n}{i}", i * 16, i * 16 + 16)
+            for n in "xy"
+            for i in range(5)
+        ),
+    )
+    placement.renew()
+    context.fleet.avoid("y1", context.clock.now_ms())
+
+    placement.plan_once()
+
+    assert context.dialect.orders == []
+
+
+def test_holder_stays_while_the_store_answers_nobody():
+    # The store refuses everybody for eight seconds while engines crash and
+    # leave. The holder's lease runs out, and for three seconds nobody places
+    # layers: each gateway waits for word of a holder.
+    clock = ManualClock(100_000)
+    _, registry, peers, placement = make_placement("g5", clock)
+    tell(peers, "g1", TenureState.NONE)
+    placement.renew()
+    registry.tenure = Unavailable("busy")
+    for _ in range(10):
+        clock.advance(800)
+        placement.renew()
+        assert placement.acting
+        assert peers.tenure is TenureState.HELD
+
+
+def test_holder_that_stays_gives_way_to_the_next_one():
+    # Only this gateway is cut off from the store, which has named another
+    # holder meanwhile.
+    clock = ManualClock(100_000)
+    _, registry, peers, placement = make_placement("g5", clock)
+    tell(peers, "g1", TenureState.NONE)
+    placement.renew()
+    registry.tenure = Unavailable("silent")
+    clock.advance(800)
+    placement.renew()
+    clock.advance(2000)
+    tell(peers, "g1", TenureState.HELD, 0)
+
+    assert not placement.acting
+
+
 def test_stopped_gateway_neither_holds_nor_deputises():
     clock = ManualClock(100_000)
     _, registry, _, placement = make_placement(clock=clock)
