--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: setup demo test lint soak bench gen
+.PHONY: setup demo test lint soak soak-sides bench gen
 
 setup: $(VENV)/.ready
 
@@ -24,7 +24,12 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 
+# Gateways before engines that pass tokens on.
 soak: setup
+	$(PY) platform/soak --seed $(SEED) --seconds $(SECONDS)
+
+# Entries and side processes.
+soak-sides: setup
 	$(PY) -m standins.soak --seed $(SEED) --seconds $(SECONDS)
 
 bench: setup
