--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -33,6 +33,10 @@
 
 _NO_ROOM_MOST_MS = 1200
 
+_PACE_KEPT_MS = 2000
+"""How long a slow engine is priced as such before it is asked again; streams
+avoid it, so that nothing else would show that it has recovered."""
+
 _HEARD_KEPT_MS = 1500
 """A list that was read this much after an engine's own word on its layers goes
 before it: a heartbeat, and what the list lags behind."""
@@ -53,6 +57,8 @@
     told_ms: int = -1_000_000
     avoid_until_ms: int = 0
     failed_since_ms: int = 0
+    pace: float = 1.0
+    pace_until_ms: int = 0
     full_until_ms: int = 0
     refusals: int = 0
     failures: int = 0
@@ -207,7 +213,7 @@
             after: First part that is kept.
         """
         engines = [
-            e
+            self._priced(e)
             for e in self.engines(service, now_ms)
             if e.name not in avoid
             and not self._met[e.name].failures
@@ -298,6 +304,41 @@
             return False
         return self._listed_ms < met.told_holds_ms + _HEARD_KEPT_MS
 
+    def on_pace(self, name: str, pace: float, now_ms: int) -> bool:
+        """Takes how many times slower than its kind an engine says it is.
+
+        Returns:
+            Whether that is news.
+        """
+        met = self._met[name]
+        news = met.pace != pace
+        met.pace = pace
+        met.pace_until_ms = now_ms + _PACE_KEPT_MS
+        return news
+
+    def slow_until(self, now_ms: int) -> list[str]:
+        """Returns slow engines that are due to be asked again."""
+        due = [
+            name
+            for name, met in self._met.items()
+            if met.pace > 1.0 and met.pace_until_ms <= now_ms
+        ]
+        for name in due:
+            self._met[name].pace_until_ms = now_ms + _PACE_KEPT_MS
+        return due
+
+    def _priced(self, engine: Engine) -> Engine:
+        """Returns an engine with the slowness that it told."""
+        pace = self._met[engine.name].pace
+        if pace <= 1.0:
+            return engine
+        kind = attrs.evolve(
+            engine.kind,
+            step_pace=engine.kind.step_pace * pace,
+            read_pace=engine.kind.read_pace * pace,
+        )
+        return attrs.evolve(engine, kind=kind)
+
     def on_loaded(self, name: str) -> None:
         """Notes that an engine holds the layers that it was ordered to."""
         self._met[name].placed = None
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -30,6 +30,7 @@
 from caroblug.gateway._rechecks import Rechecks
 from caroblug.gateway._running import RunningStreams
 from caroblug.gateway._settings import GatewaySettings, SettingsProblem
+from caroblug.gateway._slowness import Slowness
 from caroblug.gateway._streams import Streams
 from caroblug.gateway._tallies import Tallies
 from caroblug.gateway._watches import Watches
@@ -85,6 +86,7 @@
         self._calls = Calls(context, self._crashes)
         self._running = RunningStreams(context)
         self._liveness = Liveness(context, self._running)
+        self._slowness = Slowness(context, self._running)
         self._streams = Streams(context, self._crashes, self._running)
         self._leaving = event.Event()
         self._settings_problem = ""
@@ -126,6 +128,7 @@
             self._peers.run_exchange,
             self._rechecks.run,
             self._liveness.run,
+            self._slowness.run,
             self._follow_settings,
         ):
             gevent.spawn(loop)
--- a/caroblug/gateway/_interfaces.py
+++ b/caroblug/gateway/_interfaces.py
@@ -262,6 +262,7 @@
         pace: Over 1 if it is slower than its kind.
         kind: Kind of accelerator.
         started_ms: When it started; 0 if it does not say.
+        waiting: Requests that wait for a place.
     """
 
     holds: LayerRange | None
@@ -271,6 +272,7 @@
     pace: float
     kind: str
     started_ms: int
+    waiting: int = 0
 
 
 class OrderOutcome(enum.Enum):
--- a/caroblug/gateway/_running.py
+++ b/caroblug/gateway/_running.py
@@ -22,6 +22,11 @@
     def event_ms(self) -> int:
         """When its newest event came, or its first one was due."""
 
+    @property
+    @abc.abstractmethod
+    def gap_ms(self) -> float:
+        """Mean time between its latest events; 0 before it is known."""
+
     @abc.abstractmethod
     def on_engine_lost(self, name: str, ended: bool) -> None:
         """Goes on without an engine of its path.
@@ -40,11 +45,14 @@
         engine: The engine.
         streams: How many there are.
         event_ms: When the newest event of any of them came.
+        gap_ms: Shortest mean time between events of any of them; 0 if none
+            is known.
     """
 
     engine: Engine
     streams: int = 0
     event_ms: int = 0
+    gap_ms: float = 0.0
 
 
 class RunningStreams:
@@ -71,6 +79,7 @@
         uses: dict[str, EngineUse] = {}
         for stream in self._streams:
             event_ms = stream.event_ms
+            gap_ms = stream.gap_ms
             for part in stream.path.parts:
                 name = part.engine.name
                 use = uses.get(name)
@@ -78,6 +87,8 @@
                     use = uses[name] = EngineUse(part.engine)
                 use.streams += 1
                 use.event_ms = max(use.event_ms, event_ms)
+                if gap_ms and (not use.gap_ms or gap_ms < use.gap_ms):
+                    use.gap_ms = gap_ms
         return list(uses.values())
 
     def on_engine_lost(self, engine: Engine, ended: bool) -> None:
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -29,9 +29,10 @@
 from caroblug.gateway._pending import NO_ENGINES_MS, Answers, Pending
 from caroblug.gateway._running import RunningStream, RunningStreams
 
-_HEAD_LOOK_S = 0.7
-"""Wait for a first event after which a run is looked into: the objective of
-the users' streams is half a second, and a sound run takes a tenth of that."""
+_HEAD_LOOK_S = 0.35
+"""Wait for a first event after which a run is looked into: a sound run takes a
+seventh of that, and a second one still brings its first event within the half
+second that is the objective of the users' streams."""
 
 _FIRST_EVENT_MS = 150
 """Time in which a sound run brings its first event, prompt and queue included;
@@ -45,15 +46,14 @@
 """Pause after which a stream is continued elsewhere though nothing was found:
 callers leave after two seconds."""
 
-_FULL_USE = 1.2
-"""Use of the fullest engine of the best path above which a request is refused
-at once. Up to there it may find room, as answers end sooner than their callers
-allow; beyond, engines turned nearly all away, and each such send counted
-against the repeats that all gateways share."""
-
 _ROOM_USE = 0.7
 """Use of the fullest engine of a path below which it has room for one more."""
 
+_GAP_WEIGHT = 0.2
+_GAP_EVENTS = 12
+"""Events of a run after which its mean gap is told: by then it counts for nine
+tenths of what is told."""
+
 _PATH_TRIES = 2
 """Other paths that a run is offered; each is a call, and the caller waits."""
 
@@ -141,7 +141,8 @@
         self._tokens = max(1, _mean_tokens(pending.caller))
         self._repairing = False
         self._given_up = ""
-        self._events_of_run = False
+        self._events_of_run = 0
+        self._gap_ms = 0.0
 
     @property
     def path(self) -> Path:
@@ -168,9 +169,6 @@
                     RunEnd.NO_PATH, f"no engine for layer {path.layer}"
                 )
                 break
-            if not pending.sends and path.use > _FULL_USE:
-                result = RunResult(RunEnd.NOT_SENT, "engines are full")
-                break
             if pending.sends and not self._context.may_repeat(
                 pending.admitted.service.name
             ):
@@ -266,7 +264,7 @@
         if problem is not None:
             return self._on_broken(problem)
         self._events.begin_run()
-        self._events_of_run = False
+        self._events_of_run = 0
         self._last_event_ms = self._now_ms()
         self._running.add(self)
         head = self._read_head()
@@ -323,8 +321,15 @@
                 if not reply.begun:
                     reply.begin(head.status, list(facts.headers))
                 reply.send_piece(b"".join(events))
-                self._events_of_run = True
-                self._last_event_ms = self._now_ms()
+                self._on_events(len(events))
+
+    def _on_events(self, count: int) -> None:
+        now_ms = self._now_ms()
+        if self._events_of_run:
+            gap_ms = (now_ms - self._last_event_ms) / count
+            self._gap_ms += (gap_ms - self._gap_ms) * _GAP_WEIGHT
+        self._events_of_run += count
+        self._last_event_ms = now_ms
 
     def _read_failure(self, head: Head, facts: AnswerFacts) -> RunResult:
         body = self._exchange.read_body(self._left_ms() / 1000)
@@ -372,7 +377,12 @@
         return RunResult(RunEnd.TURNED_AWAY, f"{reason} by {name}")
 
     def _on_quiet(self, look_s: float) -> RunResult | None:
-        """Looks into a run that has paused; returns how it ends, if it does."""
+        """Looks into a run that has paused; returns how it ends, if it does.
+
+        Where nothing waits for a place at the first engine, a run without any
+        event has begun there and its answer was lost on the way; it isn't
+        waited for as long as one that has paused.
+        """
         if self._left_ms() <= 0:
             return RunResult(RunEnd.OUT_OF_TIME, "no time left")
         paused_ms = self._now_ms() - self._last_event_ms
@@ -386,7 +396,10 @@
         for request_id, address in report.stalled:
             if request_id == self._pending.caller.id:
                 return self._on_stalled(address)
-        if paused_ms < _PAUSE_MOST_MS or not self._is_better_elsewhere():
+        lost = not self._events_of_run and not report.waiting
+        if paused_ms < _PAUSE_MOST_MS and not lost:
+            return None
+        if not self._is_better_elsewhere():
             return None
         return RunResult(RunEnd.LOST, f"no event for {paused_ms} ms")
 
@@ -417,6 +430,11 @@
         problem = self._replace(dead[0].name)
         return RunResult(RunEnd.LOST, problem) if problem else None
 
+    @property
+    def gap_ms(self) -> float:
+        """Mean time between its latest events; 0 before it is known."""
+        return self._gap_ms if self._events_of_run >= _GAP_EVENTS else 0.0
+
     def on_engine_lost(self, name: str, ended: bool) -> None:
         """Goes on without an engine of its path.
 
--- a/caroblug/gateway/tests/test_liveness.py
+++ b/caroblug/gateway/tests/test_liveness.py
@@ -40,6 +40,10 @@
     def event_ms(self):
         return self._event_ms
 
+    @property
+    def gap_ms(self):
+        return 30.0
+
     def on_engine_lost(self, name, ended):
         self.lost.append((name, ended))
 
