One place for spacing questions, for how runs end and for the pace of events

_liveness, _slowness and _rechecks each kept the time of their last question; Spacing does, and forgets names of the past. The soak stands with the tests of platform/, whose adapter stays small. Behaviour is as before.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 
 # Gateways before engines that pass tokens on.
 soak: setup
-	$(PY) platform/soak --seed $(SEED) --seconds $(SECONDS)
+	$(PY) platform/tests/soak --seed $(SEED) --seconds $(SECONDS)
 
 # Entries and side processes.
 soak-sides: setup
--- a/caroblug/gateway/_events.py
+++ b/caroblug/gateway/_events.py
@@ -96,3 +96,38 @@
         self._count += 1
         passed.append(event)
         return None
+
+
+_GAP_WEIGHT = 0.2
+_GAP_EVENTS = 12
+"""Events of a run after which its mean gap is told: by then it counts for nine
+tenths of what is told."""
+
+
+class EventPace:
+    """Time between the events of one run."""
+
+    def __init__(self) -> None:
+        self._events = 0
+        self._gap_ms = 0.0
+
+    @property
+    def events(self) -> int:
+        """Events of the run so far."""
+        return self._events
+
+    @property
+    def gap_ms(self) -> float:
+        """Mean time between the latest events; 0 before it is known."""
+        return self._gap_ms if self._events >= _GAP_EVENTS else 0.0
+
+    def add(self, events: int, after_ms: int) -> None:
+        """Takes events that came together.
+
+        Args:
+            events: How many.
+            after_ms: Time since the ones before, or since the run began.
+        """
+        if self._events:
+            self._gap_ms += (after_ms / events - self._gap_ms) * _GAP_WEIGHT
+        self._events += events
--- a/caroblug/gateway/_liveness.py
+++ b/caroblug/gateway/_liveness.py
@@ -20,6 +20,7 @@
 from caroblug.gateway._http_client import Exchange
 from caroblug.gateway._outcomes import Failure
 from caroblug.gateway._running import EngineUse, RunningStreams
+from caroblug.gateway._spacing import Spacing
 
 _CONNECT_S = 0.25
 _LOOK_S = 1.0
@@ -79,7 +80,7 @@
         self._running = running
         self._connect = connect
         self._used_ms: dict[str, int] = {}
-        self._asked_ms: dict[str, int] = {}
+        self._asked = Spacing(_ASK_AGAIN_MS)
 
     def run(self) -> None:
         """Looks after running streams until the process ends."""
@@ -98,7 +99,7 @@
                 self._keep_watch(use.engine, now_ms)
             if now_ms - use.event_ms < _silent_ms(use):
                 sound.append(use.engine)
-            elif self._may_ask(name, now_ms):
+            elif self._asked.allows(name, now_ms):
                 silent.append(use.engine)
         if silent:
             others = self._context.rng.sample(sound, min(len(sound), _CONTROLS))
@@ -118,13 +119,6 @@
             gevent.spawn(self._watch, engine)
         self._used_ms[engine.name] = now_ms
 
-    def _may_ask(self, name: str, now_ms: int) -> bool:
-        asked_ms = self._asked_ms.get(name, -_ASK_AGAIN_MS)
-        if now_ms - asked_ms < _ASK_AGAIN_MS:
-            return False
-        self._asked_ms[name] = now_ms
-        return True
-
     def _watch(self, engine: Engine) -> None:
         """Keeps a connection to an engine for as long as it is in use."""
         while self._in_use(engine):
--- a/caroblug/gateway/_rechecks.py
+++ b/caroblug/gateway/_rechecks.py
@@ -4,6 +4,7 @@
 
 from caroblug.gateway._context import Context
 from caroblug.gateway._interfaces import BackendServer, Unavailable
+from caroblug.gateway._spacing import Spacing
 
 _EVERY_S = 0.1
 _OLD_LIST_MS = 1800
@@ -27,7 +28,7 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        self._asked_ms: dict[str, int] = {}
+        self._asked = Spacing(_ASK_AGAIN_MS)
         self._asking: set[str] = set()
 
     def run(self) -> None:
@@ -48,9 +49,7 @@
             backend = fleet.listing.backends.get(name)
             if backend is None or backend.holds is None:
                 continue
-            due_ms = self._asked_ms.get(name, -_ASK_AGAIN_MS) + _ASK_AGAIN_MS
-            if now_ms >= due_ms:
-                self._asked_ms[name] = now_ms
+            if self._asked.allows(name, now_ms):
                 self.ask(backend)
 
     def ask(self, backend: BackendServer) -> None:
--- a/caroblug/gateway/_slowness.py
+++ b/caroblug/gateway/_slowness.py
@@ -8,10 +8,10 @@
 
 import gevent
 
-from caroblug.core.placement import Engine
 from caroblug.gateway._context import Context
 from caroblug.gateway._interfaces import Unavailable
 from caroblug.gateway._running import EngineUse, RunningStreams
+from caroblug.gateway._spacing import Spacing
 
 _LOOK_S = 0.25
 _SUSPICIOUS = 1.5
@@ -45,7 +45,7 @@
         self._context = context
         self._running = running
         self._usual_ms = 0.0
-        self._asked_ms: dict[str, int] = {}
+        self._asked = Spacing(_ASK_AGAIN_MS)
 
     def run(self) -> None:
         """Looks after running streams until the process ends."""
@@ -66,7 +66,9 @@
         least_ms = min(use.gap_ms for use in uses)
         self._learn(least_ms)
         for use in uses:
-            if self._is_suspicious(use) and self._may_ask(use.engine, now_ms):
+            if self._is_suspicious(use) and self._asked.allows(
+                use.engine.name, now_ms
+            ):
                 gevent.spawn(self._ask, use.engine.name, use.engine.address)
 
     def _learn(self, gap_ms: float) -> None:
@@ -80,13 +82,6 @@
     def _is_suspicious(self, use: EngineUse) -> bool:
         return use.gap_ms > self._usual_ms * _SUSPICIOUS
 
-    def _may_ask(self, engine: Engine, now_ms: int) -> bool:
-        asked_ms = self._asked_ms.get(engine.name, -_ASK_AGAIN_MS)
-        if now_ms - asked_ms < _ASK_AGAIN_MS:
-            return False
-        self._asked_ms[engine.name] = now_ms
-        return True
-
     def _ask(self, name: str, address: tuple[str, int]) -> None:
         context = self._context
         report = context.dialect.read_report(address)
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -7,15 +7,17 @@
 the last event passed on.
 """
 
-import enum
-
 import attrs
 
 from caroblug.core.placement import NoPath, Path
 from caroblug.gateway._calls import CONNECT_S
 from caroblug.gateway._context import Context
 from caroblug.gateway._crashes import Crashes
-from caroblug.gateway._events import EventSequence, Misordered
+from caroblug.gateway._events import (
+    EventPace,
+    EventSequence,
+    Misordered,
+)
 from caroblug.gateway._http_client import Exchange
 from caroblug.gateway._interfaces import (
     AnswerFacts,
@@ -28,6 +30,7 @@
 from caroblug.gateway._outcomes import Broken, End, Failure, Head, Quiet
 from caroblug.gateway._pending import NO_ENGINES_MS, Answers, Pending
 from caroblug.gateway._running import RunningStream, RunningStreams
+from caroblug.gateway._runs import RunEnd, RunResult
 
 _HEAD_LOOK_S = 0.35
 """Wait for a first event after which a run is looked into: a sound run takes a
@@ -49,11 +52,6 @@
 _ROOM_USE = 0.7
 """Use of the fullest engine of a path below which it has room for one more."""
 
-_GAP_WEIGHT = 0.2
-_GAP_EVENTS = 12
-"""Events of a run after which its mean gap is told: by then it counts for nine
-tenths of what is told."""
-
 _PATH_TRIES = 2
 """Other paths that a run is offered; each is a call, and the caller waits."""
 
@@ -62,37 +60,6 @@
 _ERROR = 500
 
 
-class RunEnd(enum.Enum):
-    """How a run ended."""
-
-    WHOLE = "whole"
-    NOT_SENT = "not_sent"
-    NO_PATH = "no_path"
-    TURNED_AWAY = "turned_away"
-    ANSWERED = "answered"
-    LOST = "lost"
-    OUT_OF_TIME = "out_of_time"
-
-
-@attrs.frozen
-class RunResult:
-    """How a run ended, and what was seen.
-
-    Attributes:
-        end: How it ended.
-        reason: What was seen, for the log.
-        head: The head of an answer that is no stream.
-        facts: What that head says.
-        body: Its body.
-    """
-
-    end: RunEnd
-    reason: str = ""
-    head: Head | None = None
-    facts: AnswerFacts | None = None
-    body: bytes = b""
-
-
 class Streams:
     """Answers streaming requests.
 
@@ -141,8 +108,7 @@
         self._tokens = max(1, _mean_tokens(pending.caller))
         self._repairing = False
         self._given_up = ""
-        self._events_of_run = 0
-        self._gap_ms = 0.0
+        self._pace = EventPace()
 
     @property
     def path(self) -> Path:
@@ -152,7 +118,7 @@
     @property
     def event_ms(self) -> int:
         """When its newest event came, or its first one was due."""
-        if self._events_of_run:
+        if self._pace.events:
             return self._last_event_ms
         return self._last_event_ms + _FIRST_EVENT_MS
 
@@ -264,7 +230,7 @@
         if problem is not None:
             return self._on_broken(problem)
         self._events.begin_run()
-        self._events_of_run = 0
+        self._pace = EventPace()
         self._last_event_ms = self._now_ms()
         self._running.add(self)
         head = self._read_head()
@@ -321,15 +287,9 @@
                 if not reply.begun:
                     reply.begin(head.status, list(facts.headers))
                 reply.send_piece(b"".join(events))
-                self._on_events(len(events))
-
-    def _on_events(self, count: int) -> None:
-        now_ms = self._now_ms()
-        if self._events_of_run:
-            gap_ms = (now_ms - self._last_event_ms) / count
-            self._gap_ms += (gap_ms - self._gap_ms) * _GAP_WEIGHT
-        self._events_of_run += count
-        self._last_event_ms = now_ms
+                now_ms = self._now_ms()
+                self._pace.add(len(events), now_ms - self._last_event_ms)
+                self._last_event_ms = now_ms
 
     def _read_failure(self, head: Head, facts: AnswerFacts) -> RunResult:
         body = self._exchange.read_body(self._left_ms() / 1000)
@@ -396,7 +356,7 @@
         for request_id, address in report.stalled:
             if request_id == self._pending.caller.id:
                 return self._on_stalled(address)
-        lost = not self._events_of_run and not report.waiting
+        lost = not self._pace.events and not report.waiting
         if paused_ms < _PAUSE_MOST_MS and not lost:
             return None
         if not self._is_better_elsewhere():
@@ -433,7 +393,7 @@
     @property
     def gap_ms(self) -> float:
         """Mean time between its latest events; 0 before it is known."""
-        return self._gap_ms if self._events_of_run >= _GAP_EVENTS else 0.0
+        return self._pace.gap_ms
 
     def on_engine_lost(self, name: str, ended: bool) -> None:
         """Goes on without an engine of its path.
--- a/caroblug/gateway/tests/test_events.py
+++ b/caroblug/gateway/tests/test_events.py
@@ -3,7 +3,7 @@
 import hypothesis
 import hypothesis.strategies as st
 
-from caroblug.gateway._events import EventSequence, Misordered
+from caroblug.gateway._events import EventPace, EventSequence, Misordered
 
 
 def event(number: int) -> bytes:
@@ -60,3 +60,22 @@
             passed.extend(events.feed(part))
 
     assert passed == [event(n) for n in range(1, total + 1)]
+
+
+def test_gap_is_told_once_a_run_has_shown_it():
+    pace = EventPace()
+    for _ in range(11):
+        pace.add(1, 30)
+    assert pace.gap_ms == 0.0
+
+    for _ in range(30):
+        pace.add(1, 30)
+    assert 29.0 < pace.gap_ms < 30.5
+
+
+def test_events_that_came_together_count_for_their_number():
+    pace = EventPace()
+    for _ in range(40):
+        pace.add(2, 60)
+
+    assert 29.0 < pace.gap_ms < 30.5
--- /dev/null
+++ b/caroblug/gateway/tests/test_spacing.py
@@ -0,0 +1,22 @@
+"""A distance between questions, for each name."""
+
+from caroblug.gateway._spacing import Spacing
+
+
+def test_names_wait_for_themselves_only():
+    spacing = Spacing(400)
+
+    assert spacing.allows("x", 0)
+    assert not spacing.allows("x", 399)
+    assert spacing.allows("y", 399)
+    assert spacing.allows("x", 400)
+
+
+def test_names_of_the_past_are_forgotten():
+    # Each start of an engine has a name of its own; over months there are
+    # hundreds of thousands.
+    spacing = Spacing(400)
+    for number in range(1000):
+        spacing.allows(f"engine-{number}", number * 1000)
+
+    assert len(spacing._last_ms) == 1
