Wait for the last run of a stream; count a run from its first byte

Cause, found while reading: a stream's silence ended it also where no other run was allowed, since the first look is at 0.35 s after 0.7 s of two runs (502), though the engine may have been at work. And a connection that broke before any answer counted as not run: 503 said so though it may have been. Change: silence ends a run only if another may follow; one that can't be followed is waited for until its time is over, also where its engine takes no connection (it may be cut off). A run counts from its first byte.

--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -226,6 +226,8 @@
         if problem is None:
             pending.on_send(self._context)
             pending.tried.add(first)
+            # From its first byte on it may run, whatever is heard of it.
+            pending.ran += 1
             problem = exchange.send(self._encode(), left_s)
         if problem is not None:
             return self._on_broken(problem)
@@ -238,8 +240,8 @@
             return head
         facts = self._context.dialect.decode_answer(head)
         if facts.run is RunState.NOT_RUN:
+            pending.ran -= 1
             return self._on_turned_away(head, facts)
-        pending.ran += 1
         if facts.request_id != pending.caller.id or not facts.genuine:
             return RunResult(RunEnd.LOST, f"unproved answer {head.status}")
         self._context.fleet.on_answer(first, None, 0, self._now_ms())
@@ -257,7 +259,6 @@
                 return self._on_broken(head)
             result = self._on_quiet(_HEAD_LOOK_S)
             if result is not None:
-                self._pending.ran += 1
                 return result
 
     def _read_events(self, head: Head, facts: AnswerFacts) -> RunResult:
@@ -339,15 +340,24 @@
     def _on_quiet(self, look_s: float) -> RunResult | None:
         """Looks into a run that has paused; returns how it ends, if it does.
 
-        Where nothing waits for a place at the first engine, a run without any
-        event has begun there and its answer was lost on the way; it isn't
-        waited for as long as one that has paused.
+        A run that can't be followed by another one is waited for to the end
+        of its time: silence doesn't say that no answer will come.
         """
         if self._left_ms() <= 0:
             return RunResult(RunEnd.OUT_OF_TIME, "no time left")
         paused_ms = self._now_ms() - self._last_event_ms
         if paused_ms < look_s * 1000:
             return None
+        result = self._look_into(paused_ms)
+        return result if self._may_begin_anew() else None
+
+    def _look_into(self, paused_ms: int) -> RunResult | None:
+        """Asks the first engine what a run waits for.
+
+        Where nothing waits for a place there, a run without any event has
+        begun and its answer was lost on the way; it isn't waited for as long
+        as one that has paused.
+        """
         first = self._path.first
         report = self._context.dialect.read_report(first.address)
         if isinstance(report, Unavailable):
@@ -407,12 +417,15 @@
         self._avoid.add(name)
         if ended:
             self._crashes.on_ended(self._pending, name)
+        problem = ""
         if name == self._path.first.name:
-            self._give_up_run("first engine is lost")
+            problem = "first engine is lost"
         elif not self._repairing:
             problem = self._replace(name)
-            if problem:
-                self._give_up_run(problem)
+        # One that only takes no connection may be cut off and come back: the
+        # last run that is allowed is waited for.
+        if problem and (ended or self._may_begin_anew()):
+            self._give_up_run(problem)
 
     def _give_up_run(self, reason: str) -> None:
         self._given_up = reason
