Give a run up only for one that can begin

Streams over a lost engine gave their runs up for new ones over a whole path elsewhere; where no repeat was left, or no path, the answer was cut. Change: a repeat is taken, and a path looked for, before a run is given up; a part that is far is used where no new run may begin.

--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -108,6 +108,7 @@
         self._tokens = max(1, _mean_tokens(pending.caller))
         self._repairing = False
         self._given_up = ""
+        self._has_repeat = False
         self._pace = EventPace()
 
     @property
@@ -135,11 +136,10 @@
                     RunEnd.NO_PATH, f"no engine for layer {path.layer}"
                 )
                 break
-            if pending.sends and not self._context.may_repeat(
-                pending.admitted.service.name
-            ):
+            if pending.sends and not self._take_repeat():
                 result = attrs.evolve(result, reason="repeats are spent")
                 break
+            self._has_repeat = False
             result = self._run(path)
             self._note(result)
             if result.end in (RunEnd.WHOLE, RunEnd.OUT_OF_TIME):
@@ -201,6 +201,26 @@
             and not self._crashes.is_quarantined(self._pending)
         )
 
+    def _take_repeat(self) -> bool:
+        """Takes a repeat unless one is kept; returns whether there is one."""
+        if not self._has_repeat:
+            service = self._pending.admitted.service.name
+            self._has_repeat = self._context.may_repeat(service)
+        return self._has_repeat
+
+    def _prepare_another_run(self) -> bool:
+        """Returns whether another run can begin, and keeps a repeat for it.
+
+        Guards against giving up a run whose engine is at work for one that
+        then may not begin: many streams lose an engine at once, and the
+        repeats that are left are fewer. The caller's answer would be cut.
+        """
+        if not self._may_begin_anew():
+            return False
+        if isinstance(self._choose_path(), NoPath):
+            return False
+        return self._take_repeat()
+
     # One run.
 
     def _run(self, path: Path) -> RunResult:
@@ -349,7 +369,9 @@
         if paused_ms < look_s * 1000:
             return None
         result = self._look_into(paused_ms)
-        return result if self._may_begin_anew() else None
+        if result is None or not self._prepare_another_run():
+            return None
+        return result
 
     def _look_into(self, paused_ms: int) -> RunResult | None:
         """Asks the first engine what a run waits for.
@@ -422,9 +444,7 @@
             problem = "first engine is lost"
         elif not self._repairing:
             problem = self._replace(name)
-        # One that only takes no connection may be cut off and come back: the
-        # last run that is allowed is waited for.
-        if problem and (ended or self._may_begin_anew()):
+        if problem and self._prepare_another_run():
             self._give_up_run(problem)
 
     def _give_up_run(self, reason: str) -> None:
@@ -450,7 +470,7 @@
             path = self._choose_path(keep_first=True, refused=refused)
             if isinstance(path, NoPath):
                 return "part is lost, no other one"
-            if path.crosses and self._may_begin_anew():
+            if path.crosses and self._prepare_another_run():
                 # All that was read so far would have to cross, for every
                 # stream at once; a whole path elsewhere reads it again in a
                 # tenth of that time.
