Fetch a newer configuration from whoever tells of it

Its connection to the store was silent; its neighbour told it twice a second and so was never told by it, and only an answer carries a configuration. Change: a message with a newer version makes its sender a partner of the next exchange; whoever has something new is asked first, also among many.

--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -125,19 +125,22 @@
 
     def _partners(self) -> list[str]:
         now_ms = self._context.clock.now_ms()
+        wanted = sorted(self._fetch_from & set(self._members))
+        self._fetch_from.clear()
         names = [
             name
             for name in sorted(self._members)
             if now_ms - self._heard_ms.get(name, -_FRESH_MS) >= _FRESH_MS
-            or name in self._fetch_from
+            and name not in wanted
         ]
-        self._fetch_from.clear()
-        if len(names) <= _PARTNERS:
-            return names
-        near = [name for name in names if name not in self._far]
-        far = [name for name in names if name in self._far]
         rng = self._context.rng
-        chosen = rng.sample(far, min(len(far), _FAR_PARTNERS))
+        chosen = rng.sample(wanted, min(len(wanted), _PARTNERS))
+        if len(chosen) + len(names) <= _PARTNERS:
+            return chosen + names
+        far = [name for name in names if name in self._far]
+        near = [name for name in names if name not in self._far]
+        rest = _PARTNERS - len(chosen)
+        chosen += rng.sample(far, min(len(far), rest, _FAR_PARTNERS))
         rest = _PARTNERS - len(chosen)
         return chosen + rng.sample(near, min(len(near), rest))
 
@@ -197,6 +200,10 @@
         answer = self._message()
         if message["version"] < self._version():
             answer["configuration"] = self._context.raw_configuration
+        elif message["version"] > self._version():
+            # Only an answer carries a configuration. Who is told often enough
+            # tells nobody itself, and would never get the newer one.
+            self._fetch_from.add(name)
         if self._differs(message) and answer["list_age_ms"] < int(
             message["list_age_ms"]
         ):
--- a/caroblug/gateway/tests/test_peers.py
+++ b/caroblug/gateway/tests/test_peers.py
@@ -70,3 +70,25 @@
     tell(peers, "g1", TenureState.NONE, leaving={"x": 3000})
 
     assert [b.name for b in context.fleet.backends("pool")] == ["x"]
+
+
+def test_newer_configuration_is_fetched_from_who_told_of_it():
+    # The store's connection of one gateway went silent, and its neighbour, who
+    # tells it twice a second, had a newer configuration. Whoever was told
+    # lately doesn't tell, and only answers carry a configuration: for ten
+    # seconds requests were handled by the old one.
+    context, _, peers, _ = make_placement("g0")
+    told = {**peers._message(), "name": "g1", "address": ["10.0.0.1", 1]}
+    peers._take(told)
+    assert peers._partners() == []
+
+    peers._take({**told, "version": context.configuration.version + 1})
+
+    assert peers._partners() == ["g1"]
+
+
+def test_who_has_something_new_is_asked_among_many():
+    peers = make_peers(near=10, far=20)
+    peers._fetch_from.add("far7")
+
+    assert "far7" in peers._partners()
