Count the load of neighbours once

Cause: loads of the few gateways that are heard were scaled up to all 26, though the neighbours, who use the same engines, are all heard: own engines seemed three times as full as they were, and streams were sent to other data centres. Change: neighbours and strangers are scaled apart.

--- a/caroblug/core/placement/_load.py
+++ b/caroblug/core/placement/_load.py
@@ -9,14 +9,23 @@
     """Tokens that this gateway has on each engine, and what others have.
 
     Of very many gateways only some are heard; the rest are taken to do as
-    those that are.
+    those that are, apart for the own data centre and all others: the neighbours
+    of a gateway are heard nearly all and use the same engines as it does. Taken
+    together with the few that are heard from afar, their load counted three
+    times over on a site of 26 gateways.
+
+    Attributes:
+        neighbours: Gateways known in the own data centre, this one included.
     """
 
     def __init__(self) -> None:
         self._own: collections.Counter[str] = collections.Counter()
         self._heard: dict[str, dict[str, float]] = {}
-        self._sums: dict[str, float] = {}
+        self._near: set[str] = set()
+        self._near_sums: dict[str, float] = {}
+        self._far_sums: dict[str, float] = {}
         self._gateways = 0
+        self.neighbours = 1
 
     @property
     def gateways(self) -> int:
@@ -45,21 +54,41 @@
         """Returns this gateway's tokens by engine."""
         return dict(self._own)
 
-    def hear(self, gateway: str, tokens: dict[str, float]) -> None:
-        """Takes what another gateway has on engines."""
+    def hear(
+        self, gateway: str, tokens: dict[str, float], near: bool = True
+    ) -> None:
+        """Takes what another gateway has on engines.
+
+        Args:
+            gateway: Its name.
+            tokens: Its tokens by engine.
+            near: Whether it is in the own data centre.
+        """
         self._heard[gateway] = tokens
+        if near:
+            self._near.add(gateway)
+        else:
+            self._near.discard(gateway)
         self._add_up()
 
     def forget(self, gateway: str) -> None:
         """Drops a gateway that is not heard any more."""
         if self._heard.pop(gateway, None) is not None:
+            self._near.discard(gateway)
             self._add_up()
 
     def tokens(self, name: str) -> float:
         """Returns the tokens of all gateways on an engine."""
-        known = self._own.get(name, 0) + self._sums.get(name, 0.0)
-        heard = len(self._heard) + 1
-        return known * max(self.gateways, heard) / heard
+        near = self._own.get(name, 0) + self._near_sums.get(name, 0.0)
+        far = self._far_sums.get(name, 0.0)
+        heard_near = len(self._near) + 1
+        neighbours = max(self.neighbours, heard_near)
+        heard_far = len(self._heard) - len(self._near)
+        strangers = max(self.gateways - neighbours, heard_far)
+        if heard_far == 0:
+            # Nobody is heard from elsewhere: the rest do as the neighbours.
+            return near * (neighbours + strangers) / heard_near
+        return near * neighbours / heard_near + far * strangers / heard_far
 
     def use(self, engine: Engine, model: ModelShape) -> float:
         """Returns the share of an engine's room that is taken."""
@@ -67,7 +96,9 @@
         return self.tokens(engine.name) / room if room > 0 else 1.0
 
     def _add_up(self) -> None:
-        sums: collections.Counter[str] = collections.Counter()
-        for tokens in self._heard.values():
-            sums.update(tokens)
-        self._sums = sums
+        near: collections.Counter[str] = collections.Counter()
+        far: collections.Counter[str] = collections.Counter()
+        for gateway, tokens in self._heard.items():
+            (near if gateway in self._near else far).update(tokens)
+        self._near_sums = near
+        self._far_sums = far
--- a/caroblug/core/placement/tests/test_paths.py
+++ b/caroblug/core/placement/tests/test_paths.py
@@ -162,6 +162,23 @@
         assert held != set(range(MODEL.layers))
 
 
+def test_neighbours_that_are_all_heard_are_not_scaled_up():
+    # 26 gateways, 6 of them in one data centre. Each hears its five neighbours
+    # and three others; taking the rest to be like these eight counted the load
+    # of the own engines three times, and streams were sent far away.
+    loads = EngineLoads()
+    loads.gateways = 26
+    loads.neighbours = 6
+    loads.open(("x",), 100)
+    for number in range(5):
+        loads.hear(f"near{number}", {"x": 100.0})
+    for number in range(3):
+        loads.hear(f"far{number}", {"y": 10.0}, near=False)
+
+    assert loads.tokens("x") == 600
+    assert loads.tokens("y") == 30 * 20 / 3
+
+
 def test_loads_of_gateways_that_are_not_heard_are_scaled_up():
     loads = EngineLoads()
     loads.gateways = 4
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -82,6 +82,7 @@
         self._busy: set[str] = set()
         self._fetch_from: set[str] = set()
         self._tenures: dict[str, TenureState] = {}
+        self._near: set[str] = set()
         self._far: set[str] = set()
         self._holders = HolderWatch(context.clock.now_ms())
         self.tenure = TenureState.NONE
@@ -240,8 +241,8 @@
         self._seen_ms[member.name] = self._context.clock.now_ms()
 
     def _take_news(self, name: str, message: dict) -> None:
-        if message["data_centre"] != self._context.settings.data_centre:
-            self._far.add(name)
+        home = message["data_centre"] == self._context.settings.data_centre
+        (self._near if home else self._far).add(name)
         self._on_loads(name, message["loads"])
         self._on_suspects(message["suspects"])
         self._on_told(message["told"])
@@ -295,7 +296,12 @@
     def _on_loads(self, name: str, loads: dict) -> None:
         tokens = {str(key): float(value) for key, value in loads.items()}
         self._heard_ms[name] = self._context.clock.now_ms()
-        self._context.fleet.loads.hear(name, tokens)
+        loads = self._context.fleet.loads
+        loads.hear(name, tokens, near=name not in self._far)
+        # Whose data centre isn't known yet is no neighbour: at the start
+        # that is everybody, for a second.
+        known = self._near & set(self._members)
+        loads.neighbours = len(known) + 1
 
     def _on_suspects(self, names: list) -> None:
         """Looks into what another gateway takes to be gone.
@@ -351,6 +357,7 @@
             if now_ms - seen_ms > _KEPT_MS:
                 del self._seen_ms[name]
                 del self._members[name]
+                self._near.discard(name)
                 self._far.discard(name)
 
     def _forget_silent(self) -> None:
