--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -56,8 +56,6 @@
 """Other paths that a run is offered; each is a call, and the caller waits."""
 
 _MOST_SENDS = 5
-_MISDIRECTED_AVOID_MS = 1000
-_ERROR = 500
 
 
 class Streams:
