--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -8,6 +8,7 @@
 """
 
 import attrs
+import gevent
 
 from caroblug.core.placement import NoPath, Path
 from caroblug.gateway._calls import CONNECT_S
@@ -49,6 +50,9 @@
 """Pause after which a stream is continued elsewhere though nothing was found:
 callers leave after two seconds."""
 
+_LOOK_AGAIN_S = 0.1
+"""Pause between two looks for a path for a stream that has begun."""
+
 _ROOM_USE = 0.7
 """Use of the fullest engine of a path below which it has room for one more."""
 
@@ -102,6 +106,7 @@
         self._path: Path | None = None
         self._exchange: Exchange | None = None
         self._avoid: set[str] = set()
+        self._began_on: set[str] = set()
         self._last_event_ms = 0
         self._tokens = max(1, _mean_tokens(pending.caller))
         self._repairing = False
@@ -133,9 +138,13 @@
                 result = RunResult(
                     RunEnd.NO_PATH, f"no engine for layer {path.layer}"
                 )
+                if self._wait_to_go_on():
+                    continue
                 break
             if pending.sends and not self._take_repeat():
                 result = attrs.evolve(result, reason="repeats are spent")
+                if self._wait_to_go_on():
+                    continue
                 break
             self._has_repeat = False
             result = self._run(path)
@@ -181,7 +190,7 @@
             pending.admitted.service,
             self._now_ms(),
             frozenset(self._avoid) | refused,
-            frozenset() if keep_first else frozenset(pending.tried),
+            frozenset() if keep_first else frozenset(self._began_on),
             self._path.parts[0] if keep_first else None,
         )
 
@@ -199,6 +208,25 @@
             and not self._crashes.is_quarantined(self._pending)
         )
 
+    def _wait_to_go_on(self) -> bool:
+        """Waits a moment if a stream that has begun may still go on.
+
+        Guards against cutting what the caller has half of because engines have
+        no room, or a layer no holder, at that very moment. A request that has
+        not begun is refused at once and may come back; one that is cut may not
+        be asked again.
+
+        Returns:
+            Whether to look for a path again.
+        """
+        if not self._pending.reply.begun or not self._may_begin_anew():
+            return False
+        if self._now_ms() - self._last_event_ms > _PAUSE_MOST_MS:
+            return False
+        self._avoid.clear()
+        gevent.sleep(_LOOK_AGAIN_S)
+        return True
+
     def _take_repeat(self) -> bool:
         """Takes a repeat unless one is kept; returns whether there is one."""
         if not self._has_repeat:
@@ -246,6 +274,7 @@
             pending.tried.add(first)
             # From its first byte on it may run, whatever is heard of it.
             pending.ran += 1
+            self._began_on.add(first)
             problem = exchange.send(self._encode(), left_s)
         if problem is not None:
             return self._on_broken(problem)
@@ -259,6 +288,7 @@
         facts = self._context.dialect.decode_answer(head)
         if facts.run is RunState.NOT_RUN:
             pending.ran -= 1
+            self._began_on.discard(first)
             return self._on_turned_away(head, facts)
         if facts.request_id != pending.caller.id or not facts.genuine:
             return RunResult(RunEnd.LOST, f"unproved answer {head.status}")
