--- a/caroblug/gateway/tests/test_slowness.py
+++ b/caroblug/gateway/tests/test_slowness.py
@@ -64,8 +64,7 @@
 def test_streams_avoid_an_engine_that_has_become_slow():
     # An engine runs five to twelve times slower for eight seconds. Streams
     # over it last as many times longer, and so does the memory that they hold
-    # on every other engine of their paths; 5 of 38 engines did that to a
-    # third of all streams.
+    # on every other engine of their paths.
     stream = SlowStream(30.0, "x")
     site = Site(stream)
     site.look(8)
