Read the configuration anew when the list shows that the store is back

Cause: a wait for the next configuration that was sent while the store answered nobody is never answered and held the watch for 20 s and more; all gateways may be in it at once. Change: the first list after a failed one ends the wait, and the configuration is read. Where no call fails at all, waits of few gateways are shorter, so that over all gateways one ends each second and its news is passed on.

--- a/caroblug/gateway/_watches.py
+++ b/caroblug/gateway/_watches.py
@@ -5,6 +5,7 @@
 from caroblug.gateway._context import Context
 from caroblug.gateway._interfaces import (
     ConfigurationRead,
+    NothingNew,
     Registry,
     Unavailable,
 )
@@ -29,8 +30,15 @@
 _START_LIST_MS = 150
 """Pause until a first list has been read."""
 
-_WAIT_MS = 20000
-"""Longest wait for a change of the configuration; one call a wait."""
+_WAIT_EACH_MS = 1000
+"""Time between two ends of a wait for a change, over all gateways. A connection
+that went silent tells nothing; of several gateways one waits anew each second,
+and tells the others of a change."""
+
+_WAIT_LEAST_MS = 4000
+_WAIT_MOST_MS = 20000
+_WAIT_SPREAD = 0.25
+"""Share by which waits differ, so that they don't all end together."""
 
 _AGAIN_MS = 250
 """Pause after a call to the store that failed."""
@@ -53,25 +61,76 @@
         self._registry = registry
         self._lost: set[str] = set()
         self._ignored = 0
+        self._waiting: gevent.Greenlet | None = None
 
     def run_configuration(self) -> None:
         """Follows the configuration."""
         end = None
         while True:
             if end is None:
-                read = self._registry.read_configuration()
+                read = self._read_configuration()
             else:
-                read = self._registry.wait_for_change(end, _WAIT_MS)
-            self._note("configuration", read)
+                read = self._wait_for_change(end)
+            if read is None:
+                end = None
+                continue
             if isinstance(read, Unavailable):
                 gevent.sleep(_AGAIN_MS / 1000)
                 end = None
                 continue
             end = max(read.end, end or 0)
-            if isinstance(read, ConfigurationRead):
-                self._context.take_configuration(
-                    read.configuration, read.raw, "store"
-                )
+
+    def _read_configuration(self) -> ConfigurationRead | Unavailable:
+        """Reads the newest configuration and takes it."""
+        read = self._registry.read_configuration()
+        self._take(read)
+        return read
+
+    def _wait_for_change(
+        self, end: int
+    ) -> ConfigurationRead | NothingNew | Unavailable | None:
+        """Waits for the next configuration and takes it.
+
+        Returns:
+            What came; None if the wait was given up.
+        """
+        self._waiting = gevent.spawn(
+            self._registry.wait_for_change, end, self._wait_ms()
+        )
+        read = self._waiting.get()
+        self._waiting = None
+        if isinstance(read, gevent.GreenletExit):
+            return None
+        self._take(read)
+        return read
+
+    def _wait_ms(self) -> int:
+        context = self._context
+        gateways = max(1, context.fleet.loads.gateways)
+        wait_ms = min(
+            _WAIT_MOST_MS, max(_WAIT_LEAST_MS, _WAIT_EACH_MS * gateways)
+        )
+        spread = context.rng.uniform(1 - _WAIT_SPREAD, 1)
+        return int(wait_ms * spread)
+
+    def _take(self, read) -> None:
+        self._note("configuration", read)
+        if isinstance(read, ConfigurationRead):
+            self._context.take_configuration(
+                read.configuration, read.raw, "store"
+            )
+
+    def _on_store_back(self) -> None:
+        """Lets the configuration be read anew instead of waited for.
+
+        Guards against a wait that was sent while the store answered nobody:
+        it is never answered, and a change would be taken only when its time is
+        over. The list shows first that the store is back.
+        """
+        if self._waiting is None:
+            self._read_configuration()
+        else:
+            self._waiting.kill(block=False)
 
     def run_list(self) -> None:
         """Keeps the list of backend servers young until the process ends."""
@@ -96,6 +155,7 @@
         context = self._context
         asked_ms = context.clock.now_ms()
         listing = self._registry.read_backends()
+        was_lost = "backends" in self._lost
         self._note("backends", listing)
         if isinstance(listing, Unavailable):
             return False
@@ -103,6 +163,8 @@
             self._ignored = listing.ignored
             context.log.write("backends.ignored", records=listing.ignored)
         context.fleet.take_listing(listing, asked_ms)
+        if was_lost:
+            self._on_store_back()
         context.tallies.gauge("backends", len(listing.backends))
         return True
 
