Give layers up only when another engine has them and keeps them

Cause: the plan took an engine that still loads for a holder, and ordered a sound part of a chain to another hole at once. Change: an engine moves only if each of its layers has a settled second holder in its data centre that stays. Kept: no stream is cut by the gateway's own order. Ruled out: that the engine was lost; it was moved with 59 to 75 in use.

--- a/caroblug/core/placement/_planner.py
+++ b/caroblug/core/placement/_planner.py
@@ -69,6 +69,10 @@
     def moved(self) -> bool:
         return self.target != self.engine.holds
 
+    @property
+    def settled(self) -> bool:
+        return not self.engine.loading
+
     @property
     def free(self) -> bool:
         return not self.used and not self.engine.loading
@@ -212,7 +216,8 @@
     """
     left = []
     for hole in holes:
-        free = [s for s in seats if (s.empty if only_empty else s.free)]
+        free = [s for s in seats if s.empty or not only_empty]
+        free = [s for s in free if s.free and _is_spare(s, seats)]
         free.sort(key=lambda s: (len(s.target) > 0, _by_speed(s.engine, model)))
         layer = hole.first
         for seat in free:
@@ -229,6 +234,23 @@
     return left
 
 
+def _is_spare(seat: _Seat, seats: list[_Seat]) -> bool:
+    """Returns whether an engine can give up its layers at once.
+
+    Guards against breaking a chain to mend another hole: its layers may stand
+    in the plan of an engine that still loads them, while every stream of the
+    data centre runs over this one. Each layer needs a second holder that has
+    it now and keeps it.
+    """
+    keepers = [
+        s for s in seats if s is not seat and s.settled and s.engine.holds
+    ]
+    return all(
+        any(layer in s.engine.holds and layer in s.target for s in keepers)
+        for layer in range(seat.engine.holds.first, seat.engine.holds.end)
+    )
+
+
 def _grow(
     seats: list[_Seat],
     holes: list[LayerRange],
--- a/caroblug/core/placement/tests/test_planner.py
+++ b/caroblug/core/placement/tests/test_planner.py
@@ -271,3 +271,37 @@
     assert len(layers) == 3
     assert 3 in layers
     assert 6 not in layers
+
+
+@hypothesis.given(fleets())
+def test_layers_are_given_up_only_if_another_engine_has_and_keeps_them(engines):
+    # A chain misses its last layers. A second engine of the same layers as a
+    # sound part of it is still loading; the plan counted it as their holder
+    # and ordered the sound part to the hole, so that every stream of the data
+    # centre stood still until the load had ended.
+    moves = {m.engine.name: m for m in plan_moves(engines, MODEL)}
+    serving = collections.defaultdict(int)
+    for engine in engines:
+        move = moves.get(engine.name)
+        kept = move.target if move else engine.holds
+        for layer in range(engine.holds.first, engine.holds.end):
+            if layer in kept and not engine.loading:
+                serving[engine.data_centre, layer] += 1
+
+    for move in moves.values():
+        engine = move.engine
+        for layer in range(engine.holds.first, engine.holds.end):
+            if layer not in move.target:
+                assert serving[engine.data_centre, layer]
+
+
+def test_sound_part_is_kept_while_its_second_holder_loads():
+    engines = [
+        make_engine("a", BIG, first=0, end=59),
+        make_engine("b", MIDDLE, first=59, end=69),
+        make_engine("late", BIG, first=57, end=73, loading=True),
+    ]
+
+    moves = plan_moves(engines, MODEL)
+
+    assert all(59 in m.target for m in moves if m.engine.name == "b")
