Tell when a stream's events came and sum losses by cause

Change: first event, longest pause, the objective missed and what was seen last before it stand in the line; caroblug-explain losses sums them by outcome, cause, engine, instance and second.

--- a/caroblug/explain/_commands.py
+++ b/caroblug/explain/_commands.py
@@ -9,6 +9,7 @@
 import attrs
 
 from caroblug.explain._lines import LogLine, read_lines
+from caroblug.explain._losses import Loss, sum_losses
 from caroblug.explain._stories import Belief, believe, tell_request
 
 _EXIT_NOT_FOUND = 1
@@ -21,6 +22,8 @@
         lines = list(read_lines(files))
     if options.command == "request":
         return _explain_request(lines, options.id, options.json)
+    if options.command == "losses":
+        return _explain_losses(lines, options.json)
     return _explain_moment(lines, options.time, options.json)
 
 
@@ -41,7 +44,10 @@
     moment.add_argument(
         "time", type=float, help="seconds since 1970, as `timestamp` in lines"
     )
-    for command in (request, moment):
+    losses = commands.add_parser(
+        "losses", help="late, refused and failed requests by their cause"
+    )
+    for command in (request, moment, losses):
         command.add_argument(
             "files", nargs="*", help="log files; standard input if none"
         )
@@ -80,6 +86,28 @@
     return 0
 
 
+def _explain_losses(lines: list[LogLine], as_json: bool) -> int:
+    losses = sum_losses(lines)
+    if as_json:
+        print(json.dumps([attrs.asdict(loss) for loss in losses]))
+        return 0
+    for loss in losses:
+        _print_loss(loss)
+    return 0
+
+
+def _print_loss(loss: Loss) -> None:
+    print(f"{loss.requests:6} {loss.outcome}: {loss.cause}")
+    for name, counts in (
+        ("engines", loss.engines),
+        ("instances", loss.instances),
+        ("seconds", loss.seconds),
+    ):
+        told = " ".join(f"{key}={value}" for key, value in counts.items())
+        if told:
+            print(f"       {name}: {told}")
+
+
 def _print_belief(belief: Belief) -> None:
     print(belief.instance)
     for name, value in belief.values.items():
--- /dev/null
+++ b/caroblug/explain/_losses.py
@@ -0,0 +1,84 @@
+"""Requests that were late, refused or failed, by what they have in common."""
+
+import collections
+import re
+from collections.abc import Iterable
+
+import attrs
+
+from caroblug.explain._lines import LogLine
+
+_ANSWERS = ("request", "request.failed")
+_REFUSED = 503
+_VARYING = re.compile(r"\bi-\w+|\b\d+ ms\b|\blayer \d+|\bevent \d+")
+"""What differs between reasons of the same kind: engines, times, positions."""
+
+
+@attrs.frozen
+class Loss:
+    """Requests that were lost alike.
+
+    Attributes:
+        outcome: `late`, `refused`, `failed` or `cut`.
+        cause: What held them up or ended them; empty if nothing was seen.
+        requests: How many.
+        engines: Engines concerned, most frequent first, with their number.
+        instances: The same for instances.
+        seconds: The same for moments, in whole seconds since 1970, by time.
+    """
+
+    outcome: str
+    cause: str
+    requests: int
+    engines: dict[str, int]
+    instances: dict[str, int]
+    seconds: dict[int, int]
+
+
+def sum_losses(lines: Iterable[LogLine]) -> list[Loss]:
+    """Returns losses by outcome and cause, most requests first.
+
+    Args:
+        lines: Lines of any number of instances.
+    """
+    groups: dict[tuple[str, str], list[LogLine]] = collections.defaultdict(list)
+    for line in lines:
+        if line.kind not in _ANSWERS:
+            continue
+        outcome = _outcome(line)
+        if outcome:
+            groups[(outcome, _cause(line))].append(line)
+    losses = [_sum(*key, lines) for key, lines in groups.items()]
+    return sorted(losses, key=lambda loss: -loss.requests)
+
+
+def _outcome(line: LogLine) -> str:
+    status = int(line.fields.get("status", 0))
+    if line.fields.get("cut"):
+        return "cut"
+    if status == _REFUSED:
+        return "refused"
+    if line.kind == "request.failed":
+        return "failed"
+    return "late" if line.fields.get("late") else ""
+
+
+def _cause(line: LogLine) -> str:
+    text = line.fields.get("reason") or ""
+    if not text:
+        late = line.fields.get("late", "")
+        text = f"{late}: {line.fields.get('cause') or 'nothing seen'}"
+    return _VARYING.sub("*", text)
+
+
+def _sum(outcome: str, cause: str, lines: list[LogLine]) -> Loss:
+    engines = (line.fields.get("engine") for line in lines)
+    seconds = collections.Counter(int(line.at_s) for line in lines)
+    return Loss(
+        outcome,
+        cause,
+        len(lines),
+        dict(collections.Counter(e for e in engines if e).most_common()),
+        dict(collections.Counter(x.instance for x in lines).most_common()),
+        dict(sorted(seconds.items())),
+    )
--- /dev/null
+++ b/caroblug/explain/tests/test_losses.py
@@ -0,0 +1,62 @@
+"""Sums of late, refused and failed requests."""
+
+import json
+
+from caroblug.explain import LogLine, main, sum_losses
+
+
+def answered(at_s, instance="g1", kind="request", **fields):
+    return LogLine(at_s, instance, kind, {"status": 200, **fields})
+
+
+LINES = [
+    answered(1.0),
+    answered(2.1, late="pause", cause="path changed", engine="e1"),
+    answered(2.9, "g2", late="pause", cause="path changed", engine="e1"),
+    answered(4.0, late="first_event", cause=""),
+    answered(
+        5.0, kind="request.failed", status=503, reason="no engine for layer 7"
+    ),
+    answered(
+        6.0, kind="request.failed", status=503, reason="no engine for layer 74"
+    ),
+    answered(7.0, kind="request.failed", status=502, reason="reset"),
+    answered(
+        8.0, kind="request.failed", cut=True, reason="no event for 1400 ms"
+    ),
+    LogLine(9.0, "g1", "placement.order", {}),
+]
+
+
+def test_losses_are_summed_by_outcome_and_cause():
+    losses = {(x.outcome, x.cause): x for x in sum_losses(LINES)}
+
+    paused = losses["late", "pause: path changed"]
+    assert paused.requests == 2
+    assert paused.engines == {"e1": 2}
+    assert paused.instances == {"g1": 1, "g2": 1}
+    assert paused.seconds == {2: 2}
+    assert losses["refused", "no engine for *"].requests == 2
+    assert losses["late", "first_event: nothing seen"].requests == 1
+    assert losses["cut", "no event for *"].requests == 1
+    assert losses["failed", "reset"].requests == 1
+    assert len(losses) == 5
+
+
+def test_command_prints_losses(tmp_path, capsys):
+    path = tmp_path / "log"
+    tables = [
+        {
+            "timestamp": line.at_s,
+            "instance": line.instance,
+            "message_type": line.kind,
+            **line.fields,
+        }
+        for line in LINES
+    ]
+    path.write_text("\n".join(json.dumps(table) for table in tables))
+
+    assert main(["losses", str(path)]) == 0
+    assert "2 late: pause: path changed" in capsys.readouterr().out
+    assert main(["--json", "losses", str(path)]) == 0
+    assert len(json.loads(capsys.readouterr().out)) == 5
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -32,6 +32,7 @@
 from caroblug.gateway._pending import NO_ENGINES_MS, Answers, Pending
 from caroblug.gateway._running import RunningStream, RunningStreams
 from caroblug.gateway._runs import RunEnd, RunResult
+from caroblug.gateway._timeliness import Timeliness
 
 _HEAD_LOOK_S = 0.35
 """Wait for a first event after which a run is looked into: a sound run takes a
@@ -102,6 +103,8 @@
         self._running = running
         self._answers = answers
         self._pending = pending
+        self._times = Timeliness(pending.request.began_ms)
+        pending.timeliness = self._times
         self._events = EventSequence(_whole(pending.caller.resume_after))
         self._path: Path | None = None
         self._exchange: Exchange | None = None
@@ -111,6 +114,7 @@
         self._tokens = max(1, _mean_tokens(pending.caller))
         self._repairing = False
         self._given_up = ""
+        self._lost = ""
         self._has_repeat = False
         self._pace = EventPace()
 
@@ -252,6 +256,7 @@
     def _run(self, path: Path) -> RunResult:
         self._path = path
         self._given_up = ""
+        self._lost = ""
         self._open_load()
         self._exchange = Exchange(path.first.address)
         self._context.fleet.enter(path.first.name)
@@ -337,6 +342,7 @@
                     reply.begin(head.status, list(facts.headers))
                 reply.send_piece(b"".join(events))
                 now_ms = self._now_ms()
+                self._times.on_events(now_ms)
                 self._pace.add(len(events), now_ms - self._last_event_ms)
                 self._last_event_ms = now_ms
 
@@ -378,6 +384,7 @@
         fleet = self._context.fleet
         at_fault = fleet.find(facts.at_fault) if facts.at_fault else None
         name = at_fault.name if at_fault else self._path.first.name
+        self._lost = name
         if name in self._path.names:
             self._avoid.add(name)
         fleet.on_full(name, self._now_ms())
@@ -464,6 +471,7 @@
         """
         if self._path is None or name not in self._path.names:
             return
+        self._lost = name
         self._avoid.add(name)
         if ended:
             self._crashes.on_ended(self._pending, name)
@@ -520,6 +528,7 @@
         return "part is lost, path not changed"
 
     def _order_path(self, lost: str, path: Path) -> OrderOutcome:
+        self._times.note("path changed", lost)
         outcome = self._context.dialect.change_path(
             path.first.address, self._pending.caller.id, path
         )
@@ -547,6 +556,7 @@
     def _note(self, result: RunResult) -> None:
         if result.end is RunEnd.WHOLE:
             return
+        self._times.note(result.reason, self._lost or self._path.first.name)
         self._context.tallies.count("runs_failed", end=result.end.value)
         self._context.log.write(
             "stream.run_failed",
