--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -59,6 +59,11 @@
 
 _POLL_S = 0.05
 
+_START_MOST_MS = 250
+"""Longest time that callers wait for the first configuration and list."""
+
+_START_LOOK_S = 0.005
+
 
 class Gateway:
     """One instance of the program.
@@ -132,11 +137,22 @@
             self._follow_settings,
         ):
             gevent.spawn(loop)
+        self._wait_until_ready()
         self._callers.start()
         self._metrics.start()
         self._leaving.wait()
         self._drain()
 
+    def _wait_until_ready(self) -> None:
+        """Lets callers that came during the start wait until all is known.
+
+        Guards against refusing them for a configuration that is read some ms
+        later; while the store is away they are refused soon.
+        """
+        end_ms = self._context.clock.now_ms() + _START_MOST_MS
+        while not self.ready and self._context.clock.now_ms() < end_ms:
+            gevent.sleep(_START_LOOK_S)
+
     def _follow_settings(self) -> None:
         """Reads the settings now and then: they may change without a word."""
         while True:
--- a/caroblug/gateway/_http_server.py
+++ b/caroblug/gateway/_http_server.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 
 import gevent
-from gevent import server
+from gevent import server, socket
 
+from caroblug import listening
 from caroblug.core.access import RequestLimits
 from caroblug.gateway._caller_requests import (
     BadRequest,
@@ -257,6 +258,14 @@
         self._shut()
 
 
+def _make_server(address: tuple[str, int], serve) -> server.StreamServer:
+    """Returns a server on the socket that listens already, or on its own."""
+    held = listening.take(address)
+    if held is None:
+        return server.StreamServer(address, serve, backlog=listening.BACKLOG)
+    return server.StreamServer(socket.socket(fileno=held.detach()), serve)
+
+
 class CallerServer:
     """Listens for callers.
 
@@ -279,7 +288,7 @@
         self._clock = clock
         self._connections: set[Connection] = set()
         self._closing = False
-        self._server = server.StreamServer(address, self._serve, backlog=1024)
+        self._server = _make_server(address, self._serve)
 
     @property
     def address(self) -> tuple[str, int]:
--- /dev/null
+++ b/caroblug/gateway/tests/test_start.py
@@ -0,0 +1,59 @@
+"""Callers that come while the program is still being loaded."""
+
+import socket
+
+from caroblug import listening
+from caroblug.core.access import RequestLimits
+from caroblug.gateway._http_server import CallerServer
+from caroblug.utils import MonotonicClock
+from standins._ports import Ports
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+
+def make_server(address):
+    return CallerServer(
+        address,
+        lambda request, reply: reply.send(200, [], b"served"),
+        RequestLimits,
+        MonotonicClock(),
+    )
+
+
+def test_caller_that_came_before_the_server_is_answered():
+    # All gateways are killed at once and start again. A caller connects while
+    # the first one still loads its modules; it used to be refused, twice, and
+    # gave up.
+    address = ("127.0.0.1", Ports().take())
+    listening.hold(address)
+    with socket.create_connection(address, timeout=5) as caller:
+        caller.sendall(REQUEST)
+        server = make_server(address)
+        server.start()
+        caller.setblocking(False)
+        answer = _read(caller)
+
+    assert b"200 OK" in answer
+    assert answer.endswith(b"served")
+    assert server.address == address
+    server.stop_listening()
+
+
+def test_server_listens_by_itself_where_nobody_did():
+    server = make_server(("127.0.0.1", 0))
+    server.start()
+
+    assert listening.take(server.address) is None
+    assert server.address[1]
+    server.stop_listening()
+
+
+def _read(caller: socket.socket) -> bytes:
+    from gevent import socket as cooperative
+
+    with cooperative.socket(fileno=caller.detach()) as sock:
+        sock.settimeout(5)
+        answer = b""
+        while piece := sock.recv(65536):
+            answer += piece
+    return answer
