--- a/caroblug/core/placement/_load.py
+++ b/caroblug/core/placement/_load.py
@@ -11,8 +11,8 @@
     Of very many gateways only some are heard; the rest are taken to do as
     those that are, apart for the own data centre and all others: the neighbours
     of a gateway are heard nearly all and use the same engines as it does. Taken
-    together with the few that are heard from afar, their load counted three
-    times over on a site of 26 gateways.
+    together with the few that are heard from afar, their load would count
+    several times over.
 
     Attributes:
         neighbours: Gateways known in the own data centre, this one included.
--- a/caroblug/core/placement/_paths.py
+++ b/caroblug/core/placement/_paths.py
@@ -12,15 +12,14 @@
 _CROSSING_QUEUE = 2.0
 """Cost of leaving a data centre inside the path, in times that a usual
 prompt's activations take on the link alone: everybody shares it, and what
-waits there waits with each token. Where a prompt takes 100 ms, eight a second
-fill the link, and streams that crossed it stood still for seconds.
+waits there waits with each token.
 """
 
 _AWAY_MS = 15.0
 """Cost of beginning in another data centre than the caller's entry.
 
 A faster chain elsewhere saves some ms a step, which no caller notices, while
-each event crosses: some 9 KB a stream. Only crowding is worth that.
+each event crosses. Only crowding is worth that.
 """
 
 _USE_MS = 2.0
--- a/caroblug/core/placement/_planner.py
+++ b/caroblug/core/placement/_planner.py
@@ -18,22 +18,18 @@
 """Requests of usual size for which a chain keeps room beside its weights.
 
 A chain is made of the fastest engines, as full as this allows, and the others
-hold its layers a second time. Room for 100 and more streams on every engine
-made chains of 11 to 15 engines, whose streams took 2.6 s on the mean instead
-of 2.0 s, and nobody held a lost engine's layers in the same data centre. Room
-for 36 was used up when one of three data centres lost its chain: prompts
-waited 0.9 s for memory. A second chain is worth more than more room.
+hold its layers a second time. More room makes longer, slower chains and leaves
+fewer second holders; less is used up when one data centre takes on another
+one's streams.
 """
 
 HOP_MS = 0.5
 """Time that one more engine on the path adds to a token: the delay of the
-link and the wait for the engine's pass, from the mean time of streams over
-chains of 7 to 13 engines."""
+link and the wait for the engine's pass."""
 
 _GROWN_STREAMS = 40
-"""Requests for which an engine keeps room when it grows into a hole. With room
-for 24 a fast engine that had grown turned 280 requests away in half a minute:
-everybody's path leads over it."""
+"""Requests for which an engine keeps room when it grows into a hole:
+everybody's path leads over it then."""
 
 _TIGHT_STREAMS = 6
 """The same where a hole has no other filler."""
@@ -49,7 +45,7 @@
         urgent: Whether it brings a layer that no engine of its data centre
             holds, so that all requests there go elsewhere. Work that passes
             through layers which are given up is then not waited for: that
-            took 3 to 7 s, while the other data centres had no memory left.
+            takes seconds, in which other data centres run out of memory.
     """
 
     engine: Engine
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -26,10 +26,9 @@
 
 _AVOID_MOST_MS = 2000
 _NO_ROOM_MS = 300
-"""How long a full engine is not sent to: about a stream's share of the time
-in which thirty streams of two seconds make room for one. Doubled with each
-refusal in a row: each one counts against the repeats that all gateways share,
-and 26 gateways that ask again after 0.3 s spend them in seconds."""
+"""How long a full engine is not sent to, in which some of its streams end.
+Doubled with each refusal in a row: each one counts against the repeats that
+all gateways share."""
 
 _NO_ROOM_MOST_MS = 1200
 
@@ -316,6 +315,10 @@
         met.pace_until_ms = now_ms + _PACE_KEPT_MS
         return news
 
+    def pace(self, name: str) -> float:
+        """Returns how many times slower than its kind an engine is."""
+        return self._met[name].pace
+
     def slow_until(self, now_ms: int) -> list[str]:
         """Returns slow engines that are due to be asked again."""
         due = [
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -48,8 +48,8 @@
 
 _LATE_MS = 2900
 """Time from SIGTERM after which requests are taken only if they must end
-before the exit. Earlier ones can't know of it yet; a stream of five seconds
-that begins later would be cut, thirteen of them on one day of restarts."""
+before the exit. Earlier ones can't know of it yet; a long stream that begins
+later would be cut."""
 
 _EXIT_RESERVE_MS = 250
 """Time kept between the end of the drain and the platform's SIGKILL."""
--- a/caroblug/gateway/_liveness.py
+++ b/caroblug/gateway/_liveness.py
@@ -33,8 +33,8 @@
 _TICK_S = 0.02
 _MANY = 4
 _SILENT_MANY_MS = 60
-"""Pause of all streams over an engine, four at least, after which it is asked.
-Each has an event every 30 to 40 ms, so that one comes every 10 ms."""
+"""Pause of all streams over an engine, four at least, after which it is
+asked."""
 
 _SILENT_FEW_MS = 120
 """The same for fewer streams; a pause of 200 ms makes a stream late."""
@@ -108,8 +108,8 @@
     def _is_worth_a_watch(self, use: EngineUse) -> bool:
         """Returns whether an engine is watched by a connection of its own.
 
-        Engines of other data centres are used for some streams and a moment.
-        Watching them made half of all connections of 26 gateways.
+        Engines of other data centres are used for some streams and a moment,
+        while each watch is a connection that is paid for.
         """
         home = self._context.settings.data_centre
         return use.engine.data_centre == home or use.streams >= _MANY
--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -36,6 +36,11 @@
 without a whole chain sends every request to others; a load for an engine that
 comes back whole after all costs less."""
 
+_TOO_SLOW = 3.0
+"""Slowness of an engine, in times its kind's, from which its layers are placed
+anew: callers notice each pause of the streams over it, and without another
+holder at home they all go elsewhere."""
+
 _LOAD_SLACK_MS = 2500
 """Added to the time that a load should take before it is ordered again: others
 may load at the same time."""
@@ -180,7 +185,9 @@
     ) -> list[Engine]:
         """Returns the engines whose layers needn't be placed anew.
 
-        One that only fails is waited for, as long as every layer has another
+        One that has become slow isn't counted on, though it is used where
+        nobody else holds its layers. One that only fails is waited for, as
+        long as every layer has another
         holder. Where it has none, each request is refused meanwhile: loading
         the layers elsewhere costs less, even if the engine comes back whole.
         """
@@ -190,6 +197,7 @@
             for e in fleet.engines(service, now_ms)
             if not fleet.has_ended(e.name)
             and fleet.failed_for_ms(e.name, now_ms) < _LOST_MS
+            and fleet.pace(e.name) < _TOO_SLOW
         ]
         sound = [e for e in engines if not fleet.is_failing(e.name)]
         return engines if covers(sound, model_of(service)) else sound
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -35,17 +35,16 @@
 from caroblug.gateway._timeliness import Timeliness
 
 _HEAD_LOOK_S = 0.35
-"""Wait for a first event after which a run is looked into: a sound run takes a
-seventh of that, and a second one still brings its first event within the half
-second that is the objective of the users' streams."""
+"""Wait for a first event after which a run is looked into: long beside a sound
+run, and a second one still brings its first event within half a second."""
 
 _FIRST_EVENT_MS = 150
-"""Time in which a sound run brings its first event, prompt and queue included;
-the median is 50 ms."""
+"""Time in which a sound run brings its first event, prompt and queue
+included."""
 
 _PAUSE_LOOK_S = 0.3
-"""Pause between events after which a run is looked into. Events come every 30
-to 60 ms; a pause of 200 ms makes the stream late, and looking costs a call."""
+"""Pause between events after which a run is looked into; looking costs a
+call."""
 
 _PAUSE_MOST_MS = 1400
 """Pause after which a stream is continued elsewhere though nothing was found:
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -245,6 +245,40 @@
     assert context.dialect.orders == []
 
 
+def test_layers_of_a_slow_engine_are_placed_anew():
+    # An engine runs twelve times slower for nine seconds. Nobody else in its
+    # data centre holds its layers, so that every stream there is late, and
+    # other data centres run out of memory when all go there.
+    context, _, _, placement = make_placement()
+    with_engines(
+        context,
+        *(make_engine(f"e{i}", i * 16, i * 16 + 16) for i in range(5)),
+        make_engine("spare", 0, 16),
+    )
+    placement.renew()
+    context.fleet.on_pace("e2", 12.0, context.clock.now_ms())
+
+    placement.plan_once()
+
+    (order,) = context.dialect.orders
+    assert set(range(32, 48)) <= set(layers_of(order[1]))
+
+
+def test_engine_that_is_a_little_slow_keeps_its_place():
+    context, _, _, placement = make_placement()
+    with_engines(
+        context,
+        *(make_engine(f"e{i}", i * 16, i * 16 + 16) for i in range(5)),
+        make_engine("spare", 0, 16),
+    )
+    placement.renew()
+    context.fleet.on_pace("e2", 2.0, context.clock.now_ms())
+
+    placement.plan_once()
+
+    assert context.dialect.orders == []
+
+
 def test_holder_stays_while_the_store_answers_nobody():
     # The store refuses everybody for eight seconds while engines crash and
     # leave. The holder's lease runs out, and for three seconds nobody places
