--- a/caroblug/gateway/_watches.py
+++ b/caroblug/gateway/_watches.py
@@ -41,7 +41,10 @@
 """Share by which waits differ, so that they don't all end together."""
 
 _AGAIN_MS = 250
-"""Pause after a call to the store that failed."""
+_AGAIN_MOST_MS = 2000
+"""Pause after a read of the configuration that failed, doubled with each one in
+a row: calls that are refused are paid for as well. A list that is read again,
+and other gateways, tell sooner that there is something to read."""
 
 
 class Watches:
@@ -66,6 +69,7 @@
     def run_configuration(self) -> None:
         """Follows the configuration."""
         end = None
+        failures = 0
         while True:
             if end is None:
                 read = self._read_configuration()
@@ -75,11 +79,24 @@
                 end = None
                 continue
             if isinstance(read, Unavailable):
-                gevent.sleep(_AGAIN_MS / 1000)
+                gevent.sleep(self._again_ms(failures) / 1000)
+                failures += 1
                 end = None
                 continue
+            failures = 0
             end = max(read.end, end or 0)
 
+    def _again_ms(self, failures: int) -> int:
+        """Returns the pause after a failed read.
+
+        Args:
+            failures: Reads that had failed before it, in a row.
+        """
+        if self._context.configuration is None:
+            # Nothing can be served before the first one.
+            return _AGAIN_MS
+        return min(_AGAIN_MOST_MS, _AGAIN_MS << min(failures, 4))
+
     def _read_configuration(self) -> ConfigurationRead | Unavailable:
         """Reads the newest configuration and takes it."""
         read = self._registry.read_configuration()
--- a/caroblug/gateway/tests/test_watches.py
+++ b/caroblug/gateway/tests/test_watches.py
@@ -64,3 +64,20 @@
 
     assert 3000 <= wait_ms <= 20_000
     assert wait_ms / max(1, gateways) <= 4000
+
+
+def test_store_that_is_away_is_asked_less_and_less_often():
+    # The store refuses calls for ten seconds. Each gateway asked for the
+    # configuration four times a second all the while, and each call is paid
+    # for; one that has no configuration yet can't serve anybody.
+    context, registry, peers, _ = make_placement()
+    watches = Watches(context, registry, peers)
+
+    assert context.configuration is not None
+    pauses = [watches._again_ms(failures) for failures in range(40)]
+    context.configuration = None
+    first = [watches._again_ms(failures) for failures in range(40)]
+
+    assert sum(pauses[:7]) >= 9000
+    assert max(pauses) <= 2000
+    assert max(first) <= 250
