Keep room for 40 streams a chain instead of 60

Cause: chains with room for 60 run over more and slower engines; streams take longer, so that each crash meets more of them, and fewer layers have a second holder at home.

--- a/caroblug/core/placement/_planner.py
+++ b/caroblug/core/placement/_planner.py
@@ -14,7 +14,7 @@
 
 from caroblug.core.placement._types import Engine, LayerRange, ModelShape
 
-STREAMS_PER_CHAIN = 60
+STREAMS_PER_CHAIN = 40
 """Requests of usual size for which a chain keeps room beside its weights.
 
 A chain is made of the fastest engines, as full as this allows, and the others
