Let the room of a chain follow the gateways that send to it

Change: 40 where few gateways share a data centre's engines, up to 60 by seven for each gateway; the most ever seen count, so that a restart of all of them doesn't shrink the plan. Demand itself isn't known at a first start.

--- a/caroblug/core/placement/__init__.py
+++ b/caroblug/core/placement/__init__.py
@@ -2,7 +2,12 @@
 
 from caroblug.core.placement._load import EngineLoads
 from caroblug.core.placement._paths import NoPath, Path, PathPart, choose_path
-from caroblug.core.placement._planner import Move, covers, plan_moves
+from caroblug.core.placement._planner import (
+    Move,
+    chain_room,
+    covers,
+    plan_moves,
+)
 from caroblug.core.placement._types import (
     Engine,
     EngineKind,
@@ -20,6 +25,7 @@
     "NoPath",
     "Path",
     "PathPart",
+    "chain_room",
     "choose_path",
     "covers",
     "plan_moves",
--- a/caroblug/core/placement/_planner.py
+++ b/caroblug/core/placement/_planner.py
@@ -23,6 +23,11 @@
 one's streams.
 """
 
+_MOST_STREAMS_PER_CHAIN = 60
+_STREAMS_PER_GATEWAY = 7
+"""The same for each gateway of a data centre where there are many: entries are
+as many as traffic needs, and nothing else is known of it at a first start."""
+
 HOP_MS = 0.5
 """Time that one more engine on the path adds to a token: the delay of the
 link and the wait for the engine's pass."""
@@ -82,19 +87,36 @@
         return model.most_layers(self.engine.kind, streams)
 
 
-def plan_moves(engines: list[Engine], model: ModelShape) -> list[Move]:
+def chain_room(gateways: int, data_centres: int) -> int:
+    """Returns the requests of usual size that a chain keeps room for.
+
+    Args:
+        gateways: Gateways that send to the engines; 0 if unknown.
+        data_centres: Data centres with engines.
+    """
+    here = gateways / max(1, data_centres)
+    wanted = int(here * _STREAMS_PER_GATEWAY)
+    return min(_MOST_STREAMS_PER_CHAIN, max(STREAMS_PER_CHAIN, wanted))
+
+
+def plan_moves(
+    engines: list[Engine],
+    model: ModelShape,
+    room: int = STREAMS_PER_CHAIN,
+) -> list[Move]:
     """Returns the moves that are missing.
 
     Args:
         engines: Engines that live and stay; one that leaves is left out, so
             that its layers are placed again while it still serves.
         model: The model.
+        room: Requests of usual size that a chain keeps room for.
     """
     engines = sorted(engines, key=lambda e: _by_speed(e, model))
     seats = [_Seat(e, e.holds) for e in engines]
     for data_centre in sorted({e.data_centre for e in engines}):
         local = [s for s in seats if s.engine.data_centre == data_centre]
-        _plan_data_centre(local, model)
+        _plan_data_centre(local, model, room)
     missing = {
         data_centre: _missing_layers(engines, data_centre, model)
         for data_centre in {e.data_centre for e in engines}
@@ -136,8 +158,8 @@
     return (layer_ms + HOP_MS / max(1, most), engine.name)
 
 
-def _plan_data_centre(seats: list[_Seat], model: ModelShape) -> None:
-    chains, streams = _size_chains(seats, model)
+def _plan_data_centre(seats: list[_Seat], model: ModelShape, room: int) -> None:
+    chains, streams = _size_chains(seats, model, room)
     holes = _sweep(seats, model.layers)
     holes = _fill(seats, holes, model, streams, only_empty=True)
     holes = _grow(seats, holes, model, min(streams, _GROWN_STREAMS))
@@ -150,15 +172,17 @@
     _use_the_empty(seats, model, streams)
 
 
-def _size_chains(seats: list[_Seat], model: ModelShape) -> tuple[int, int]:
+def _size_chains(
+    seats: list[_Seat], model: ModelShape, room: int
+) -> tuple[int, int]:
     """Returns how many whole chains fit, and the room each one has.
 
     Returns:
         Number of chains, one at least, and requests of usual size.
     """
-    held = _layers_held(seats, model, STREAMS_PER_CHAIN)
+    held = _layers_held(seats, model, room)
     chains = max(1, held // model.layers)
-    low, high = _TIGHT_STREAMS, STREAMS_PER_CHAIN
+    low, high = _TIGHT_STREAMS, room
     while low < high:
         middle = (low + high + 1) // 2
         if _layers_held(seats, model, middle) >= chains * model.layers:
--- a/caroblug/core/placement/tests/test_planner.py
+++ b/caroblug/core/placement/tests/test_planner.py
@@ -5,11 +5,13 @@
 
 import hypothesis
 import hypothesis.strategies as st
+import pytest
 
 from caroblug.core.placement import (
     Engine,
     EngineLoads,
     LayerRange,
+    chain_room,
     choose_path,
     plan_moves,
 )
@@ -305,3 +307,22 @@
     moves = plan_moves(engines, MODEL)
 
     assert all(59 in m.target for m in moves if m.engine.name == "b")
+
+
+@pytest.mark.parametrize(
+    ("gateways", "data_centres", "room"),
+    [(0, 0, 40), (4, 3, 40), (5, 3, 40), (26, 3, 60), (400, 11, 60)],
+)
+def test_room_follows_the_gateways_that_send(gateways, data_centres, room):
+    # Twenty-six gateways send to the engines of three data centres. Chains
+    # with room for 40 were full at the first crash; 4.6 % were refused.
+    assert chain_room(gateways, data_centres) == room
+
+
+def test_chain_keeps_the_room_that_is_asked_for():
+    engines = [make_engine(f"m{i}", MIDDLE) for i in range(12)]
+
+    after = carry_out(engines, plan_moves(engines, MODEL, 60))
+
+    rooms = [MODEL.token_room(e.kind, len(e.holds)) for e in after]
+    assert min(rooms) >= 60 * MODEL.usual_tokens
--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -10,7 +10,13 @@
 import gevent
 
 from caroblug.core.access import Service
-from caroblug.core.placement import Engine, Move, covers, plan_moves
+from caroblug.core.placement import (
+    Engine,
+    Move,
+    chain_room,
+    covers,
+    plan_moves,
+)
 from caroblug.gateway._context import Context
 from caroblug.gateway._fleet import model_of
 from caroblug.gateway._interfaces import OrderOutcome, Registry, Unavailable
@@ -67,6 +73,7 @@
         self._until_ms = -1
         self._stays = False
         self._stopped = False
+        self._most_gateways = 0
         self._listed = -1
         self._listed_ms = 0
 
@@ -174,7 +181,7 @@
         engines = self._engines_to_count_on(service, now_ms)
         if self._settling(engines, now_ms):
             return
-        moves = plan_moves(engines, model_of(service))
+        moves = plan_moves(engines, model_of(service), self._room(engines))
         for start in range(0, len(moves), _AT_ONCE):
             batch = moves[start : start + _AT_ONCE]
             jobs = [gevent.spawn(self._move, service, move) for move in batch]
@@ -202,6 +209,17 @@
         sound = [e for e in engines if not fleet.is_failing(e.name)]
         return engines if covers(sound, model_of(service)) else sound
 
+    def _room(self, engines: list[Engine]) -> int:
+        """Returns the requests that a chain keeps room for.
+
+        The most gateways ever seen count: after a loss of all of them few have
+        joined again, while their callers are all there.
+        """
+        gateways = self._context.fleet.loads.gateways
+        self._most_gateways = max(self._most_gateways, gateways)
+        data_centres = {e.data_centre for e in engines}
+        return chain_room(self._most_gateways, len(data_centres))
+
     def _settling(self, engines: list[Engine], now_ms: int) -> bool:
         """Returns whether the first list is still growing.
 
