--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -23,6 +23,12 @@
         context.dialect.add(engine.address, engine.holds)
 
 
+def with_a_chain_and_a_spare(context):
+    """Lists engines e0 to e4 of 16 layers each, and a second one for e0's."""
+    chain = [make_engine(f"e{i}", i * 16, i * 16 + 16) for i in range(5)]
+    with_engines(context, *chain, make_engine("spare", 0, 16))
+
+
 def tell(
     peers,
     name,
@@ -250,11 +256,7 @@
     # data centre holds its layers, so that every stream there is late, and
     # other data centres run out of memory when all go there.
     context, _, _, placement = make_placement()
-    with_engines(
-        context,
-        *(make_engine(f"e{i}", i * 16, i * 16 + 16) for i in range(5)),
-        make_engine("spare", 0, 16),
-    )
+    with_a_chain_and_a_spare(context)
     placement.renew()
     context.fleet.on_pace("e2", 12.0, context.clock.now_ms())
 
@@ -266,11 +268,7 @@
 
 def test_engine_that_is_a_little_slow_keeps_its_place():
     context, _, _, placement = make_placement()
-    with_engines(
-        context,
-        *(make_engine(f"e{i}", i * 16, i * 16 + 16) for i in range(5)),
-        make_engine("spare", 0, 16),
-    )
+    with_a_chain_and_a_spare(context)
     placement.renew()
     context.fleet.on_pace("e2", 2.0, context.clock.now_ms())
 
