--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -1,62 +1,39 @@
-"""Shares, queues, admission, retry budgets and quarantine."""
+"""Shares, queues, admission, retry budgets and quarantine.
 
-from caroblug.core.limits._account_weights import AccountWeights
-from caroblug.core.limits._admission import Admission
-from caroblug.core.limits._fair_queue import (
-    QUEUE_KINDS,
-    FairQueue,
-    FifoQueue,
-    ItemQueue,
-    make_queue,
-)
-from caroblug.core.limits._hedging import Hedging
-from caroblug.core.limits._homes import Homes
-from caroblug.core.limits._overload import (
-    EngineLoad,
-    OpenedSince,
-    estimate_wait_ms,
-)
-from caroblug.core.limits._repeat_window import RepeatWindow
-from caroblug.core.limits._retry_after import RetryAfter
-from caroblug.core.limits._retry_budget import RetryBudget, RetryRule
-from caroblug.core.limits._run_gate import RunGate, Ticket
-from caroblug.core.limits._shares import (
-    AccountRule,
-    Demand,
-    EntryShares,
-    Grant,
-    HomeShares,
-)
-from caroblug.core.limits._solo import SoloQueue, Turn
-from caroblug.core.limits._suspicions import Suspicion, Suspicions, Verdict
+Names are imported when they are first used: the gateway needs three of them.
+"""
 
-__all__ = [
-    "QUEUE_KINDS",
-    "AccountRule",
-    "AccountWeights",
-    "Admission",
-    "Demand",
-    "EngineLoad",
-    "EntryShares",
-    "FairQueue",
-    "FifoQueue",
-    "Grant",
-    "HomeShares",
-    "Hedging",
-    "Homes",
-    "ItemQueue",
-    "OpenedSince",
-    "RepeatWindow",
-    "RetryAfter",
-    "RetryBudget",
-    "RetryRule",
-    "RunGate",
-    "SoloQueue",
-    "Suspicion",
-    "Suspicions",
-    "Ticket",
-    "Turn",
-    "Verdict",
-    "estimate_wait_ms",
-    "make_queue",
-]
+from caroblug.lazy import make_lazy
+
+_MODULES = {
+    "AccountRule": "_shares",
+    "AccountWeights": "_account_weights",
+    "Admission": "_admission",
+    "Demand": "_shares",
+    "EngineLoad": "_overload",
+    "EntryShares": "_shares",
+    "FairQueue": "_fair_queue",
+    "FifoQueue": "_fair_queue",
+    "Grant": "_shares",
+    "Hedging": "_hedging",
+    "HomeShares": "_shares",
+    "Homes": "_homes",
+    "ItemQueue": "_fair_queue",
+    "OpenedSince": "_overload",
+    "QUEUE_KINDS": "_fair_queue",
+    "RepeatWindow": "_repeat_window",
+    "RetryAfter": "_retry_after",
+    "RetryBudget": "_retry_budget",
+    "RetryRule": "_retry_budget",
+    "RunGate": "_run_gate",
+    "SoloQueue": "_solo",
+    "Suspicion": "_suspicions",
+    "Suspicions": "_suspicions",
+    "Ticket": "_run_gate",
+    "Turn": "_solo",
+    "Verdict": "_suspicions",
+    "estimate_wait_ms": "_overload",
+    "make_queue": "_fair_queue",
+}
+
+__getattr__, __dir__, __all__ = make_lazy(__name__, _MODULES)
--- a/caroblug/utils/__init__.py
+++ b/caroblug/utils/__init__.py
@@ -1,11 +1,10 @@
 """Helpers shared by every package: time, outcomes, settings, metrics.
 
 Names are imported when they are first used: settings and metrics bring
-libraries that a program which only needs the clock would pay for at its start
-(0.19 s of processor time instead of under 0.01, on one core of a test machine).
+libraries that a program which only needs the clock would pay for at its start.
 """
 
-import importlib
+from caroblug.lazy import make_lazy
 
 _MODULES = {
     "Clock": "_clock",
@@ -35,15 +34,4 @@
     "text": "_validation",
 }
 
-__all__ = sorted(_MODULES)
-
-
-def __getattr__(name: str):
-    module = _MODULES.get(name)
-    if module is None:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
-
-
-def __dir__() -> list[str]:
-    return __all__
+__getattr__, __dir__, __all__ = make_lazy(__name__, _MODULES)
