--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -113,6 +113,7 @@
         self._tokens = max(1, _mean_tokens(pending.caller))
         self._repairing = False
         self._given_up = ""
+        # The engine that held up this run, for the log.
         self._lost = ""
         self._has_repeat = False
         self._pace = EventPace()
