Listen for callers before saying ready

Cause: callers were taken some ms after configuration and list were known, and the answer to the readiness question did not wait for that. Where nobody had listened since the start (--settings FILE), a caller that came between was refused. Change: the socket listens before readiness can be asked for. Ruled out: a port taken by another process; the gateway went on to serve.

--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -122,6 +122,8 @@
         gevent.signal_handler(signal.SIGTERM, self._leave)
         gevent.signal_handler(signal.SIGINT, self._leave)
         gevent.signal_handler(signal.SIGHUP, self._read_settings)
+        # Whoever hears that the gateway is ready connects at once.
+        self._callers.listen()
         self._ready.start()
         self._peer_calls.start()
         for loop in (
--- a/caroblug/gateway/_http_server.py
+++ b/caroblug/gateway/_http_server.py
@@ -300,8 +300,12 @@
         """Requests that are being answered."""
         return sum(c.busy for c in self._connections)
 
+    def listen(self) -> None:
+        """Begins to listen; connections wait until the server starts."""
+        self._server.init_socket()
+
     def start(self) -> None:
-        """Begins to listen."""
+        """Begins to answer."""
         self._server.start()
 
     def close_after_answers(self) -> None:
--- a/caroblug/gateway/tests/test_start.py
+++ b/caroblug/gateway/tests/test_start.py
@@ -48,6 +48,23 @@
     server.stop_listening()
 
 
+def test_caller_can_connect_before_the_server_answers():
+    # A gateway says that it is ready once configuration and list are known,
+    # and takes callers some ms later. One that came between was refused,
+    # where nobody had listened at the address since the start.
+    address = ("127.0.0.1", Ports().take())
+    server = make_server(address)
+    server.listen()
+    with socket.create_connection(address, timeout=5) as caller:
+        caller.sendall(REQUEST)
+        server.start()
+        caller.setblocking(False)
+        answer = _read(caller)
+
+    assert answer.endswith(b"served")
+    server.stop_listening()
+
+
 def _read(caller: socket.socket) -> bytes:
     from gevent import socket as cooperative
 
