List a plan that sends both holders of the same layers away, with its test

Cause: each engine that could fill a hole is asked whether it is spare before any is moved, so that two engines count as each other's second holder.

--- a/caroblug/core/placement/tests/test_planner.py
+++ b/caroblug/core/placement/tests/test_planner.py
@@ -326,3 +326,21 @@
 
     rooms = [MODEL.token_room(e.kind, len(e.holds)) for e in after]
     assert min(rooms) >= 60 * MODEL.usual_tokens
+
+
+def test_two_holders_of_the_same_layers_are_not_both_sent_away():
+    # Two engines hold the first layers, and a third one still loads them. Two
+    # holes are to be mended: each of the two passed for the other's second
+    # holder, both were moved, and until the load had ended every stream of the
+    # data centre stood still.
+    engines = [
+        make_engine("x", MIDDLE, first=0, end=8),
+        make_engine("y", MIDDLE, first=0, end=8),
+        make_engine("late", BIG, first=0, end=16, loading=True),
+        make_engine("z", BIG, first=32, end=48),
+    ]
+
+    moves = {m.engine.name: m.target for m in plan_moves(engines, MODEL)}
+
+    kept = [e for e in engines[:2] if 0 in moves.get(e.name, e.holds)]
+    assert kept
