--- a/caroblug/gateway/_slowness.py
+++ b/caroblug/gateway/_slowness.py
@@ -15,8 +15,8 @@
 
 _LOOK_S = 0.25
 _SUSPICIOUS = 1.5
-"""Times the usual gap between events from which engines are asked. It is
-assumed to leave room for a data centre that takes on another one's streams."""
+"""Times the usual gap between events from which engines are asked. It
+leaves room for a data centre that takes on another one's streams."""
 
 _LEARN = 0.03
 """Weight of a look in the usual gap; it follows within ten seconds."""
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -508,8 +508,7 @@
                 return "part is lost, no other one"
             if path.crosses and self._prepare_another_run():
                 # All that was read so far would have to cross, for every
-                # stream at once; a whole path elsewhere reads it again in less
-                # time, a tenth as worked out from links and engines.
+                # stream at once; a whole path elsewhere reads it again sooner.
                 return "part is lost, the next one is far"
             outcome = self._order_path(name, path)
             if exchange is not self._exchange:
