Count an engine whose load is overdue as loading

Cause: 2.5 s after a load should have ended, the gateway that ordered it forgot it and took the engine for a holder of whatever the list still named, layers that it had given up; another holder of them could then be sent away. Evidence: the test, which failed before: no engine loading where its report said busy. Change: an engine that says it is busy counts as loading for a second after each report, and is asked on for as long as it is.

--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -43,6 +43,9 @@
 _TELL_ON_MS = 4000
 """How long an engine's own word is told to other gateways."""
 
+_BUSY_KEPT_MS = 1000
+"""How long an engine that says it carries out an order counts as loading."""
+
 _UNLISTED_KEPT_MS = 15000
 """How long what was met at a backend server outlives its place in the list."""
 
@@ -64,6 +67,7 @@
     ended: bool = False
     placed: LayerRange | None = None
     placed_until_ms: int = 0
+    busy_until_ms: int = 0
     seen_ms: int = 0
     told_holds: LayerRange | None = None
     told_holds_ms: int = 0
@@ -232,7 +236,8 @@
         """Returns a service's engines with the layers they hold.
 
         An engine whose load this entry has ordered counts as loading until
-        the list shows the layers, or the time for it is over.
+        the list shows the layers, or the time for it is over; after that for
+        as long as the engine says that it is busy.
         """
         found = []
         for backend in self.backends(service.name):
@@ -247,7 +252,7 @@
         holds = backend.holds
         if self._told_is_newer(met):
             holds = met.told_holds
-        loading = False
+        loading = met.busy_until_ms > now_ms
         if met.placed is not None:
             if met.placed == holds or now_ms >= met.placed_until_ms:
                 met.placed = None
@@ -271,6 +276,10 @@
         met.placed = layers
         met.placed_until_ms = now_ms + for_ms
 
+    def on_busy(self, name: str, now_ms: int) -> None:
+        """Notes that an engine says it is carrying out an order."""
+        self._met[name].busy_until_ms = now_ms + _BUSY_KEPT_MS
+
     def on_report(
         self, name: str, holds: LayerRange | None, now_ms: int
     ) -> None:
--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -19,7 +19,12 @@
 )
 from caroblug.gateway._context import Context
 from caroblug.gateway._fleet import model_of
-from caroblug.gateway._interfaces import OrderOutcome, Registry, Unavailable
+from caroblug.gateway._interfaces import (
+    EngineReport,
+    OrderOutcome,
+    Registry,
+    Unavailable,
+)
 from caroblug.gateway._peers import Peers, TenureState
 
 _RENEW_MS = 800
@@ -257,7 +262,10 @@
                 engine.name, report.holds, context.clock.now_ms()
             )
             return
-        if report.busy or not self.acting:
+        if report.busy:
+            context.fleet.on_busy(engine.name, context.clock.now_ms())
+            return
+        if not self.acting:
             return
         outcome = context.dialect.place(
             engine.address, move.target, report.orders, move.urgent
@@ -284,26 +292,44 @@
 
         The list tells a heartbeat and a read later, two seconds during which
         the layers would answer nobody; not at all while the store is away.
+
+        Args:
+            move: The engine and its layers.
+            end_ms: When the load should have ended. An engine that is still
+                busy then is followed on: nobody may rely on what it held.
         """
         context = self._context
-        while context.clock.now_ms() < end_ms:
+        name = move.engine.name
+        layers = [move.target.first, move.target.end]
+        while not self._stopped:
             gevent.sleep(_FOLLOW_S)
-            report = context.dialect.read_report(move.engine.address)
-            if isinstance(report, Unavailable) or report.busy:
-                continue
-            now_ms = context.clock.now_ms()
-            context.fleet.on_report(move.engine.name, report.holds, now_ms)
-            if report.holds == move.target:
-                context.fleet.on_loaded(move.engine.name)
+            report = self._ask_loading(move.engine)
+            left_ms = end_ms - context.clock.now_ms()
+            known = not isinstance(report, Unavailable)
+            if known and not report.busy and report.holds == move.target:
+                context.fleet.on_loaded(name)
                 context.log.write(
                     "placement.loaded",
-                    backend_server=move.engine.name,
-                    layers=[move.target.first, move.target.end],
-                    left_ms=end_ms - now_ms,
+                    backend_server=name,
+                    layers=layers,
+                    left_ms=left_ms,
                 )
                 return
+            if left_ms <= 0 and not (known and report.busy):
+                break
         context.log.write(
-            "placement.not_loaded",
-            backend_server=move.engine.name,
-            layers=[move.target.first, move.target.end],
+            "placement.not_loaded", backend_server=name, layers=layers
         )
+
+    def _ask_loading(self, engine: Engine) -> EngineReport | Unavailable:
+        """Asks an engine that was ordered to load, and notes what it says."""
+        fleet = self._context.fleet
+        report = self._context.dialect.read_report(engine.address)
+        now_ms = self._context.clock.now_ms()
+        if isinstance(report, Unavailable):
+            return report
+        if report.busy:
+            fleet.on_busy(engine.name, now_ms)
+        else:
+            fleet.on_report(engine.name, report.holds, now_ms)
+        return report
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -1,5 +1,7 @@
 """Who places layers, and that late orders do no harm."""
 
+import attrs
+
 from caroblug.core.placement import LayerRange
 from caroblug.gateway import OrderOutcome, Tenure, Unavailable
 from caroblug.gateway._crashes import Crashes
@@ -318,3 +320,31 @@
 
     assert not placement.acting
     assert registry.tenure == Tenure(False)
+
+
+def with_a_hole_and_two_holders(context):
+    """Lists a chain without layers 64 to 80, and two engines that hold 0."""
+    with_engines(
+        context,
+        *(make_engine(f"e{i}", i * 16, i * 16 + 16) for i in range(1, 4)),
+        make_engine("p", 0, 16),
+        make_engine("q", 0, 16),
+    )
+
+
+def test_engine_whose_load_is_overdue_counts_as_loading():
+    # Guards against relying on what an engine held before a load that hangs.
+    context, _, _, placement = make_placement()
+    with_a_hole_and_two_holders(context)
+    service = context.configuration.services["pool"]
+    engine = context.fleet.engines(service, 0)[0]
+    reports = context.dialect.reports
+    reports[engine.address] = attrs.evolve(reports[engine.address], busy=True)
+
+    placement._ask_loading(engine)
+
+    now_ms = context.clock.now_ms()
+    engines = context.fleet.engines(service, now_ms)
+    assert [e.name for e in engines if e.loading] == [engine.name]
+    later = context.fleet.engines(service, now_ms + 2000)
+    assert not any(e.loading for e in later)
