Ask who keeps layers before they are given up

Callers: none seen to be hit. Cause: an engine is asked for its report before it is ordered to other layers, but the engine on which that relies was not. The list is a heartbeat old: after a change of who places layers, or with an engine that has just died, the last holder of a layer could be sent away. Evidence: the tests failed before this commit, with an order given although the keeper was busy, held other layers or gave no report. Change: a move names few engines that keep what it gives up; each is asked, and the move is dropped if one doesn't hold what the plan thought it holds. Costs one or two reports for each such move.

--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -265,7 +265,7 @@
         if report.busy:
             context.fleet.on_busy(engine.name, context.clock.now_ms())
             return
-        if not self.acting:
+        if not self._are_kept(move) or not self.acting:
             return
         outcome = context.dialect.place(
             engine.address, move.target, report.orders, move.urgent
@@ -287,6 +287,38 @@
             context.fleet.on_placed(engine.name, move.target, now_ms, for_ms)
             gevent.spawn(self._follow, move, now_ms + for_ms)
 
+    def _are_kept(self, move: Move) -> bool:
+        """Returns whether others say that they hold what a move gives up.
+
+        Guards against sending the last holder of a layer away: the list is a
+        heartbeat old, and another engine may have been ordered elsewhere
+        meanwhile, by a gateway that placed layers before this one, or by an
+        order that was carried out late.
+        """
+        fleet = self._context.fleet
+        for keeper in move.keepers:
+            report = self._context.dialect.read_report(keeper.address)
+            now_ms = self._context.clock.now_ms()
+            if isinstance(report, Unavailable):
+                self._context.ask_about.add(keeper.name)
+                reason = report.message
+            elif report.busy:
+                fleet.on_busy(keeper.name, now_ms)
+                reason = "busy"
+            elif report.holds != keeper.holds:
+                fleet.on_report(keeper.name, report.holds, now_ms)
+                reason = "holds other layers"
+            else:
+                continue
+            self._context.log.write(
+                "placement.not_kept",
+                backend_server=move.engine.name,
+                keeper=keeper.name,
+                reason=reason,
+            )
+            return False
+        return True
+
     def _follow(self, move: Move, end_ms: int) -> None:
         """Asks an engine that loads until it holds its layers.
 
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -1,6 +1,7 @@
 """Who places layers, and that late orders do no harm."""
 
 import attrs
+import pytest
 
 from caroblug.core.placement import LayerRange
 from caroblug.gateway import OrderOutcome, Tenure, Unavailable
@@ -332,6 +333,40 @@
     )
 
 
+def ordered(context):
+    """Returns the addresses of engines that were given orders."""
+    return [address for address, *_ in context.dialect.orders]
+
+
+@pytest.mark.parametrize(
+    "changes", [{"busy": True}, {"holds": LayerRange(3, 9)}]
+)
+def test_layers_are_not_given_up_for_a_keeper_that_has_gone_elsewhere(changes):
+    # Guards against a list that is older than another gateway's last order.
+    context, _, _, placement = make_placement()
+    with_a_hole_and_two_holders(context)
+    placement.renew()
+    address = make_engine("q", 0, 16).address
+    reports = context.dialect.reports
+    reports[address] = attrs.evolve(reports[address], **changes)
+
+    placement.plan_once()
+
+    assert ordered(context) == []
+
+
+def test_keeper_that_gives_no_report_is_not_relied_on():
+    # Guards against a dead engine that passes for the other holder of layers.
+    context, _, _, placement = make_placement()
+    with_a_hole_and_two_holders(context)
+    placement.renew()
+    del context.dialect.reports[make_engine("q", 0, 16).address]
+
+    placement.plan_once()
+
+    assert ordered(context) == []
+
+
 def test_engine_whose_load_is_overdue_counts_as_loading():
     # Guards against relying on what an engine held before a load that hangs.
     context, _, _, placement = make_placement()
