Let the first gateway of a data centre find changes within seconds

Cause: a wait for the next configuration on a connection that went silent shows nothing until its time ends, up to 20 s. Waits were to end in turns, one a second over all gateways, but with each change all begin anew at the same moment. The list, read over new connections, doesn't fail, so that the earlier mend (read anew when the list is back) has nothing to go by.

Change: the first by name of a data centre waits 3 s at most and tells the others; a gateway that becomes the first gives a long wait up. Reads have a bound on the whole, 1.5 s and more after failures; before, a read that brought bytes now and then had none. Whatever call hangs is given up when the list is back, and doesn't hold up the list.

--- a/caroblug/gateway/_watches.py
+++ b/caroblug/gateway/_watches.py
@@ -1,5 +1,8 @@
 """Reading configuration and backend servers from the platform."""
 
+from collections.abc import Callable
+from typing import TypeVar
+
 import gevent
 
 from caroblug.gateway._context import Context
@@ -11,6 +14,8 @@
 )
 from caroblug.gateway._peers import Peers
 
+_Read = TypeVar("_Read")
+
 _LIST_MS = 700
 """Age of the list of backend servers from which the first by name of the
 gateways of a data centre reads it again, in ms. It tells the others within
@@ -30,16 +35,34 @@
 _START_LIST_MS = 150
 """Pause until a first list has been read."""
 
+_FIRST_WAIT_MS = 3000
+"""Wait for a change of the first by name of the gateways of a data centre. A
+connection that went silent tells nothing until its wait ends, and all gateways
+begin to wait anew at the same moment, with each change: this one finds a change
+and tells the others, however long theirs are."""
+
+_FIRST_OVERDUE_MS = 4000
+"""Age from which the wait of a gateway that has become the first is ended."""
+
 _WAIT_EACH_MS = 1000
-"""Time between two ends of a wait for a change, over all gateways. A connection
-that went silent tells nothing; of several gateways one waits anew each second,
-and tells the others of a change."""
+"""Time between two ends of a wait, over all other gateways."""
 
 _WAIT_LEAST_MS = 4000
 _WAIT_MOST_MS = 20000
 _WAIT_SPREAD = 0.25
 """Share by which waits differ, so that they don't all end together."""
 
+_WAIT_SLACK_MS = 2000
+"""Added to a wait before it is given up, whatever its connection does."""
+
+_READ_MS = 1500
+_READ_MOST_MS = 12000
+"""Bound on a whole read, doubled with each one in a row that failed: a large
+configuration may take longer on a slow link, and a read may also hang."""
+
+_BACK_READ_S = 0.2
+"""How long the list waits for a read of the configuration."""
+
 _AGAIN_MS = 250
 _AGAIN_MOST_MS = 2000
 """Pause after a read of the configuration that failed, doubled with each one in
@@ -64,20 +87,19 @@
         self._registry = registry
         self._lost: set[str] = set()
         self._ignored = 0
-        self._waiting: gevent.Greenlet | None = None
+        self._call: gevent.Greenlet | None = None
+        self._waiting_since_ms: int | None = None
 
     def run_configuration(self) -> None:
         """Follows the configuration."""
         end = None
         failures = 0
         while True:
-            if end is None:
-                read = self._read_configuration()
-            else:
-                read = self._wait_for_change(end)
+            read = self._read_next(end, failures)
             if read is None:
                 end = None
                 continue
+            self._take(read)
             if isinstance(read, Unavailable):
                 gevent.sleep(self._again_ms(failures) / 1000)
                 failures += 1
@@ -97,31 +119,40 @@
             return _AGAIN_MS
         return min(_AGAIN_MOST_MS, _AGAIN_MS << min(failures, 4))
 
-    def _read_configuration(self) -> ConfigurationRead | Unavailable:
-        """Reads the newest configuration and takes it."""
-        read = self._registry.read_configuration()
-        self._take(read)
-        return read
-
-    def _wait_for_change(
-        self, end: int
+    def _read_next(
+        self, end: int | None, failures: int
     ) -> ConfigurationRead | NothingNew | Unavailable | None:
-        """Waits for the next configuration and takes it.
+        """Reads the newest configuration, or waits for one after `end`.
+
+        Args:
+            end: Where to wait; None to read.
+            failures: Reads that have failed, in a row.
 
         Returns:
-            What came; None if the wait was given up.
+            What came; None if the call was given up to read anew.
         """
-        self._waiting = gevent.spawn(
-            self._registry.wait_for_change, end, self._wait_ms()
-        )
-        read = self._waiting.get()
-        self._waiting = None
-        if isinstance(read, gevent.GreenletExit):
-            return None
-        self._take(read)
-        return read
+        registry = self._registry
+        if end is None:
+            call = gevent.spawn(registry.read_configuration)
+            bound_ms = _read_bound_ms(failures)
+        else:
+            wait_ms = self._wait_ms()
+            call = gevent.spawn(registry.wait_for_change, end, wait_ms)
+            bound_ms = wait_ms + _WAIT_SLACK_MS
+            self._waiting_since_ms = self._context.clock.now_ms()
+        self._call = call
+        call.join(bound_ms / 1000)
+        self._call = None
+        self._waiting_since_ms = None
+        if not call.ready():
+            call.kill(block=False)
+            return Unavailable(f"no answer within {bound_ms} ms")
+        read = call.get()
+        return None if isinstance(read, gevent.GreenletExit) else read
 
     def _wait_ms(self) -> int:
+        if self._peers.is_first_at_home():
+            return _FIRST_WAIT_MS
         context = self._context
         gateways = max(1, context.fleet.loads.gateways)
         wait_ms = min(
@@ -138,21 +169,39 @@
             )
 
     def _on_store_back(self) -> None:
-        """Lets the configuration be read anew instead of waited for.
+        """Lets the configuration be read anew.
 
-        Guards against a wait that was sent while the store answered nobody:
+        Guards against a call that was sent while the store answered nobody:
         it is never answered, and a change would be taken only when its time is
-        over. The list shows first that the store is back.
+        over. The list shows first that the store is back; it doesn't wait long
+        for a read, which may hang like any other.
         """
-        if self._waiting is None:
-            self._read_configuration()
+        if self._call is None:
+            gevent.spawn(self._read_once).join(_BACK_READ_S)
         else:
-            self._waiting.kill(block=False)
+            self._call.kill(block=False)
+
+    def _read_once(self) -> None:
+        """Reads the newest configuration and takes it."""
+        self._take(_bounded(self._registry.read_configuration, _READ_MS))
+
+    def _renew_wait(self) -> None:
+        """Ends a wait that is too long for the first of a data centre.
+
+        Guards against the end of the gateway that was the first before: the
+        next one may be in a long wait on a connection that went silent.
+        """
+        since_ms = self._waiting_since_ms
+        if since_ms is None or not self._peers.is_first_at_home():
+            return
+        if self._context.clock.now_ms() - since_ms > _FIRST_OVERDUE_MS:
+            self._call.kill(block=False)
 
     def run_list(self) -> None:
         """Keeps the list of backend servers young until the process ends."""
         fleet = self._context.fleet
         while True:
+            self._renew_wait()
             now_ms = self._context.clock.now_ms()
             if fleet.known and fleet.age_ms(now_ms) < self._due_age_ms():
                 gevent.sleep(_LIST_LOOK_S)
@@ -171,7 +220,7 @@
         """Reads the list of backend servers once; returns whether it came."""
         context = self._context
         asked_ms = context.clock.now_ms()
-        listing = self._registry.read_backends()
+        listing = _bounded(self._registry.read_backends, _READ_MS)
         was_lost = "backends" in self._lost
         self._note("backends", listing)
         if isinstance(listing, Unavailable):
@@ -198,3 +247,15 @@
         elif what in self._lost:
             self._lost.discard(what)
             self._context.log.write("store.regained", what=what)
+
+
+def _read_bound_ms(failures: int) -> int:
+    """Returns the bound on a read after failures in a row."""
+    return min(_READ_MOST_MS, _READ_MS << min(failures, 3))
+
+
+def _bounded(read: Callable[[], _Read], bound_ms: int) -> _Read | Unavailable:
+    """Reads; returns `Unavailable` if that takes longer than the bound."""
+    with gevent.Timeout(bound_ms / 1000, False):
+        return read()
+    return Unavailable(f"no answer within {bound_ms} ms")
