Read what has arrived before a connection is ended as idle

Callers: a request on a kept connection, sent within four fifths of the idle time, got a reset if the gateway stood still meanwhile. Cause: after a pause, the end of a wait for bytes is handled before the bytes that came; the idle time was over, and the connection was closed with its request unread. Headers got 408 in the same way, and the drain closed connections whose request had just arrived. Change: time limits and the drain look for waiting bytes first.

--- a/caroblug/gateway/_http_server.py
+++ b/caroblug/gateway/_http_server.py
@@ -2,8 +2,10 @@
 
 import collections
 import contextlib
+import select
 from collections.abc import Callable
 
+import attrs
 import gevent
 from gevent import server, socket
 
@@ -117,6 +119,11 @@
             raise CallerGoneError(str(error)) from error
 
 
+@attrs.frozen
+class Idle:
+    """A connection that has waited too long for a request."""
+
+
 Handler = Callable[[RawRequest, Reply], None]
 
 
@@ -151,6 +158,8 @@
         self._worker: gevent.Greenlet | None = None
         self._idle_since_ms = clock.now_ms()
         self._over = False
+        now = limits()
+        self._reader = RequestReader(now.header_bytes, now.body_bytes)
 
     @property
     def busy(self) -> bool:
@@ -160,13 +169,13 @@
     @property
     def idle(self) -> bool:
         """Whether no byte of a request is waiting or being answered."""
-        return not self.busy and not self._reader.partial
+        if self.busy or self._reader.partial:
+            return False
+        return not self._over and not self._has_arrived()
 
     def serve(self) -> None:
         """Reads until the connection ends."""
         set_socket_options(self._socket)
-        limits = self._limits()
-        self._reader = RequestReader(limits.header_bytes, limits.body_bytes)
         try:
             while not self._over:
                 data = self._receive()
@@ -197,18 +206,42 @@
             return b""
 
     def _check_times(self) -> None:
-        if self.busy or self._over:
+        """Ends a connection that takes too long, unless bytes have arrived.
+
+        Guards against a process that stood still: it wakes when the time is
+        over, and a request that came meanwhile would be reset unread.
+        """
+        overdue = self._find_overdue()
+        if overdue is None or self._has_arrived():
             return
+        if isinstance(overdue, BadRequest):
+            self._refuse(overdue)
+        else:
+            self._over = True
+
+    def _find_overdue(self) -> BadRequest | Idle | None:
+        """Returns which of the caller's time limits is over, if any."""
+        if self.busy or self._over:
+            return None
         now_ms = self._clock.now_ms()
         limits = self._limits()
+        if not self._reader.partial and not self._reader.in_head:
+            idle_ms = now_ms - self._idle_since_ms
+            return Idle() if idle_ms > limits.idle_ms else None
+        took_ms = now_ms - self._reader.began_ms
         if self._reader.in_head:
-            if now_ms - self._reader.began_ms > limits.header_ms:
-                self._refuse(BadRequest(408, "headers came too slowly"))
-        elif self._reader.partial:
-            if now_ms - self._reader.began_ms > limits.idle_ms:
-                self._refuse(BadRequest(408, "body came too slowly"))
-        elif now_ms - self._idle_since_ms > limits.idle_ms:
-            self._over = True
+            late = took_ms > limits.header_ms
+            what = "headers"
+        else:
+            late = took_ms > limits.idle_ms
+            what = "body"
+        return BadRequest(408, f"{what} came too slowly") if late else None
+
+    def _has_arrived(self) -> bool:
+        """Returns whether bytes, or the caller's end, wait to be read."""
+        ready = select.poll()
+        ready.register(self._socket.fileno(), select.POLLIN)
+        return bool(ready.poll(0))
 
     def _feed(self, data: bytes) -> None:
         found = self._reader.feed(data, self._clock.now_ms())
