Reserve the ports of programs under test among all processes

Cause: ports were drawn at random by each soak and tried for a moment; whoever drew the same port before the first gateway had bound it, or while a gateway was down, took it. Change: an abstract socket name reserves each port until the process ends.

--- a/standins/_ports.py
+++ b/standins/_ports.py
@@ -9,21 +9,50 @@
 
 
 class Ports:
-    """Hands out ports that were free a moment ago, each once."""
+    """Hands out free ports, each to one process of the machine.
 
-    def __init__(self) -> None:
-        self._given: set[int] = set()
+    A port is reserved until the process ends, as programs bind it later than
+    it is handed out and again after each restart.
+
+    Args:
+        first: First port.
+        end: One past the last port.
+    """
+
+    def __init__(self, first: int = _FIRST, end: int = _END) -> None:
+        self._first = first
+        self._end = end
         self._random = random.SystemRandom()
+        self._reservations: list[socket.socket] = []
 
     def take(self) -> int:
         """Returns a free port."""
         while True:
-            port = self._random.randrange(_FIRST, _END)
-            if port not in self._given and _is_free(port):
-                self._given.add(port)
+            port = self._random.randrange(self._first, self._end)
+            reservation = _reserve(port)
+            if reservation is None:
+                continue
+            self._reservations.append(reservation)
+            if _is_free(port):
                 return port
 
 
+def _reserve(port: int) -> socket.socket | None:
+    """Reserves a port among all processes that ask here.
+
+    Returns:
+        What holds the reservation while it is open; None if another has it.
+    """
+    reservation = socket.socket(socket.AF_UNIX)
+    try:
+        # An abstract name: it is gone with the process, and needs no file.
+        reservation.bind(f"\0caroblug-port-{port}")
+    except OSError:
+        reservation.close()
+        return None
+    return reservation
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as sock:
         try:
