Rely on no engine that an unanswered order may still send away

Engines may leave an order unanswered and carry it out up to 12 s later. Cause: such an order was forgotten. The plan may change before it is carried out and then rely on the engine for layers that it gives up later, or let the engine that keeps them load others. The tests of single causes fail without their guard. Change: an engine with an unanswered order is uncertain for 13 s, or until it has begun another order; uncertain engines keep nothing for others, and what they hold must stay with another engine. Gateways tell each other, and what the engine said it holds, as a list may be older.

--- a/caroblug/core/placement/_keepers.py
+++ b/caroblug/core/placement/_keepers.py
@@ -8,8 +8,8 @@
 class Keepers:
     """Engines of one data centre that serve their layers all the time.
 
-    An engine counts unless it is loading, or the plan moves or grows it:
-    callers' requests avoid it meanwhile.
+    An engine counts unless it is loading, an order to it may still be carried
+    out, or the plan moves or grows it: callers' requests avoid it meanwhile.
 
     Args:
         engines: Engines of the data centre.
@@ -17,12 +17,18 @@
 
     def __init__(self, engines: list[Engine]) -> None:
         self._engines = {
-            engine.name: engine for engine in engines if not engine.loading
+            engine.name: engine
+            for engine in engines
+            if not engine.loading and not engine.uncertain
         }
         self._counts: collections.Counter[int] = collections.Counter()
         self._relied_on: set[int] = set()
         for engine in self._engines.values():
             self._counts.update(engine.holds)
+        # They may give their layers up at any moment.
+        for engine in engines:
+            if engine.uncertain:
+                self._relied_on.update(engine.holds)
 
     def may_give_up(self, engine: Engine) -> bool:
         """Returns whether others keep everything that an engine holds."""
--- a/caroblug/core/placement/_types.py
+++ b/caroblug/core/placement/_types.py
@@ -101,6 +101,8 @@
         kind: Kind of accelerator.
         holds: Layers it has, or will have once a load has ended.
         loading: Whether an order is still being carried out.
+        uncertain: Whether an order got no answer and may still be carried
+            out.
     """
 
     name: str
@@ -109,3 +111,4 @@
     kind: EngineKind
     holds: LayerRange = EMPTY
     loading: bool = False
+    uncertain: bool = False
--- a/caroblug/core/placement/tests/test_planner.py
+++ b/caroblug/core/placement/tests/test_planner.py
@@ -351,7 +351,10 @@
     return [
         e
         for e in engines
-        if e.data_centre == data_centre and layer in e.holds and not e.loading
+        if e.data_centre == data_centre
+        and layer in e.holds
+        and not e.loading
+        and not e.uncertain
     ]
 
 
@@ -378,11 +381,20 @@
                 holds=targets.get(engine.name, engine.holds),
                 loading=engine.name in targets
                 or (engine.loading and rng.random() < 0.5),
+                uncertain=rng.random() < 0.1,
             )
             for engine in engines
         ]
 
 
+@hypothesis.given(fleets(), st.randoms(use_true_random=False))
+def test_engines_that_may_still_be_sent_away_are_not_relied_on(engines, rng):
+    # Guards against a late order that takes the last holder of a layer away.
+    engines = [attrs.evolve(e, uncertain=rng.random() < 0.3) for e in engines]
+
+    assert_given_up_layers_are_served(engines, plan_moves(engines, MODEL))
+
+
 def test_holder_that_grows_is_not_relied_on_by_one_that_leaves():
     # Guards against layers whose one holder leaves while the other one loads.
     engines = [
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -46,6 +46,10 @@
 _BUSY_KEPT_MS = 1000
 """How long an engine that says it carries out an order counts as loading."""
 
+_LATE_ORDER_MS = 13000
+"""How long an order that got no answer may still be carried out: seconds, on
+an engine that answers nobody for a while."""
+
 _UNLISTED_KEPT_MS = 15000
 """How long what was met at a backend server outlives its place in the list."""
 
@@ -68,6 +72,7 @@
     placed: LayerRange | None = None
     placed_until_ms: int = 0
     busy_until_ms: int = 0
+    uncertain_until_ms: int = 0
     seen_ms: int = 0
     told_holds: LayerRange | None = None
     told_holds_ms: int = 0
@@ -266,20 +271,44 @@
             kind,
             holds,
             loading,
+            met.uncertain_until_ms > now_ms,
         )
 
     def on_placed(
         self, name: str, layers: LayerRange, now_ms: int, for_ms: int
     ) -> None:
-        """Notes that an engine was ordered to hold layers."""
+        """Notes that an engine was ordered to hold layers.
+
+        It has begun the order, so that an earlier one finds another number of
+        orders and does nothing.
+        """
         met = self._met[name]
         met.placed = layers
         met.placed_until_ms = now_ms + for_ms
+        met.uncertain_until_ms = 0
 
     def on_busy(self, name: str, now_ms: int) -> None:
         """Notes that an engine says it is carrying out an order."""
         self._met[name].busy_until_ms = now_ms + _BUSY_KEPT_MS
 
+    def on_order_unanswered(self, name: str, now_ms: int) -> None:
+        """Notes that an order sent now, or some time ago, got no answer.
+
+        Guards against relying on an engine for layers that it gives up later,
+        when the order is carried out after all.
+        """
+        met = self._met[name]
+        until_ms = now_ms + _LATE_ORDER_MS
+        met.uncertain_until_ms = max(met.uncertain_until_ms, until_ms)
+
+    def uncertain(self, now_ms: int) -> dict[str, int]:
+        """Returns engines with unanswered orders, with the age in ms."""
+        return {
+            name: now_ms - (met.uncertain_until_ms - _LATE_ORDER_MS)
+            for name, met in self._met.items()
+            if met.uncertain_until_ms > now_ms
+        }
+
     def on_report(
         self, name: str, holds: LayerRange | None, now_ms: int
     ) -> None:
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -187,6 +187,7 @@
                 for engine, (layers, age_ms) in told.items()
             },
             "leaving": context.fleet.recently_leaving(now_ms),
+            "unanswered": context.fleet.uncertain(now_ms),
             "crashes": self._crashes.tell(),
             "tenure": self.tenure.value,
             "holder_age_ms": self._holder_age_ms(now_ms),
@@ -247,6 +248,8 @@
         self._on_suspects(message["suspects"])
         self._on_told(message["told"])
         self._on_leaving(message["leaving"])
+        # Gateways of the version before don't say it.
+        self._on_unanswered(message.get("unanswered", {}))
         self._on_list_age(name, message)
         self._crashes.hear(message["crashes"])
         now_ms = self._context.clock.now_ms()
@@ -293,6 +296,18 @@
         for name, age_ms in leaving.items():
             self._context.fleet.on_leaving(str(name), now_ms - int(age_ms))
 
+    def _on_unanswered(self, unanswered: dict) -> None:
+        """Takes which orders of another gateway may still be carried out.
+
+        Guards against the death of who gave them: the next one to place
+        layers would rely on engines that give theirs up later.
+        """
+        now_ms = self._context.clock.now_ms()
+        for name, age_ms in unanswered.items():
+            self._context.fleet.on_order_unanswered(
+                str(name), now_ms - int(age_ms)
+            )
+
     def _on_loads(self, name: str, loads: dict) -> None:
         tokens = {str(key): float(value) for key, value in loads.items()}
         self._heard_ms[name] = self._context.clock.now_ms()
--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -286,6 +286,10 @@
             for_ms = int(load_ms + _LOAD_SLACK_MS)
             context.fleet.on_placed(engine.name, move.target, now_ms, for_ms)
             gevent.spawn(self._follow, move, now_ms + for_ms)
+        elif outcome is OrderOutcome.UNKNOWN:
+            now_ms = context.clock.now_ms()
+            context.fleet.on_report(engine.name, report.holds, now_ms)
+            context.fleet.on_order_unanswered(engine.name, now_ms)
 
     def _are_kept(self, move: Move) -> bool:
         """Returns whether others say that they hold what a move gives up.
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -338,6 +338,45 @@
     return [address for address, *_ in context.dialect.orders]
 
 
+def test_unanswered_order_makes_an_engine_uncertain():
+    # Guards against an order that is forgotten and carried out late.
+    context, _, _, placement = make_placement()
+    with_a_hole_and_two_holders(context)
+    placement.renew()
+    context.dialect.outcome = OrderOutcome.UNKNOWN
+
+    placement.plan_once()
+
+    now_ms = context.clock.now_ms()
+    assert list(context.fleet.uncertain(now_ms)) == ["p"]
+
+
+def test_engine_with_an_unanswered_order_is_not_relied_on():
+    # Guards against an order that is carried out after the other holder left.
+    context, _, _, placement = make_placement()
+    with_a_hole_and_two_holders(context)
+    placement.renew()
+    context.fleet.on_order_unanswered("q", context.clock.now_ms())
+
+    placement.plan_once()
+
+    assert make_engine("p", 0, 16).address not in ordered(context)
+
+
+def test_unanswered_orders_are_known_to_the_next_holder():
+    # Guards against the death of the holder while its order is still to come.
+    _, _, peers, _ = gone = make_placement("g1")
+    gone[0].fleet.on_order_unanswered("p", gone[0].clock.now_ms())
+    context, _, next_peers, _ = make_placement("g2")
+    with_a_hole_and_two_holders(context)
+
+    next_peers._take(peers._message())
+
+    service = context.configuration.services["pool"]
+    engines = context.fleet.engines(service, context.clock.now_ms())
+    assert [e.name for e in engines if e.uncertain] == ["p"]
+
+
 @pytest.mark.parametrize(
     "changes", [{"busy": True}, {"holds": LayerRange(3, 9)}]
 )
