--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -377,6 +377,24 @@
     assert [e.name for e in engines if e.uncertain] == ["p"]
 
 
+def test_layers_under_an_unanswered_order_are_known_to_the_next_holder():
+    # Guards against an older list there, by which their keeper loads others.
+    context, _, peers, placement = make_placement("g1")
+    with_a_hole_and_two_holders(context)
+    placement.renew()
+    context.dialect.outcome = OrderOutcome.UNKNOWN
+    placement.plan_once()
+    context, _, next_peers, _ = make_placement("g2")
+    with_engines(context, make_engine("p", 48, 64))
+
+    next_peers._take(peers._message())
+
+    service = context.configuration.services["pool"]
+    (engine,) = context.fleet.engines(service, context.clock.now_ms())
+    assert engine.holds == LayerRange(0, 16)
+    assert engine.uncertain
+
+
 @pytest.mark.parametrize(
     "changes", [{"busy": True}, {"holds": LayerRange(3, 9)}]
 )
