Give each test of a failure one line; their stories

The house style wants a name and one line in a test, and the story in a commit. Comments only: no check has changed. The stories that stood in the tests:

test_nothing_is_called_wrong_before_a_configuration_is_known: A gateway has just started and has not read the configuration. A 404 or 401 would tell callers that what they ask is wrong, and they would not come back.

test_unknown_number_of_gateways_is_taken_for_many: All gateways have just started, and engines are failing. If each took the whole extra, one bad second would break the bound for ten.

test_broken_data_centre_is_left_for_another_whole_one: An engine of the caller's data centre is gone. The whole path of another data centre costs one short hop; crossing inside the path would carry every token's activations over the shared pipe.

test_thin_link_is_not_crossed_while_a_whole_chain_has_room: Streams stand still for seconds at once in several data centres. One has lost an engine, and each of its streams fetches those layers elsewhere: a prompt takes 97 ms of a link of 2 Gbit/s (770 tokens of 32.8 KB), so ten streams a second fill it.

test_crowded_engines_are_passed_by: Every caller gets the fastest chain until its memory is full, and the newest requests are preempted while another chain idles.

test_neighbours_that_are_all_heard_are_not_scaled_up: 26 gateways, 6 of them in one data centre. Each hears its five neighbours and three others; taking the rest to be like these eight counted the load of the own engines three times, and streams were sent far away.

test_engine_that_came_back_empty_takes_its_hole_again: Streams of one data centre go the long way round. An engine crashed and is back under the same name, holding nothing. It is the cheapest filler of the hole that its crash has left, so that nobody else has to load.

test_lost_for_good_is_replaced_by_engines_whose_layers_others_hold: One data centre has no whole chain any more: an engine is gone for good. Engines that hold what others hold too move into the hole; those whose layers nobody else has there stay where they are.

test_hole_without_free_engines_is_closed_by_its_neighbours: Everybody is in use and one engine is lost. Its neighbours hold fewer requests for a while instead of nobody holding those layers.

test_full_engine_does_not_grow_while_its_neighbour_has_room: A fast engine on everybody's path took two more layers and kept room for 24 requests: it turned hundreds away while its neighbour had room.

test_data_centre_with_room_for_two_chains_gets_two: Half of a data centre's streams cross to another one: its engines hold every layer twice on the mean, but not each one twice.

test_one_chain_leaves_the_room_it_promises_and_uses_every_engine: Engines filled to the brim turn requests away while others hold layers that nobody misses.

test_chain_is_made_of_the_engines_that_save_most_time: Streams take a quarter longer than they need to, and a stop of all gateways cuts so many more: fast engines hold few layers, because every engine of the data centre has a part of the one chain. Figures: the engines of data centre a, 2 of pace 3.1 among 13 of pace 15 and 16.

test_engines_beside_the_chain_hold_its_layers_a_second_time: An engine on the path of every stream of a data centre dies, and until another one has loaded its layers all of them go to other data centres.

test_fast_engine_that_comes_back_goes_where_only_slow_ones_are: Streams stay slow after a crash is over: the slow engines that took the layers of a fast one keep them, and the fast one, back and empty, is given layers that need no second holder.

test_layers_are_given_up_only_if_another_engine_has_and_keeps_them: A chain misses its last layers. A second engine of the same layers as a sound part of it is still loading; the plan counted it as their holder and ordered the sound part to the hole, so that every stream of the data centre stood still until the load had ended.

test_room_follows_the_gateways_that_send: Twenty-six gateways send to the engines of three data centres. Chains with room for 40 were full at the first crash; 4.6 % were refused.

test_header_that_never_ends_is_refused: A caller sends header after header. Without a bound the gateway would keep them all until its memory is gone.

test_two_framings_at_once_are_refused: A request inside another one: two readers that trust different headers would cut the bytes differently, and the inner one would run unasked.

test_reader_that_stands_still_is_not_waited_for: Nobody reads the pipe any more. The gateway must go on serving, keep a bounded number of lines, and say later how many it left out.

test_half_an_event_of_a_broken_run_is_dropped: An engine dies in the middle of an event. The caller must not see the half, and the next run sends the event whole.

test_older_list_is_left_out: The store answers from before: a backend server that has left would be sent to again.

test_engines_own_word_goes_before_an_old_list: An engine crashed and is back empty. The list names its old layers until the next heartbeat; requests sent there would be turned away.

test_engine_that_says_it_leaves_is_out_while_the_list_is_old: The store is away while engines are emptied. They turn requests away, but the old list says that they are ready and hold their layers.

test_engine_that_goes_on_refusing_is_asked_less_often: An engine on every path is out of memory. 26 gateways ask it again each 0.3 s, every refusal counts as a repeat, and after seconds no stream may be repeated any more: 950 requests failed for that alone.

test_engine_without_power_is_found_by_the_pause_of_all_its_streams: A later engine of a path loses power. Nothing is reset, the first engine names it half a second later, and by then every stream is late: 30 of them on a site of three data centres, 200 ms being the longest pause.

test_engine_whose_other_streams_go_on_is_not_asked: One stream waits for memory: that says nothing of engines that serve others meanwhile, and each question is a connection that is paid for.

test_silent_engine_that_takes_connections_is_left_alone: A long prompt holds up all streams of an engine; it isn't dead, and leaving it would have every prompt read again elsewhere.

test_one_lost_packet_is_no_dead_engine: Links lose three packets in a hundred; a connection whose first packet is lost takes a second, so that one try alone would condemn an engine.

test_nobody_is_dead_when_nobody_answers: A gateway on a link of 10 Mbit/s reads a configuration that has grown by hundreds of routes: for a tenth of a second nothing else comes through.

test_engine_alone_on_its_paths_is_compared_with_others: Streams over one engine pause, those over others go on: that the others answer shows that the link of the gateway is sound.

test_ended_process_has_lost_its_layers_and_a_silent_one_may_not: Layers of a crashed engine were placed anew only after 1.5 s, the time for which an engine that is cut off may come back whole.

test_most_partners_are_in_the_own_data_centre: Gateways paid for 84 MB between data centres in 46 s, more than for anything else: 26 of them drew four partners each from all over the site. What matters here, the load of the own data centre's engines, is known at home; one exchange with another data centre each time still brings news through.

test_gateway_that_has_just_started_tells_as_many_as_ever: It has heard nobody yet, so that nobody counts as far: with one partner each time it would learn of its neighbours' load only after seconds.

test_word_of_a_leaving_engine_is_believed_until_a_newer_list: The store is away while engines are drained. Each of 26 gateways found out by itself, with a request that was turned away and a question.

test_newer_configuration_is_fetched_from_who_told_of_it: The store's connection of one gateway went silent, and its neighbour, who tells it twice a second, had a newer configuration. Whoever was told lately doesn't tell, and only answers carry a configuration: for ten seconds requests were handled by the old one.

test_lease_counts_from_before_it_was_asked_for: The holder is suspended while the answer to its renewal is on its way. When it wakes its time is over, and another gateway may be placing.

test_order_of_another_since_the_report_wins: Two gateways think that they are to place layers. Each order names the number of orders begun, so that the engine takes only the first.

test_deputy_is_the_first_by_name_once_no_holder_is_heard_of: The store is away and every lease has run out. Engines go on failing, and somebody must give their layers to others.

test_word_of_a_holder_that_has_left_is_not_believed: The holder gets SIGTERM and says so. A third gateway has not heard that yet and passes on that there was a holder half a second ago: for 2.5 s nobody placed the layers of engines that left meanwhile, and every request that needed them was refused.

test_gateway_that_has_just_started_has_heard_of_no_holder: Gateways are restarted while the store is away. Each one that came back told the others that it had heard of a holder just now, its own start, and nobody placed the layers of a dead engine for three seconds.

test_layers_that_only_a_silent_engine_holds_are_not_waited_for: An engine without power was the last one to hold some layers. Each request is refused while the plan waits whether it comes back whole: 1.5 s, and as long again until another one has loaded them.

test_layers_of_a_slow_engine_are_placed_anew: An engine runs twelve times slower for nine seconds. Nobody else in its data centre holds its layers, so that every stream there is late, and other data centres run out of memory when all go there.

test_holder_stays_while_the_store_answers_nobody: The store refuses everybody for eight seconds while engines crash and leave. The holder's lease runs out, and for three seconds nobody places layers: each gateway waits for word of a holder.

test_holder_that_stays_gives_way_to_the_next_one: Only this gateway is cut off from the store, which has named another holder meanwhile.

test_streams_avoid_an_engine_that_has_become_slow: An engine runs five to twelve times slower for eight seconds. Streams over it last as many times longer, and so does the memory that they hold on every other engine of their paths.

test_recovered_engine_is_used_again: Nothing runs over an engine that is avoided, so that no stream can show that it has recovered: it is asked.

test_names_of_the_past_are_forgotten: Each start of an engine has a name of its own; over months there are hundreds of thousands.

test_caller_that_came_before_the_server_is_answered: All gateways are killed at once and start again. A caller connects while the first one still loads its modules; it used to be refused, twice, and gave up.

test_caller_can_connect_before_the_server_answers: A gateway says that it is ready once configuration and list are known, and takes callers some ms later. One that came between was refused, where nobody had listened at the address since the start.

--- a/caroblug/core/access/tests/test_decisions.py
+++ b/caroblug/core/access/tests/test_decisions.py
@@ -61,9 +61,7 @@
 
 
 def test_nothing_is_called_wrong_before_a_configuration_is_known():
-    # A gateway has just started and has not read the configuration. A 404 or
-    # 401 would tell callers that what they ask is wrong, and they would not
-    # come back.
+    # Guards against 404 or 401 for what no configuration has yet been read.
     assert decide(None) == Denied(DenialReason.NOT_CONFIGURED)
 
 
--- a/caroblug/core/limits/tests/test_repeat_window.py
+++ b/caroblug/core/limits/tests/test_repeat_window.py
@@ -40,8 +40,7 @@
 
 
 def test_unknown_number_of_gateways_is_taken_for_many():
-    # All gateways have just started, and engines are failing. If each took
-    # the whole extra, one bad second would break the bound for ten.
+    # Guards against every gateway taking the whole extra after a common start.
     window = make_window()
 
     assert not window.take("s", 0, 0)
--- a/caroblug/core/placement/tests/test_paths.py
+++ b/caroblug/core/placement/tests/test_paths.py
@@ -47,9 +47,7 @@
 
 
 def test_broken_data_centre_is_left_for_another_whole_one():
-    # An engine of the caller's data centre is gone. The whole path of another
-    # data centre costs one short hop; crossing inside the path would carry
-    # every token's activations over the shared pipe.
+    # Guards against crossings in a path while another data centre has it whole.
     engines = [e for e in planned() if e.name != "c-big-0"]
 
     path = choose(engines, data_centre="c")
@@ -59,10 +57,7 @@
 
 
 def test_thin_link_is_not_crossed_while_a_whole_chain_has_room():
-    # Streams stand still for seconds at once in several data centres. One has
-    # lost an engine, and each of its streams fetches those layers elsewhere:
-    # a prompt takes 97 ms of a link of 2 Gbit/s (770 tokens of 32.8 KB), so
-    # ten streams a second fill it.
+    # Guards against streams that stand still as prompts fill a thin link.
     model = attrs.evolve(MODEL, crossing_ms=97.0)
     engines = [e for e in planned() if e.name != "c-big-0"]
     loads = EngineLoads()
@@ -106,8 +101,7 @@
 
 
 def test_crowded_engines_are_passed_by():
-    # Every caller gets the fastest chain until its memory is full, and the
-    # newest requests are preempted while another chain idles.
+    # Guards against preemption on the fastest chain while another one idles.
     engines = [
         make_engine("x", BIG, first=0, end=16),
         make_engine("x2", BIG, first=0, end=16),
@@ -163,9 +157,7 @@
 
 
 def test_neighbours_that_are_all_heard_are_not_scaled_up():
-    # 26 gateways, 6 of them in one data centre. Each hears its five neighbours
-    # and three others; taking the rest to be like these eight counted the load
-    # of the own engines three times, and streams were sent far away.
+    # Guards against load counted three times, which sends streams far away.
     loads = EngineLoads()
     loads.gateways = 26
     loads.neighbours = 6
--- a/caroblug/core/placement/tests/test_planner.py
+++ b/caroblug/core/placement/tests/test_planner.py
@@ -64,9 +64,7 @@
 
 
 def test_engine_that_came_back_empty_takes_its_hole_again():
-    # Streams of one data centre go the long way round. An engine crashed and
-    # is back under the same name, holding nothing. It is the cheapest filler
-    # of the hole that its crash has left, so that nobody else has to load.
+    # Guards against needless loads while an engine that is back fills its hole.
     engines = carry_out(make_fleet(), plan_moves(make_fleet(), MODEL))
     lost = next(e for e in engines if e.name == "c-middle-0")
     back = make_engine(lost.name, lost.kind, lost.data_centre)
@@ -80,9 +78,7 @@
 
 
 def test_lost_for_good_is_replaced_by_engines_whose_layers_others_hold():
-    # One data centre has no whole chain any more: an engine is gone for good.
-    # Engines that hold what others hold too move into the hole; those whose
-    # layers nobody else has there stay where they are.
+    # Guards against a data centre that stays without a whole chain.
     engines = carry_out(make_fleet(), plan_moves(make_fleet(), MODEL))
     lost = next(e for e in engines if e.name == "a-middle-0")
     engines = [e for e in engines if e is not lost]
@@ -105,8 +101,7 @@
 
 
 def test_hole_without_free_engines_is_closed_by_its_neighbours():
-    # Everybody is in use and one engine is lost. Its neighbours hold fewer
-    # requests for a while instead of nobody holding those layers.
+    # Guards against layers that nobody holds because every engine is in use.
     engines = [
         make_engine("n1", BIG, first=0, end=14),
         make_engine("n2", BIG, first=16, end=30),
@@ -122,8 +117,7 @@
 
 
 def test_full_engine_does_not_grow_while_its_neighbour_has_room():
-    # A fast engine on everybody's path took two more layers and kept room for
-    # 24 requests: it turned hundreds away while its neighbour had room.
+    # Guards against a full engine on every path that turns requests away.
     engines = [
         make_engine("n1", BIG, first=0, end=14),
         make_engine("n2", BIG, first=16, end=32),
@@ -140,8 +134,7 @@
 
 
 def test_data_centre_with_room_for_two_chains_gets_two():
-    # Half of a data centre's streams cross to another one: its engines hold
-    # every layer twice on the mean, but not each one twice.
+    # Guards against streams that cross though a second chain would fit here.
     engines = [make_engine(f"m{i}", MIDDLE) for i in range(20)]
 
     after = carry_out(engines, plan_moves(engines, MODEL))
@@ -151,8 +144,7 @@
 
 
 def test_one_chain_leaves_the_room_it_promises_and_uses_every_engine():
-    # Engines filled to the brim turn requests away while others hold layers
-    # that nobody misses.
+    # Guards against engines that are filled to the brim beside idle ones.
     engines = [make_engine(f"m{i}", MIDDLE) for i in range(12)]
 
     after = carry_out(engines, plan_moves(engines, MODEL))
@@ -163,10 +155,7 @@
 
 
 def test_chain_is_made_of_the_engines_that_save_most_time():
-    # Streams take a quarter longer than they need to, and a stop of all
-    # gateways cuts so many more: fast engines hold few layers, because every
-    # engine of the data centre has a part of the one chain. Figures: the
-    # engines of data centre a, 2 of pace 3.1 among 13 of pace 15 and 16.
+    # Guards against slow streams, as fast engines hold few layers of the chain.
     engines = carry_out(make_fleet(), plan_moves(make_fleet(), MODEL))
 
     path = choose_path(engines, MODEL, EngineLoads(), "a", random.Random(1))
@@ -178,8 +167,7 @@
 
 
 def test_engines_beside_the_chain_hold_its_layers_a_second_time():
-    # An engine on the path of every stream of a data centre dies, and until
-    # another one has loaded its layers all of them go to other data centres.
+    # Guards against a data centre that all streams leave when one engine dies.
     engines = carry_out(make_fleet(), plan_moves(make_fleet(), MODEL))
     local = by_data_centre(engines)["a"]
 
@@ -193,9 +181,7 @@
 
 
 def test_fast_engine_that_comes_back_goes_where_only_slow_ones_are():
-    # Streams stay slow after a crash is over: the slow engines that took the
-    # layers of a fast one keep them, and the fast one, back and empty, is
-    # given layers that need no second holder.
+    # Guards against streams that stay slow after a fast engine is back.
     engines = carry_out(make_fleet(), plan_moves(make_fleet(), MODEL))
     lost = next(e for e in engines if e.name == "a-big-0")
     rest = [e for e in engines if e is not lost]
@@ -278,10 +264,7 @@
 
 @hypothesis.given(fleets())
 def test_layers_are_given_up_only_if_another_engine_has_and_keeps_them(engines):
-    # A chain misses its last layers. A second engine of the same layers as a
-    # sound part of it is still loading; the plan counted it as their holder
-    # and ordered the sound part to the hole, so that every stream of the data
-    # centre stood still until the load had ended.
+    # Guards against a sound part that leaves while its second holder loads.
     moves = {m.engine.name: m for m in plan_moves(engines, MODEL)}
     serving = collections.defaultdict(int)
     for engine in engines:
@@ -315,8 +298,7 @@
     [(0, 0, 40), (4, 3, 40), (5, 3, 40), (26, 3, 60), (400, 11, 60)],
 )
 def test_room_follows_the_gateways_that_send(gateways, data_centres, room):
-    # Twenty-six gateways send to the engines of three data centres. Chains
-    # with room for 40 were full at the first crash; 4.6 % were refused.
+    # Guards against chains full at the first crash, with many gateways.
     assert chain_room(gateways, data_centres) == room
 
 
--- a/caroblug/gateway/tests/test_caller_requests.py
+++ b/caroblug/gateway/tests/test_caller_requests.py
@@ -55,8 +55,7 @@
 
 
 def test_header_that_never_ends_is_refused():
-    # A caller sends header after header. Without a bound the gateway would
-    # keep them all until its memory is gone.
+    # Guards against headers without an end that use up the gateway's memory.
     reader = make_reader(header_bytes=100)
     result = reader.feed(b"GET / HTTP/1.1\r\n", 0)
     for _ in range(20):
@@ -83,8 +82,7 @@
 
 
 def test_two_framings_at_once_are_refused():
-    # A request inside another one: two readers that trust different headers
-    # would cut the bytes differently, and the inner one would run unasked.
+    # Guards against request smuggling by two framings of one request.
     smuggled = (
         b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
         b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n"
--- a/caroblug/gateway/tests/test_decision_log.py
+++ b/caroblug/gateway/tests/test_decision_log.py
@@ -36,8 +36,7 @@
 
 
 def test_reader_that_stands_still_is_not_waited_for():
-    # Nobody reads the pipe any more. The gateway must go on serving, keep a
-    # bounded number of lines, and say later how many it left out.
+    # Guards against a gateway that blocks on a log which nobody reads.
     log, reader, _, _ = make_log()
     for number in range(10_000):
         log.take({"message_type": "x", "number": number, "pad": "p" * 100})
--- a/caroblug/gateway/tests/test_events.py
+++ b/caroblug/gateway/tests/test_events.py
@@ -21,8 +21,7 @@
 
 
 def test_half_an_event_of_a_broken_run_is_dropped():
-    # An engine dies in the middle of an event. The caller must not see the
-    # half, and the next run sends the event whole.
+    # Guards against half an event, or one sent twice, after an engine's death.
     events = EventSequence()
     events.feed(event(1) + b"id: 2\nda")
 
--- a/caroblug/gateway/tests/test_fleet.py
+++ b/caroblug/gateway/tests/test_fleet.py
@@ -52,8 +52,7 @@
 
 
 def test_older_list_is_left_out():
-    # The store answers from before: a backend server that has left would be
-    # sent to again.
+    # Guards against requests to a backend server that only an older list names.
     fleet = make_fleet(make_desk("d1"), end=5)
 
     assert not fleet.take_listing(list_of(make_desk("d0"), end=4), 10)
@@ -92,8 +91,7 @@
 
 
 def test_engines_own_word_goes_before_an_old_list():
-    # An engine crashed and is back empty. The list names its old layers until
-    # the next heartbeat; requests sent there would be turned away.
+    # Guards against requests to layers that an engine lost in a crash.
     fleet = make_fleet(make_engine("e1", 0, 80), now_ms=0)
     fleet.on_report("e1", LayerRange(0, 0), 500)
 
@@ -111,8 +109,7 @@
 
 
 def test_engine_that_says_it_leaves_is_out_while_the_list_is_old():
-    # The store is away while engines are emptied. They turn requests away,
-    # but the old list says that they are ready and hold their layers.
+    # Guards against requests to engines that leave while the list is old.
     fleet = make_fleet(make_engine("e1", 0, 80), now_ms=0)
     fleet.on_leaving("e1", 5000)
 
@@ -150,9 +147,7 @@
 
 
 def test_engine_that_goes_on_refusing_is_asked_less_often():
-    # An engine on every path is out of memory. 26 gateways ask it again each
-    # 0.3 s, every refusal counts as a repeat, and after seconds no stream may
-    # be repeated any more: 950 requests failed for that alone.
+    # Guards against repeats that are used up on one full engine.
     fleet = make_fleet(make_engine("x", 0, 80))
     asked = 0
     for now_ms in range(0, 6000, 50):
--- a/caroblug/gateway/tests/test_liveness.py
+++ b/caroblug/gateway/tests/test_liveness.py
@@ -76,9 +76,7 @@
 
 
 def test_engine_without_power_is_found_by_the_pause_of_all_its_streams():
-    # A later engine of a path loses power. Nothing is reset, the first engine
-    # names it half a second later, and by then every stream is late: 30 of
-    # them on a site of three data centres, 200 ms being the longest pause.
+    # Guards against late streams over an engine that has lost power.
     streams = [FakeStream(100_000, "x", "y") for _ in range(5)]
     site = Site(*streams)
     site.answers["y"] = Failure.CONNECT
@@ -92,8 +90,7 @@
 
 
 def test_engine_whose_other_streams_go_on_is_not_asked():
-    # One stream waits for memory: that says nothing of engines that serve
-    # others meanwhile, and each question is a connection that is paid for.
+    # Guards against paid questions about engines that serve other streams.
     waiting = FakeStream(100_000, "x", "y")
     others = [FakeStream(100_070, "x", "z") for _ in range(4)]
     site = Site(waiting, *others)
@@ -118,8 +115,7 @@
 
 
 def test_silent_engine_that_takes_connections_is_left_alone():
-    # A long prompt holds up all streams of an engine; it isn't dead, and
-    # leaving it would have every prompt read again elsewhere.
+    # Guards against streams moved off an engine that reads a long prompt.
     streams = [FakeStream(100_000, "x") for _ in range(5)]
     site = Site(*streams)
 
@@ -131,8 +127,7 @@
 
 
 def test_one_lost_packet_is_no_dead_engine():
-    # Links lose three packets in a hundred; a connection whose first packet
-    # is lost takes a second, so that one try alone would condemn an engine.
+    # Guards against an engine that is condemned for one lost packet.
     streams = [FakeStream(100_000, "x") for _ in range(5)]
     site = Site(*streams)
     answers = itertools.cycle([Failure.CONNECT, None])
@@ -145,10 +140,7 @@
 
 
 def test_nobody_is_dead_when_nobody_answers():
-    # A gateway on a link of 10 Mbit/s reads a configuration that has grown by
-    # hundreds of routes: for a tenth of a second nothing else comes through.
-    # All its streams pause, no engine answers it, and it would move every
-    # stream away from every engine, a thousand times on one day.
+    # Guards against streams moved off every engine while the own link is full.
     streams = [FakeStream(100_000, "x", "y", "z") for _ in range(5)]
     site = Site(*streams)
     site.answers = dict.fromkeys("xyz", Failure.CONNECT)
@@ -160,8 +152,7 @@
 
 
 def test_engine_alone_on_its_paths_is_compared_with_others():
-    # Streams over one engine pause, those over others go on: that the others
-    # answer shows that the link of the gateway is sound.
+    # Guards against streams that stay, as a silent engine can't be compared.
     silent = [FakeStream(100_000, "x") for _ in range(5)]
     others = [FakeStream(100_100, "y"), FakeStream(100_100, "z")]
     site = Site(*silent, *others)
@@ -175,8 +166,7 @@
 
 
 def test_engines_far_away_are_watched_only_for_many_streams():
-    # Watching every engine that a stream passes cost 37,000 connections on
-    # one day of 26 gateways, for 5,700 requests.
+    # Guards against paid connections to every far engine that a stream passes.
     streams = [FakeStream(100_000, "x") for _ in range(3)]
     site = Site(*streams)
     watched = []
@@ -205,8 +195,7 @@
 
 @pytest.mark.parametrize("ended", [True, False])
 def test_ended_process_has_lost_its_layers_and_a_silent_one_may_not(ended):
-    # Layers of a crashed engine were placed anew only after 1.5 s, the time
-    # for which an engine that is cut off may come back whole.
+    # Guards against layers of a crashed engine that are placed anew too late.
     site = Site(FakeStream(100_000, "x", "y"))
 
     site.running.on_engine_lost(make_engine("y"), ended)
--- a/caroblug/gateway/tests/test_peers.py
+++ b/caroblug/gateway/tests/test_peers.py
@@ -30,11 +30,7 @@
 
 
 def test_most_partners_are_in_the_own_data_centre():
-    # Gateways paid for 84 MB between data centres in 46 s, more than for
-    # anything else: 26 of them drew four partners each from all over the
-    # site. What matters here, the load of the own data centre's engines, is
-    # known at home; one exchange with another data centre each time still
-    # brings news through.
+    # Guards against paid bytes between data centres for load at home.
     peers = make_peers(near=5, far=20)
 
     for _ in range(20):
@@ -44,16 +40,14 @@
 
 
 def test_gateway_that_has_just_started_tells_as_many_as_ever():
-    # It has heard nobody yet, so that nobody counts as far: with one partner
-    # each time it would learn of its neighbours' load only after seconds.
+    # Guards against a new gateway that learns of its neighbours' load too late.
     peers = make_peers(near=5, far=20, heard=False)
 
     assert len(peers._partners()) == 4
 
 
 def test_word_of_a_leaving_engine_is_believed_until_a_newer_list():
-    # The store is away while engines are drained. Each of 26 gateways found
-    # out by itself, with a request that was turned away and a question.
+    # Guards against a question by each gateway about the same leaving engine.
     context, _, peers, _ = make_placement("g0")
     with_engines(context, make_engine("x", 0, 40), make_engine("y", 0, 40))
     context.clock.advance(3000)
@@ -73,10 +67,7 @@
 
 
 def test_newer_configuration_is_fetched_from_who_told_of_it():
-    # The store's connection of one gateway went silent, and its neighbour, who
-    # tells it twice a second, had a newer configuration. Whoever was told
-    # lately doesn't tell, and only answers carry a configuration: for ten
-    # seconds requests were handled by the old one.
+    # Guards against an old configuration where a gateway is told but never tells.
     context, _, peers, _ = make_placement("g0")
     told = {**peers._message(), "name": "g1", "address": ["10.0.0.1", 1]}
     peers._take(told)
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -62,8 +62,7 @@
 
 
 def test_lease_counts_from_before_it_was_asked_for():
-    # The holder is suspended while the answer to its renewal is on its way.
-    # When it wakes its time is over, and another gateway may be placing.
+    # Guards against a lease that seems to last longer than the store grants it.
     clock = ManualClock(100_000)
     _, registry, _, placement = make_placement(clock=clock)
 
@@ -104,8 +103,7 @@
 
 
 def test_order_of_another_since_the_report_wins():
-    # Two gateways think that they are to place layers. Each order names the
-    # number of orders begun, so that the engine takes only the first.
+    # Guards against two gateways that both place layers on one engine.
     context, _, _, placement = make_placement()
     engine = make_engine("e1", 0, 0)
     with_engines(context, engine)
@@ -132,8 +130,7 @@
 
 
 def test_deputy_is_the_first_by_name_once_no_holder_is_heard_of():
-    # The store is away and every lease has run out. Engines go on failing,
-    # and somebody must give their layers to others.
+    # Guards against layers that nobody places while every lease has run out.
     clock = ManualClock(100_000)
     _, registry, peers, placement = make_placement("g2", clock)
     registry.tenure = Unavailable("busy")
@@ -168,10 +165,7 @@
 
 
 def test_word_of_a_holder_that_has_left_is_not_believed():
-    # The holder gets SIGTERM and says so. A third gateway has not heard that
-    # yet and passes on that there was a holder half a second ago: for 2.5 s
-    # nobody placed the layers of engines that left meanwhile, and every
-    # request that needed them was refused.
+    # Guards against old word of a holder, for which deputies wait.
     clock = ManualClock(100_000)
     _, _, peers, placement = make_placement("g1", clock)
     tell(peers, "g0", TenureState.HELD, 0)
@@ -194,9 +188,7 @@
 
 
 def test_gateway_that_has_just_started_has_heard_of_no_holder():
-    # Gateways are restarted while the store is away. Each one that came back
-    # told the others that it had heard of a holder just now, its own start,
-    # and nobody placed the layers of a dead engine for three seconds.
+    # Guards against deputies that wait for the start of another gateway.
     clock = ManualClock(100_000)
     _, _, peers, placement = make_placement("g1", clock)
     clock.advance(2500)
@@ -209,9 +201,7 @@
 
 
 def test_layers_that_only_a_silent_engine_holds_are_not_waited_for():
-    # An engine without power was the last one to hold some layers. Each
-    # request is refused while the plan waits whether it comes back whole:
-    # 1.5 s, and as long again until another one has loaded them.
+    # Guards against refusals while the plan waits for a layer's only holder.
     context, _, _, placement = make_placement()
     with_engines(
         context,
@@ -255,9 +245,7 @@
 
 
 def test_layers_of_a_slow_engine_are_placed_anew():
-    # An engine runs twelve times slower for nine seconds. Nobody else in its
-    # data centre holds its layers, so that every stream there is late, and
-    # other data centres run out of memory when all go there.
+    # Guards against late streams while only a slow engine holds some layers.
     context, _, _, placement = make_placement()
     with_a_chain_and_a_spare(context)
     placement.renew()
@@ -281,9 +269,7 @@
 
 
 def test_holder_stays_while_the_store_answers_nobody():
-    # The store refuses everybody for eight seconds while engines crash and
-    # leave. The holder's lease runs out, and for three seconds nobody places
-    # layers: each gateway waits for word of a holder.
+    # Guards against seconds without a holder while the store refuses everybody.
     clock = ManualClock(100_000)
     _, registry, peers, placement = make_placement("g5", clock)
     tell(peers, "g1", TenureState.NONE)
@@ -297,8 +283,7 @@
 
 
 def test_holder_that_stays_gives_way_to_the_next_one():
-    # Only this gateway is cut off from the store, which has named another
-    # holder meanwhile.
+    # Guards against a holder that stays on beside the next one.
     clock = ManualClock(100_000)
     _, registry, peers, placement = make_placement("g5", clock)
     tell(peers, "g1", TenureState.NONE)
--- a/caroblug/gateway/tests/test_slowness.py
+++ b/caroblug/gateway/tests/test_slowness.py
@@ -62,9 +62,7 @@
 
 
 def test_streams_avoid_an_engine_that_has_become_slow():
-    # An engine runs five to twelve times slower for eight seconds. Streams
-    # over it last as many times longer, and so does the memory that they hold
-    # on every other engine of their paths.
+    # Guards against streams, and memory on their paths, behind a slow engine.
     stream = SlowStream(30.0, "x")
     site = Site(stream)
     site.look(8)
@@ -90,8 +88,7 @@
 
 
 def test_recovered_engine_is_used_again():
-    # Nothing runs over an engine that is avoided, so that no stream can show
-    # that it has recovered: it is asked.
+    # Guards against an engine that is avoided for good after it was slow once.
     stream = SlowStream(30.0, "x")
     site = Site(stream)
     site.look(8)
--- a/caroblug/gateway/tests/test_spacing.py
+++ b/caroblug/gateway/tests/test_spacing.py
@@ -13,8 +13,7 @@
 
 
 def test_names_of_the_past_are_forgotten():
-    # Each start of an engine has a name of its own; over months there are
-    # hundreds of thousands.
+    # Guards against memory that grows with every start of an engine.
     spacing = Spacing(400)
     for number in range(1000):
         spacing.allows(f"engine-{number}", number * 1000)
--- a/caroblug/gateway/tests/test_start.py
+++ b/caroblug/gateway/tests/test_start.py
@@ -21,9 +21,7 @@
 
 
 def test_caller_that_came_before_the_server_is_answered():
-    # All gateways are killed at once and start again. A caller connects while
-    # the first one still loads its modules; it used to be refused, twice, and
-    # gave up.
+    # Guards against callers that are refused while a gateway loads its modules.
     address = ("127.0.0.1", Ports().take())
     listening.hold(address)
     with socket.create_connection(address, timeout=5) as caller:
@@ -49,9 +47,7 @@
 
 
 def test_caller_can_connect_before_the_server_answers():
-    # A gateway says that it is ready once configuration and list are known,
-    # and takes callers some ms later. One that came between was refused,
-    # where nobody had listened at the address since the start.
+    # Guards against callers that are refused just after a gateway is ready.
     address = ("127.0.0.1", Ports().take())
     server = make_server(address)
     server.listen()
