--- a/caroblug/gateway/tests/test_peers.py
+++ b/caroblug/gateway/tests/test_peers.py
@@ -67,7 +67,7 @@
 
 
 def test_newer_configuration_is_fetched_from_who_told_of_it():
-    # Guards against an old configuration where a gateway is told but never tells.
+    # Guards against an old configuration where a gateway is only ever told.
     context, _, peers, _ = make_placement("g0")
     told = {**peers._message(), "name": "g1", "address": ["10.0.0.1", 1]}
     peers._take(told)
