Give reads of the list more time after each one that failed

A bound of 1.5 s on the whole list would cut it off each time on a link of 10 Mbit/s that is full; like the configuration's, it now doubles with each failure in a row.

--- a/caroblug/gateway/_watches.py
+++ b/caroblug/gateway/_watches.py
@@ -58,7 +58,8 @@
 _READ_MS = 1500
 _READ_MOST_MS = 12000
 """Bound on a whole read, doubled with each one in a row that failed: a large
-configuration may take longer on a slow link, and a read may also hang."""
+configuration or list may take longer on a slow link, and a read may also
+hang."""
 
 _BACK_READ_S = 0.2
 """How long the list waits for a read of the configuration."""
@@ -87,6 +88,7 @@
         self._registry = registry
         self._lost: set[str] = set()
         self._ignored = 0
+        self._list_failures = 0
         self._call: gevent.Greenlet | None = None
         self._waiting_since_ms: int | None = None
 
@@ -220,11 +222,14 @@
         """Reads the list of backend servers once; returns whether it came."""
         context = self._context
         asked_ms = context.clock.now_ms()
-        listing = _bounded(self._registry.read_backends, _READ_MS)
+        bound_ms = _read_bound_ms(self._list_failures)
+        listing = _bounded(self._registry.read_backends, bound_ms)
         was_lost = "backends" in self._lost
         self._note("backends", listing)
         if isinstance(listing, Unavailable):
+            self._list_failures += 1
             return False
+        self._list_failures = 0
         if listing.ignored != self._ignored:
             self._ignored = listing.ignored
             context.log.write("backends.ignored", records=listing.ignored)
--- a/caroblug/gateway/tests/test_watches.py
+++ b/caroblug/gateway/tests/test_watches.py
@@ -163,6 +163,19 @@
     assert not watches._read_list()
 
 
+def test_list_that_a_slow_link_brings_late_is_read_in_the_end(watched):
+    # Guards against a list that is cut off by its bound each time.
+    watches, _, registry, _ = watched
+
+    def slow_list():
+        gevent.sleep(0.1)
+        return make_listing({}, 2, 0, "")
+
+    registry.read_backends = slow_list
+
+    assert any([watches._read_list() for _ in range(6)])
+
+
 def test_wait_that_outlasts_its_time_is_given_up(watched, monkeypatch):
     # Guards against a wait that brings bytes now and then, but no end.
     monkeypatch.setattr(_watches, "_FIRST_WAIT_MS", 1)
