--- a/caroblug/gateway/tests/test_watches.py
+++ b/caroblug/gateway/tests/test_watches.py
@@ -173,7 +173,7 @@
 
     registry.read_backends = slow_list
 
-    assert any([watches._read_list() for _ in range(6)])
+    assert any(watches._read_list() for _ in range(6))
 
 
 def test_wait_that_outlasts_its_time_is_given_up(watched, monkeypatch):
