Bound each call as a whole, not only its waits

Callers: none seen to be hit. Found by looking for the read of the configuration that hangs elsewhere: fetch bounds each wait, so that an answer whose bytes come one by one has no end, and whatever loop made the call stands still: renewals of the lease, members, orders. Change: all waits of a call together are bounded by twelve times the bound on one, so that a large configuration on a slow link still has its time.

--- a/caroblug/gateway/_http_client.py
+++ b/caroblug/gateway/_http_client.py
@@ -9,6 +9,7 @@
 import collections
 import socket as stdlib_socket
 
+import gevent
 import httptools
 from gevent import socket
 
@@ -24,7 +25,7 @@
 Address = tuple[str, int]
 
 _RECEIVE_BYTES = 65536
-_NO_BODY = frozenset({204, 304})
+_MOST_WAITS = 12
 _DEAD_PEER_MS = 4000
 """Unacknowledged bytes and unanswered probes end a connection after this.
 
@@ -231,31 +232,41 @@
     Args:
         address: Host and port.
         request: Head and body.
-        timeout_s: Bound on each wait.
+        timeout_s: Bound on each wait; all of them together are bounded by
+            `_MOST_WAITS` times that, so that an answer whose bytes come one
+            by one has an end.
         connect_s: Bound on the connecting, if another one.
     """
     exchange = Exchange(address)
     try:
-        problem = exchange.connect(connect_s or timeout_s)
-        if problem is None:
-            problem = exchange.send(request, timeout_s)
-        if problem is not None:
-            return problem
-        head = exchange.read_head(timeout_s)
-        if isinstance(head, Quiet):
-            return Broken(Failure.SILENT, sent=True)
-        if isinstance(head, Broken):
-            return head
-        body = exchange.read_body(timeout_s)
-        if isinstance(body, Quiet):
-            return Broken(Failure.SILENT, sent=True)
-        if isinstance(body, Broken):
-            return body
-        return Answer(head, body)
+        with gevent.Timeout(timeout_s * _MOST_WAITS, False):
+            return _fetch(exchange, request, timeout_s, connect_s or timeout_s)
+        return Broken(Failure.SILENT, exchange.sent)
     finally:
         exchange.close()
 
 
+def _fetch(
+    exchange: Exchange, request: bytes, timeout_s: float, connect_s: float
+) -> Answer | Broken:
+    problem = exchange.connect(connect_s)
+    if problem is None:
+        problem = exchange.send(request, timeout_s)
+    if problem is not None:
+        return problem
+    head = exchange.read_head(timeout_s)
+    if isinstance(head, Quiet):
+        return Broken(Failure.SILENT, sent=True)
+    if isinstance(head, Broken):
+        return head
+    body = exchange.read_body(timeout_s)
+    if isinstance(body, Quiet):
+        return Broken(Failure.SILENT, sent=True)
+    if isinstance(body, Broken):
+        return body
+    return Answer(head, body)
+
+
 def format_request(
     method: str,
     target: str,
