Use an engine as soon as it has loaded

Found by reading the change: the gateway that places layers asks an engine while it loads, and each answer that it is busy counted for a second, also after the next one had said that it holds its layers. The test fails without the change.

--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -382,7 +382,9 @@
 
     def on_loaded(self, name: str) -> None:
         """Notes that an engine holds the layers that it was ordered to."""
-        self._met[name].placed = None
+        met = self._met[name]
+        met.placed = None
+        met.busy_until_ms = 0
 
     def avoided(self, name: str, now_ms: int) -> bool:
         """Returns whether a backend server failed lately."""
--- a/caroblug/gateway/tests/test_fleet.py
+++ b/caroblug/gateway/tests/test_fleet.py
@@ -167,3 +167,17 @@
 
     assert fleet.avoided("x", 2200)
     assert not fleet.avoided("x", 2400)
+
+
+def test_engine_that_has_loaded_is_used_at_once():
+    # Guards against a second without an engine that was busy until now.
+    fleet = make_fleet(make_engine("e1", 0, 0), now_ms=0)
+    fleet.on_placed("e1", LayerRange(0, 80), 1000, 5000)
+    fleet.on_busy("e1", 2000)
+    fleet.on_report("e1", LayerRange(0, 80), 2400)
+    fleet.on_loaded("e1")
+
+    (engine,) = fleet.engines(POOL, 2400)
+
+    assert engine.holds == LayerRange(0, 80)
+    assert not engine.loading
