--- a/caroblug/gateway/__init__.py
+++ b/caroblug/gateway/__init__.py
@@ -1,6 +1,7 @@
 """The gateway: an entry before engines that pass tokens on themselves."""
 
 from caroblug.gateway._caller_requests import RawRequest
+from caroblug.gateway._first_settings import read_first_settings
 from caroblug.gateway._gateway import Gateway, make_gateway
 from caroblug.gateway._http_client import Address, fetch, format_request
 from caroblug.gateway._interfaces import (
@@ -57,4 +58,5 @@
     "format_request",
     "make_gateway",
     "make_listing",
+    "read_first_settings",
 ]
