--- a/caroblug/core/placement/_planner.py
+++ b/caroblug/core/placement/_planner.py
@@ -174,14 +174,14 @@
     chains, streams = _size_chains(seats, model, room)
     grown = min(streams, _GROWN_STREAMS)
     holes = _sweep(seats, model.layers)
-    holes = _fill_with_empty(seats, holes, model, streams)
+    holes = _fill(_empty(seats), holes, model, streams, keepers)
     holes = _grow(seats, holes, model, grown, keepers)
-    holes = _fill_with_spare(seats, holes, model, streams, keepers)
+    holes = _fill(seats, holes, model, streams, keepers)
     holes = _grow(seats, holes, model, _TIGHT_STREAMS, keepers)
-    _fill_with_spare(seats, holes, model, _TIGHT_STREAMS, keepers)
+    _fill(seats, holes, model, _TIGHT_STREAMS, keepers)
     for _ in range(1, chains):
         holes = _sweep(seats, model.layers)
-        _fill_with_empty(seats, holes, model, streams)
+        _fill(_empty(seats), holes, model, streams, keepers)
     _use_the_empty(seats, model, streams)
     return keepers
 
@@ -236,30 +236,8 @@
     return not seat.used and len(seat.target) > 0 and seat.target.first > layer
 
 
-def _fill_with_empty(
-    seats: list[_Seat],
-    holes: list[LayerRange],
-    model: ModelShape,
-    streams: int,
-) -> list[LayerRange]:
-    """Gives holes to engines that hold nothing, fast ones first.
-
-    Returns:
-        What is left of the holes.
-    """
-    left = []
-    for hole in holes:
-        layer = hole.first
-        for seat in seats:
-            if layer < hole.end and seat.empty:
-                layer = _take(seat, LayerRange(layer, hole.end), model, streams)
-        if layer < hole.end:
-            left.append(LayerRange(layer, hole.end))
-    return left
-
-
-def _fill_with_spare(
-    seats: list[_Seat],
+def _fill(
+    candidates: list[_Seat],
     holes: list[LayerRange],
     model: ModelShape,
     streams: int,
@@ -277,7 +255,7 @@
     left = []
     for hole in holes:
         layer = hole.first
-        for seat in sorted(seats, key=lambda s: len(s.target) > 0):
+        for seat in sorted(candidates, key=lambda s: len(s.target) > 0):
             if layer >= hole.end:
                 break
             if not seat.free or not keepers.may_give_up(seat.engine):
@@ -373,6 +351,11 @@
     return max(0, seat.most(model, streams) - len(seat.target))
 
 
+def _empty(seats: list[_Seat]) -> list[_Seat]:
+    """Returns engines that hold nothing and are given nothing yet."""
+    return [seat for seat in seats if seat.empty]
+
+
 def _use_the_empty(seats: list[_Seat], model: ModelShape, streams: int) -> None:
     """Gives engines that hold nothing the layers that need one more holder.
 
