Lend repeats, spread configurations through few readers, tell slow engines

Change: two gateways of a data centre, those with the quickest reads first, wait at the store; the others follow, and read by themselves if nobody confirms the version or nobody is heard. A newer version is told at once, fetched once, and compressed; so are lists. Repeats are borrowed from whoever has most left: the lender counts them until the loan and a window are over. Paces are told. The pause before a question is two gaps of the streams at least. Members are read each 30 s instead of 10.

--- a/caroblug/core/limits/tests/test_repeat_window.py
+++ b/caroblug/core/limits/tests/test_repeat_window.py
@@ -54,22 +54,56 @@
     assert window.take("t", 1, 0)
 
 
-sends = st.lists(
-    st.tuples(st.integers(0, 3), st.booleans(), st.integers(0, 400)),
+def test_lent_repeats_are_the_borrower_s_and_no_longer_the_lender_s():
+    lender, borrower = make_window(), make_window()
+    while borrower.take("s", 10, 0):
+        pass
+
+    lent = lender.lend("s", 10, 10, 0)
+    borrower.borrow("s", lent, 0)
+
+    assert lent == 2
+    assert [borrower.take("s", 10, 500) for _ in range(3)] == [
+        True,
+        True,
+        False,
+    ]
+    assert lender.left("s", 10, WINDOW_MS) == 2
+
+
+def test_loan_that_was_not_used_in_time_is_over():
+    # Guards against two uses of one loan, by the lender and by the borrower.
+    lender, borrower = make_window(), make_window()
+    while borrower.take("s", 10, 0):
+        pass
+    borrower.borrow("s", lender.lend("s", 1, 10, 0), 0)
+
+    assert not borrower.take("s", 10, 1000)
+
+
+steps = st.lists(
+    st.tuples(
+        st.integers(0, 3),
+        st.sampled_from(["first", "repeat", "borrow"]),
+        st.integers(0, 400),
+    ),
     max_size=400,
 )
 
 
-@hypothesis.given(sends)
+@hypothesis.given(steps)
 def test_no_window_of_four_gateways_exceeds_the_bound(steps):
     windows = [make_window() for _ in range(4)]
     firsts, repeats = [], []
     now_ms = 0
-    for gateway, repeat, pause_ms in steps:
+    for gateway, step, pause_ms in steps:
         now_ms += pause_ms
-        if not repeat:
+        if step == "first":
             windows[gateway].on_first("s", now_ms)
             firsts.append(now_ms)
+        elif step == "borrow":
+            lent = windows[gateway - 1].lend("s", 4, 4, now_ms)
+            windows[gateway].borrow("s", lent, now_ms)
         elif windows[gateway].take("s", 4, now_ms):
             repeats.append(now_ms)
 
--- a/caroblug/core/placement/_load.py
+++ b/caroblug/core/placement/_load.py
@@ -20,6 +20,7 @@
 
     def __init__(self) -> None:
         self._own: collections.Counter[str] = collections.Counter()
+        self._unread: collections.Counter[str] = collections.Counter()
         self._heard: dict[str, dict[str, float]] = {}
         self._near: set[str] = set()
         self._near_sums: dict[str, float] = {}
@@ -50,6 +51,25 @@
             if self._own[name] <= 0:
                 del self._own[name]
 
+    def begin_reading(self, names: tuple[str, ...]) -> None:
+        """Counts a prompt that the engines named have yet to read."""
+        self._unread.update(names)
+
+    def end_reading(self, names: tuple[str, ...]) -> None:
+        """Takes off a prompt that has been read, or never will be."""
+        for name in names:
+            self._unread[name] -= 1
+            if self._unread[name] <= 0:
+                del self._unread[name]
+
+    def unread(self, name: str) -> int:
+        """Returns how many prompts an engine has yet to read.
+
+        What others have sent in the last some hundred ms can't have been told
+        yet; the neighbours are taken to do as this gateway does.
+        """
+        return self._unread[name] * self.neighbours
+
     def own(self) -> dict[str, int]:
         """Returns this gateway's tokens by engine."""
         return dict(self._own)
--- a/caroblug/gateway/_calls.py
+++ b/caroblug/gateway/_calls.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from caroblug.gateway._connecting import CONNECT_S
 from caroblug.gateway._context import Context
 from caroblug.gateway._crashes import Crashes
 from caroblug.gateway._fleet import seems_gone
@@ -16,10 +17,7 @@
 )
 from caroblug.gateway._outcomes import Broken, Failure, Head, Quiet
 from caroblug.gateway._pending import Answers, Pending
-
-CONNECT_S = 0.25
-"""Bound on connecting. A sound backend server accepts within some ms; a dark
-one never does, and the request then goes to another with time to spare."""
+from caroblug.gateway._repeats import Repeats
 
 _MOST_SENDS = 4
 """Sends of one request, those that were turned away included."""
@@ -66,11 +64,15 @@
     Args:
         context: What the gateway's parts share.
         crashes: Requests that crash backend servers.
+        repeats: Allows requests to be sent once more.
     """
 
-    def __init__(self, context: Context, crashes: Crashes) -> None:
+    def __init__(
+        self, context: Context, crashes: Crashes, repeats: Repeats
+    ) -> None:
         self._context = context
         self._crashes = crashes
+        self._repeats = repeats
         self._answers = Answers(context)
 
     def serve(self, pending: Pending) -> None:
@@ -86,7 +88,7 @@
             )
             if backend is None:
                 break
-            if pending.sends and not self._context.may_repeat(
+            if pending.sends and not self._repeats.take(
                 pending.admitted.service.name
             ):
                 break
--- a/caroblug/gateway/_context.py
+++ b/caroblug/gateway/_context.py
@@ -54,15 +54,6 @@
             return RequestLimits()
         return self.configuration.limits
 
-    def may_repeat(self, service: str) -> bool:
-        """Takes one repeat of a request; returns whether it is allowed."""
-        allowed = self.repeats.take(
-            service, self.fleet.loads.gateways, self.clock.now_ms()
-        )
-        if not allowed:
-            self.tallies.count("repeats_denied", service=service)
-        return allowed
-
     def take_configuration(
         self, configuration: Configuration, raw: str, source: str
     ) -> bool:
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -36,6 +36,9 @@
 """How long a slow engine is priced as such before it is asked again; streams
 avoid it, so that nothing else would show that it has recovered."""
 
+_PACE_SPREAD_MS = 1000
+"""Added at random, so that one gateway asks first and tells the others."""
+
 _HEARD_KEPT_MS = 1500
 """A list that was read this much after an engine's own word on its layers goes
 before it: a heartbeat, and what the list lags behind."""
@@ -64,6 +67,7 @@
     avoid_until_ms: int = 0
     failed_since_ms: int = 0
     pace: float = 1.0
+    pace_ms: int = -1_000_000
     pace_until_ms: int = 0
     full_until_ms: int = 0
     refusals: int = 0
@@ -341,18 +345,38 @@
             return False
         return self._listed_ms < met.told_holds_ms + _HEARD_KEPT_MS
 
-    def on_pace(self, name: str, pace: float, now_ms: int) -> bool:
+    def on_pace(self, name: str, pace: float, told_ms: int) -> bool:
         """Takes how many times slower than its kind an engine says it is.
 
+        Args:
+            name: The engine.
+            pace: How many times slower; 1 if it isn't.
+            told_ms: When it said so. What it said later goes before it.
+
         Returns:
             Whether that is news.
         """
         met = self._met[name]
+        if told_ms < met.pace_ms:
+            return False
         news = met.pace != pace
         met.pace = pace
-        met.pace_until_ms = now_ms + _PACE_KEPT_MS
+        met.pace_ms = told_ms
+        met.pace_until_ms = self._next_question_ms(told_ms)
         return news
 
+    def recent_paces(self, now_ms: int) -> dict[str, tuple[float, int]]:
+        """Returns how slow engines said they are, with the age in ms."""
+        return {
+            name: (met.pace, now_ms - met.pace_ms)
+            for name, met in self._met.items()
+            if now_ms - met.pace_ms < _TELL_ON_MS
+        }
+
+    def _next_question_ms(self, now_ms: int) -> int:
+        spread_ms = self._rng.randrange(_PACE_SPREAD_MS)
+        return now_ms + _PACE_KEPT_MS + spread_ms
+
     def pace(self, name: str) -> float:
         """Returns how many times slower than its kind an engine is."""
         return self._met[name].pace
@@ -365,7 +389,7 @@
             if met.pace > 1.0 and met.pace_until_ms <= now_ms
         ]
         for name in due:
-            self._met[name].pace_until_ms = now_ms + _PACE_KEPT_MS
+            self._met[name].pace_until_ms = self._next_question_ms(now_ms)
         return due
 
     def _priced(self, engine: Engine) -> Engine:
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -28,6 +28,7 @@
 )
 from caroblug.gateway._placement import Placement
 from caroblug.gateway._rechecks import Rechecks
+from caroblug.gateway._repeats import LEND_PATH, Repeats
 from caroblug.gateway._running import RunningStreams
 from caroblug.gateway._settings import GatewaySettings, SettingsProblem
 from caroblug.gateway._slowness import Slowness
@@ -88,18 +89,22 @@
         self._placement = Placement(context, registry, self._peers)
         self._rechecks = Rechecks(context)
         self._answers = Answers(context)
-        self._calls = Calls(context, self._crashes)
+        self._repeats = Repeats(context, self._peers)
+        self._peers.calls.serve(LEND_PATH, self._repeats.answer_loan)
+        self._calls = Calls(context, self._crashes, self._repeats)
         self._running = RunningStreams(context)
         self._liveness = Liveness(context, self._running)
         self._slowness = Slowness(context, self._running)
-        self._streams = Streams(context, self._crashes, self._running)
+        self._streams = Streams(
+            context, self._crashes, self._running, self._repeats
+        )
         self._leaving = event.Event()
         self._settings_problem = ""
         self._left_ms = 0
         self._callers = self._listen(context.settings.callers, self._answer)
         self._ready = self._listen(context.settings.ready, self._answer_ready)
         self._peer_calls = self._listen(
-            context.settings.peers, self._peers.answer
+            context.settings.peers, self._peers.calls.answer
         )
         self._metrics = self._listen(
             context.settings.metrics, self._answer_metrics
--- a/caroblug/gateway/_liveness.py
+++ b/caroblug/gateway/_liveness.py
@@ -39,6 +39,10 @@
 _SILENT_FEW_MS = 120
 """The same for fewer streams; a pause of 200 ms makes a stream late."""
 
+_SILENT_GAPS = 2.0
+"""The same in times of the streams' own gap, where that is more: streams over a
+slow engine would be taken for silent between any two events."""
+
 _PROBE_S = 0.04
 """Bound on the answer to such a question. The longest way inside a region and
 back is some 2 ms, and an engine accepts within 1 ms."""
@@ -186,6 +190,7 @@
         return Failure.REFUSED if refused else failures[0]
 
 
-def _silent_ms(use: EngineUse) -> int:
+def _silent_ms(use: EngineUse) -> float:
     """Returns the pause after which an engine is asked."""
-    return _SILENT_MANY_MS if use.streams >= _MANY else _SILENT_FEW_MS
+    least_ms = _SILENT_MANY_MS if use.streams >= _MANY else _SILENT_FEW_MS
+    return max(least_ms, use.gap_ms * _SILENT_GAPS)
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -1,24 +1,25 @@
 """What gateways tell each other: load, configuration, list, suspicions.
 
-Nothing hangs on it. It makes estimates of load better, and carries the
-configuration and the list to a gateway that the store turns away while it
-serves others. Each tells a bounded number of others, however many there are.
+It makes estimates of load better, and carries the configuration and the list
+from those that read them at the store to the others. Each tells a bounded
+number of others, however many there are.
 """
 
 import enum
-import json
 
 import gevent
+from gevent import event
 
 from caroblug.core.placement import LayerRange
-from caroblug.gateway._caller_requests import RawRequest
 from caroblug.gateway._context import Context
 from caroblug.gateway._crashes import Crashes
 from caroblug.gateway._holder_watch import UNKNOWN_MS, HolderWatch
-from caroblug.gateway._http_client import Address, fetch, format_request
-from caroblug.gateway._http_server import Reply
+from caroblug.gateway._http_client import Address
 from caroblug.gateway._interfaces import Member, Registry, Unavailable
-from caroblug.gateway._outcomes import Broken
+from caroblug.gateway._packing import pack, unpack
+from caroblug.gateway._peer_calls import PeerCalls
+
+TELL_PATH = "/tell"
 
 _EVERY_MS = 500
 """How often two gateways exchange: short beside the two seconds of a stream
@@ -37,21 +38,44 @@
 engines that are shared. One each time still carries news through fifty
 gateways in two seconds."""
 
-_MEMBERS_MS = 10000
+_READER_PARTNERS = 8
+"""The same for the gateway that reads the list for its data centre: what it
+has read is to reach the others before they read it themselves."""
+
+_MEMBERS_MS = 30000
+"""How often the members are read: most gateways learn of a new one sooner, as
+it tells them."""
+
 _FIRST_MEMBERS_MS = 1000
 _FIRST_READS = 4
 """Reads with the shorter pause after a start, while gateways join."""
 
-_KEPT_MS = 20000
+_KEPT_MS = 45000
 """How long a gateway that has left the group is still told: its lease may
 have run out only because the store was away."""
 
+_READERS = 2
+"""Gateways of a data centre that wait at the store for a newer configuration;
+one may be frozen or cut off. The others follow them."""
+
+_FOLLOWED_MS = 4500
+"""Time since the configuration was last known to be the newest after which a
+gateway reads it itself: the wait of a reader, and some exchanges."""
+
+_ISOLATED_MS = 1000
+"""The same since any other gateway was heard of."""
+
+_RANK_MS = 8
+"""Unit of the time of a read by which gateways are ranked as readers; each
+rank is twice as long as the one before."""
+
+_UNREACHED_RANK = 30
+"""Rank of a gateway whose last read failed."""
+
 _SILENT_MS = 1500
 """After this a gateway's load is forgotten: its streams have been taken over
 or are lost."""
 
-_CALL_S = 0.3
-
 
 class TenureState(enum.Enum):
     """How a gateway stands to the lease on placing layers."""
@@ -85,8 +109,23 @@
         self._near: set[str] = set()
         self._far: set[str] = set()
         self._holders = HolderWatch(context.clock.now_ms())
+        self._versions: dict[str, int] = {}
+        self._rank = 0
+        self._ranks: dict[str, int] = {}
+        self._confirmed_ms: int | None = None
+        self._repeats_left: dict[str, dict[str, int]] = {}
+        self._fetching_version = -1
+        self._news = event.Event()
+        self._packed = (-1, "")
+        self._calls = PeerCalls(context)
+        self._calls.serve(TELL_PATH, self._take)
         self.tenure = TenureState.NONE
 
+    @property
+    def calls(self) -> PeerCalls:
+        """Answers other gateways' messages."""
+        return self._calls
+
     def run_members(self) -> None:
         """Reads who takes part until the process ends."""
         reads = 0
@@ -104,23 +143,49 @@
     def run_exchange(self) -> None:
         """Tells others until the process ends."""
         while True:
-            gevent.sleep(_EVERY_MS / 1000)
-            self._forget_silent()
-            for name in self._partners():
+            if self._news.wait(_EVERY_MS / 1000):
+                self._news.clear()
+                partners = self._uninformed()
+            else:
+                self._forget_silent()
+                partners = self._partners()
+            for name in partners:
                 if name not in self._busy:
                     self._busy.add(name)
                     gevent.spawn(self._tell, name)
 
-    def answer(self, request: RawRequest, reply: Reply) -> None:
-        """Answers another gateway."""
-        try:
-            message = json.loads(request.body)
-            answer = self._take(message)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            self._context.log.write("peer.unreadable", reason=repr(error))
-            reply.send(400, [], b"message does not parse")
-            return
-        reply.send(200, [], _encode(answer))
+    def on_new_version(self, confirmed_ms: int) -> None:
+        """Tells others at once of a newer configuration.
+
+        Args:
+            confirmed_ms: When it was known to be the newest one.
+        """
+        self._confirmed_ms = confirmed_ms
+        self._news.set()
+
+    def call(self, name: str, path: str, message: dict) -> dict | Unavailable:
+        """Sends a message to a gateway by its name."""
+        address = self._members.get(name)
+        if address is None:
+            return Unavailable(f"gateway {name} is not known")
+        return self._calls.call(address, path, message)
+
+    def lenders(self, service: str) -> list[str]:
+        """Returns the gateways that have repeats left, most first."""
+        left = {
+            name: counts.get(service, 0)
+            for name, counts in self._repeats_left.items()
+            if name in self._members
+        }
+        names = [name for name, count in left.items() if count > 1]
+        return sorted(names, key=lambda name: (-left[name], name))
+
+    def on_lent(self, name: str, service: str, lent: int) -> None:
+        """Notes that a gateway has lent repeats, or had none to lend."""
+        counts = self._repeats_left.get(name)
+        if counts is not None:
+            left = counts.get(service, 0) - lent if lent else 0
+            counts[service] = left
 
     # Telling.
 
@@ -135,35 +200,41 @@
             and name not in wanted
         ]
         rng = self._context.rng
-        chosen = rng.sample(wanted, min(len(wanted), _PARTNERS))
-        if len(chosen) + len(names) <= _PARTNERS:
-            return chosen + names
+        reads = bool(self._tenures) and self.is_first_at_home()
+        most = _READER_PARTNERS if reads else _PARTNERS
+        chosen = rng.sample(wanted, min(len(wanted), most))
+        return chosen + self._sample(names, most - len(chosen))
+
+    def _uninformed(self) -> list[str]:
+        """Returns whom to tell of a newer configuration."""
+        mine = self._version()
+        names = [
+            name
+            for name in sorted(self._members)
+            if self._versions.get(name, -1) < mine
+        ]
+        return self._sample(names, _PARTNERS)
+
+    def _sample(self, names: list[str], most: int) -> list[str]:
+        """Chooses gateways at random, most of them in the own data centre."""
+        if len(names) <= most:
+            return names
+        rng = self._context.rng
         far = [name for name in names if name in self._far]
         near = [name for name in names if name not in self._far]
-        rest = _PARTNERS - len(chosen)
-        chosen += rng.sample(far, min(len(far), rest, _FAR_PARTNERS))
-        rest = _PARTNERS - len(chosen)
+        chosen = rng.sample(far, min(len(far), most, _FAR_PARTNERS))
+        rest = most - len(chosen)
         return chosen + rng.sample(near, min(len(near), rest))
 
     def _tell(self, name: str) -> None:
-        address = self._members[name]
-        headers = [
-            ("Host", f"{address[0]}:{address[1]}"),
-            ("Connection", "close"),
-        ]
-        body = _encode(self._message())
-        request = format_request("POST", "/tell", headers, body)
         try:
-            answer = fetch(address, request, _CALL_S)
+            answer = self.call(name, TELL_PATH, self._message())
         finally:
             self._busy.discard(name)
-        if isinstance(answer, Broken):
-            self._context.tallies.count(
-                "peer_calls_failed", reason=answer.failure.value
-            )
+        if isinstance(answer, Unavailable):
             return
         try:
-            self._take_answer(json.loads(answer.body), name)
+            self._take_answer(answer, name)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             self._context.log.write("peer.unreadable", reason=repr(error))
 
@@ -178,6 +249,9 @@
             "data_centre": settings.data_centre,
             "loads": context.fleet.loads.own(),
             "version": self._version(),
+            "version_age_ms": self._version_age_ms(now_ms),
+            "rank": self._rank,
+            "repeats": self._count_repeats(now_ms),
             "list_age_ms": self._list_age_ms(),
             "list_digest": context.fleet.listing.digest,
             "list_end": context.fleet.listing.end,
@@ -186,6 +260,7 @@
                 engine: [layers.first, layers.end, age_ms]
                 for engine, (layers, age_ms) in told.items()
             },
+            "paces": context.fleet.recent_paces(now_ms),
             "leaving": context.fleet.recently_leaving(now_ms),
             "unanswered": context.fleet.uncertain(now_ms),
             "crashes": self._crashes.tell(),
@@ -201,17 +276,43 @@
         self._take_news(name, message)
         answer = self._message()
         if message["version"] < self._version():
-            answer["configuration"] = self._context.raw_configuration
+            answer["packed_configuration"] = self._pack_configuration()
         elif message["version"] > self._version():
-            # Only an answer carries a configuration. Who is told often enough
-            # tells nobody itself, and would never get the newer one.
-            self._fetch_from.add(name)
+            self._fetch(name, int(message["version"]))
         if self._differs(message) and answer["list_age_ms"] < int(
             message["list_age_ms"]
         ):
-            answer["list"] = self._context.fleet.listing.raw
+            answer["packed_list"] = pack(self._context.fleet.listing.raw)
         return answer
 
+    def _fetch(self, name: str, version: int) -> None:
+        """Asks a gateway for its newer configuration, at once.
+
+        Only an answer carries a configuration. Who is told often enough tells
+        nobody itself, and would never get the newer one.
+        """
+        self._fetch_from.add(name)
+        if version > self._fetching_version and name not in self._busy:
+            self._fetching_version = version
+            self._busy.add(name)
+            gevent.spawn(self._tell, name)
+
+    def _pack_configuration(self) -> str:
+        version = self._version()
+        if self._packed[0] != version:
+            self._packed = (version, pack(self._context.raw_configuration))
+        return self._packed[1]
+
+    def _count_repeats(self, now_ms: int) -> dict[str, int]:
+        """Returns how many repeats are left, by service."""
+        context = self._context
+        known = context.configuration
+        gateways = context.fleet.loads.gateways
+        return {
+            name: int(context.repeats.left(name, gateways, now_ms))
+            for name in (known.services if known is not None else ())
+        }
+
     def _differs(self, message: dict) -> bool:
         """Returns whether another gateway's list has other entries."""
         return message["list_digest"] != self._context.fleet.listing.digest
@@ -219,14 +320,21 @@
     def _take_answer(self, answer: dict, name: str) -> None:
         context = self._context
         self._take_news(name, answer)
-        raw = answer.get("configuration")
-        if raw:
+        packed = answer.get("packed_configuration")
+        if packed and int(answer["version"]) > self._version():
+            raw = unpack(packed)
             configuration = self._registry.decode_configuration(raw)
-            if not isinstance(configuration, Unavailable):
-                context.take_configuration(configuration, raw, name)
-        if answer.get("list"):
+            if not isinstance(
+                configuration, Unavailable
+            ) and context.take_configuration(configuration, raw, name):
+                self.on_new_version(
+                    context.clock.now_ms()
+                    - int(answer.get("version_age_ms", UNKNOWN_MS))
+                )
+        packed_list = answer.get("packed_list")
+        if packed_list:
             listing = self._registry.decode_listing(
-                answer["list"], int(answer["list_end"])
+                unpack(packed_list), int(answer["list_end"])
             )
             if not isinstance(listing, Unavailable):
                 age_ms = int(answer["list_age_ms"])
@@ -249,8 +357,19 @@
         self._on_told(message["told"])
         self._on_leaving(message["leaving"])
         # Gateways of the version before don't say it.
+        self._on_paces(message.get("paces", {}))
         self._on_unanswered(message.get("unanswered", {}))
         self._on_list_age(name, message)
+        # Gateways of the version before say neither rank nor age.
+        self._ranks[name] = int(message.get("rank", 0))
+        self._versions[name] = int(message["version"])
+        if self._versions[name] == self._version():
+            age_ms = int(message.get("version_age_ms", UNKNOWN_MS))
+            self.confirm_version(self._context.clock.now_ms() - age_ms)
+        self._repeats_left[name] = {
+            str(service): int(left)
+            for service, left in message.get("repeats", {}).items()
+        }
         self._crashes.hear(message["crashes"])
         now_ms = self._context.clock.now_ms()
         before = self._tenures.get(name)
@@ -296,6 +415,18 @@
         for name, age_ms in leaving.items():
             self._context.fleet.on_leaving(str(name), now_ms - int(age_ms))
 
+    def _on_paces(self, paces: dict) -> None:
+        """Takes how slow engines have told another gateway that they are.
+
+        Guards against finding out one gateway after the other: each has few
+        streams over a slow engine, and asks only once they have lagged.
+        """
+        now_ms = self._context.clock.now_ms()
+        for name, (pace, age_ms) in paces.items():
+            self._context.fleet.on_pace(
+                str(name), float(pace), now_ms - int(age_ms)
+            )
+
     def _on_unanswered(self, unanswered: dict) -> None:
         """Takes which orders of another gateway may still be carried out.
 
@@ -325,11 +456,48 @@
         """
         self._context.ask_about.update(str(name) for name in names)
 
+    def confirm_version(self, at_ms: int) -> None:
+        """Notes that the configuration was the newest one at a moment."""
+        if self._confirmed_ms is None or at_ms > self._confirmed_ms:
+            self._confirmed_ms = at_ms
+
+    def note_store_read(self, took_ms: int | None) -> None:
+        """Ranks this gateway by the time of a read at the store.
+
+        Args:
+            took_ms: Time that it took; None if it failed.
+        """
+        if took_ms is None:
+            self._rank = _UNREACHED_RANK
+        else:
+            self._rank = (took_ms // _RANK_MS).bit_length()
+
     def is_first_at_home(self) -> bool:
-        """Returns whether this is the first by name in its data centre."""
-        me = self._context.settings.instance
-        near = [name for name in self._staying() if name not in self._far]
-        return me == min([me, *near])
+        """Returns whether this is the first reader of its data centre."""
+        return self._place_at_home() == 0
+
+    def reads_configuration(self) -> bool:
+        """Returns whether this gateway waits at the store for changes.
+
+        The others get them from those that do. Guards against links that are
+        full: a large configuration would come to each gateway from the store
+        at the same moment, and streams would pause behind it.
+        """
+        if self._confirmed_ms is None or self._place_at_home() < _READERS:
+            return True
+        now_ms = self._context.clock.now_ms()
+        if now_ms - max(self._heard_ms.values(), default=0) > _ISOLATED_MS:
+            return True
+        return now_ms - self._confirmed_ms > _FOLLOWED_MS
+
+    def _place_at_home(self) -> int:
+        """Returns how many of the data centre read rather than this one."""
+        mine = (self._rank, self._context.settings.instance)
+        return sum(
+            (self._ranks.get(name, 0), name) < mine
+            for name in self._staying()
+            if name not in self._far
+        )
 
     def is_deputy(self) -> bool:
         """Returns whether this gateway places layers for want of a holder.
@@ -372,6 +540,8 @@
             if now_ms - seen_ms > _KEPT_MS:
                 del self._seen_ms[name]
                 del self._members[name]
+                self._versions.pop(name, None)
+                self._ranks.pop(name, None)
                 self._near.discard(name)
                 self._far.discard(name)
 
@@ -381,6 +551,7 @@
             if now_ms - heard_ms > _SILENT_MS:
                 del self._heard_ms[name]
                 self._tenures.pop(name, None)
+                self._repeats_left.pop(name, None)
                 self._context.fleet.loads.forget(name)
 
     def _enough(self) -> bool:
@@ -392,12 +563,13 @@
         known = self._context.configuration
         return known.version if known is not None else -1
 
+    def _version_age_ms(self, now_ms: int) -> int:
+        if self._confirmed_ms is None:
+            return UNKNOWN_MS
+        return min(UNKNOWN_MS, now_ms - self._confirmed_ms)
+
     def _list_age_ms(self) -> int:
         fleet = self._context.fleet
         if not fleet.known:
             return 1_000_000
         return fleet.age_ms(self._context.clock.now_ms())
-
-
-def _encode(message: dict) -> bytes:
-    return json.dumps(message, separators=(",", ":")).encode()
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -11,7 +11,7 @@
 import gevent
 
 from caroblug.core.placement import NoPath, Path
-from caroblug.gateway._calls import CONNECT_S
+from caroblug.gateway._connecting import Connecting
 from caroblug.gateway._context import Context
 from caroblug.gateway._crashes import Crashes
 from caroblug.gateway._events import (
@@ -30,6 +30,7 @@
 )
 from caroblug.gateway._outcomes import Broken, End, Failure, Head, Quiet
 from caroblug.gateway._pending import NO_ENGINES_MS, Answers, Pending
+from caroblug.gateway._repeats import Repeats
 from caroblug.gateway._running import RunningStream, RunningStreams
 from caroblug.gateway._runs import RunEnd, RunResult
 from caroblug.gateway._timeliness import Timeliness
@@ -69,20 +70,31 @@
         context: What the gateway's parts share.
         crashes: Requests that crash backend servers.
         running: Takes streams while they run.
+        repeats: Allows requests to be sent once more.
     """
 
     def __init__(
-        self, context: Context, crashes: Crashes, running: RunningStreams
+        self,
+        context: Context,
+        crashes: Crashes,
+        running: RunningStreams,
+        repeats: Repeats,
     ) -> None:
         self._context = context
         self._crashes = crashes
         self._running = running
+        self._repeats = repeats
         self._answers = Answers(context)
 
     def serve(self, pending: Pending) -> None:
         """Answers one request, at the end of its time at the latest."""
         _Stream(
-            self._context, self._answers, self._crashes, self._running, pending
+            self._context,
+            self._answers,
+            self._crashes,
+            self._running,
+            self._repeats,
+            pending,
         ).serve()
 
 
@@ -95,11 +107,13 @@
         answers: Answers,
         crashes: Crashes,
         running: RunningStreams,
+        repeats: Repeats,
         pending: Pending,
     ) -> None:
         self._context = context
         self._crashes = crashes
         self._running = running
+        self._repeats = repeats
         self._answers = answers
         self._pending = pending
         self._times = Timeliness(pending.request.began_ms)
@@ -109,6 +123,9 @@
         self._exchange: Exchange | None = None
         self._avoid: set[str] = set()
         self._began_on: set[str] = set()
+        self._connecting = Connecting()
+        # Engines that have yet to read this run's prompt.
+        self._reading: tuple[str, ...] = ()
         self._last_event_ms = 0
         self._tokens = max(1, _mean_tokens(pending.caller))
         self._repairing = False
@@ -133,7 +150,7 @@
     def serve(self) -> None:
         pending = self._pending
         result = RunResult(RunEnd.NOT_SENT, "no time left")
-        while pending.sends < _MOST_SENDS:
+        while pending.sends < _MOST_SENDS and not self._connecting.exhausted:
             if self._left_ms() <= 0:
                 result = RunResult(RunEnd.OUT_OF_TIME, "no time left")
                 break
@@ -235,7 +252,7 @@
         """Takes a repeat unless one is kept; returns whether there is one."""
         if not self._has_repeat:
             service = self._pending.admitted.service.name
-            self._has_repeat = self._context.may_repeat(service)
+            self._has_repeat = self._repeats.take(service)
         return self._has_repeat
 
     def _prepare_another_run(self) -> bool:
@@ -258,6 +275,8 @@
         self._given_up = ""
         self._lost = ""
         self._open_load()
+        self._reading = path.names
+        self._context.fleet.loads.begin_reading(self._reading)
         self._exchange = Exchange(path.first.address)
         self._context.fleet.enter(path.first.name)
         try:
@@ -266,6 +285,7 @@
             self._running.remove(self)
             self._exchange.close()
             self._context.fleet.leave(path.first.name)
+            self._end_reading()
             self._close_load()
 
     def _send_and_read(self) -> RunResult:
@@ -273,8 +293,10 @@
         exchange = self._exchange
         left_s = self._left_ms() / 1000
         first = self._path.first.name
-        problem = exchange.connect(min(CONNECT_S, left_s))
+        problem = exchange.connect(min(self._connecting.bound_s, left_s))
         if problem is None:
+            for name in self._connecting.on_connected():
+                self._avoid_engine(name, Failure.CONNECT.value)
             pending.on_send(self._context)
             pending.tried.add(first)
             # From its first byte on it may run, whatever is heard of it.
@@ -338,6 +360,7 @@
                     f"event {events.found} instead of {events.expected}",
                 )
             if events:
+                self._end_reading()
                 if not reply.begun:
                     reply.begin(head.status, list(facts.headers))
                 reply.send_piece(b"".join(events))
@@ -361,7 +384,11 @@
         if self._given_up:
             return RunResult(RunEnd.LOST, self._given_up)
         if not broken.sent:
-            self._avoid_engine(first.name, broken.failure.value)
+            if broken.failure is Failure.CONNECT:
+                self._connecting.on_unreached(first.name)
+                self._avoid.add(first.name)
+            else:
+                self._avoid_engine(first.name, broken.failure.value)
             return RunResult(RunEnd.NOT_SENT, broken.failure.value)
         if broken.failure is not Failure.NOT_HTTP:
             self._check_first()
@@ -480,7 +507,12 @@
             problem = "first engine is lost"
         elif not self._repairing:
             problem = self._replace(name)
-        if problem and self._prepare_another_run():
+        exchange = self._exchange
+        if (
+            problem
+            and self._prepare_another_run()
+            and exchange is self._exchange
+        ):
             self._give_up_run(problem)
 
     def _give_up_run(self, reason: str) -> None:
@@ -593,6 +625,10 @@
     def _close_load(self) -> None:
         self._context.fleet.loads.close(self._path.names, self._tokens)
 
+    def _end_reading(self) -> None:
+        self._context.fleet.loads.end_reading(self._reading)
+        self._reading = ()
+
     def _now_ms(self) -> int:
         return self._context.clock.now_ms()
 
--- a/caroblug/gateway/_watches.py
+++ b/caroblug/gateway/_watches.py
@@ -47,6 +47,9 @@
 _WAIT_EACH_MS = 1000
 """Time between two ends of a wait, over all other gateways."""
 
+_FOLLOW_LOOK_S = 0.05
+"""How often a gateway that follows others looks whether it still may."""
+
 _WAIT_LEAST_MS = 4000
 _WAIT_MOST_MS = 20000
 _WAIT_SPREAD = 0.25
@@ -97,11 +100,18 @@
         end = None
         failures = 0
         while True:
+            if not self._peers.reads_configuration():
+                end = None
+                gevent.sleep(_FOLLOW_LOOK_S)
+                continue
+            asked_ms = self._context.clock.now_ms()
             read = self._read_next(end, failures)
             if read is None:
                 end = None
                 continue
-            self._take(read)
+            # A wait tells of the moment in which it ends.
+            now_ms = self._context.clock.now_ms()
+            self._take(read, asked_ms if end is None else now_ms)
             if isinstance(read, Unavailable):
                 gevent.sleep(self._again_ms(failures) / 1000)
                 failures += 1
@@ -163,12 +173,23 @@
         spread = context.rng.uniform(1 - _WAIT_SPREAD, 1)
         return int(wait_ms * spread)
 
-    def _take(self, read) -> None:
+    def _take(self, read, confirmed_ms: int) -> None:
+        """Takes what was read.
+
+        Args:
+            read: What came.
+            confirmed_ms: When it was the newest for certain.
+        """
         self._note("configuration", read)
-        if isinstance(read, ConfigurationRead):
-            self._context.take_configuration(
-                read.configuration, read.raw, "store"
-            )
+        if isinstance(read, Unavailable):
+            return
+        if isinstance(
+            read, ConfigurationRead
+        ) and self._context.take_configuration(
+            read.configuration, read.raw, "store"
+        ):
+            self._peers.on_new_version(confirmed_ms)
+        self._peers.confirm_version(confirmed_ms)
 
     def _on_store_back(self) -> None:
         """Lets the configuration be read anew.
@@ -185,7 +206,9 @@
 
     def _read_once(self) -> None:
         """Reads the newest configuration and takes it."""
-        self._take(_bounded(self._registry.read_configuration, _READ_MS))
+        asked_ms = self._context.clock.now_ms()
+        read = _bounded(self._registry.read_configuration, _READ_MS)
+        self._take(read, asked_ms)
 
     def _renew_wait(self) -> None:
         """Ends a wait that is too long for the first of a data centre.
@@ -228,8 +251,10 @@
         self._note("backends", listing)
         if isinstance(listing, Unavailable):
             self._list_failures += 1
+            self._peers.note_store_read(None)
             return False
         self._list_failures = 0
+        self._peers.note_store_read(context.clock.now_ms() - asked_ms)
         if listing.ignored != self._ignored:
             self._ignored = listing.ignored
             context.log.write("backends.ignored", records=listing.ignored)
--- a/caroblug/gateway/tests/test_liveness.py
+++ b/caroblug/gateway/tests/test_liveness.py
@@ -18,7 +18,10 @@
 class FakeStream(RunningStream):
     """A stream over engines x and y that notes what it is told."""
 
-    def __init__(self, event_ms: int, *names: str) -> None:
+    def __init__(
+        self, event_ms: int, *names: str, gap_ms: float = 30.0
+    ) -> None:
+        self._gap_ms = gap_ms
         width = 80 // len(names)
         self._path = Path(
             tuple(
@@ -42,7 +45,7 @@
 
     @property
     def gap_ms(self):
-        return 30.0
+        return self._gap_ms
 
     def on_engine_lost(self, name, ended):
         self.lost.append((name, ended))
@@ -114,6 +117,19 @@
     assert set(site.asked) == {"x"}
 
 
+def test_engines_of_slow_streams_are_not_asked_between_two_events():
+    # Guards against thousands of connections while many engines are slow.
+    site = Site(FakeStream(100_000, "x", "y", gap_ms=200.0))
+
+    site.clock.advance(300)
+    site.look()
+    assert site.asked == []
+
+    site.clock.advance(150)
+    site.look()
+    assert set(site.asked) == {"x", "y"}
+
+
 def test_silent_engine_that_takes_connections_is_left_alone():
     # Guards against streams moved off an engine that reads a long prompt.
     streams = [FakeStream(100_000, "x") for _ in range(5)]
--- a/caroblug/gateway/tests/test_peers.py
+++ b/caroblug/gateway/tests/test_peers.py
@@ -10,9 +10,9 @@
 )
 
 
-def make_peers(near: int, far: int, heard: bool = True):
+def make_peers(near: int, far: int, heard: bool = True, name: str = "z0"):
     """Returns the peers of a gateway in data centre a, and names near it."""
-    _, _, peers, _ = make_placement("g0")
+    _, _, peers, _ = make_placement(name)
     places = {f"near{i}": "a" for i in range(near)}
     places.update({f"far{i}": "b" for i in range(far)})
     for name, data_centre in places.items():
@@ -39,6 +39,16 @@
         assert sum(name.startswith("far") for name in partners) == 1
 
 
+def test_reader_of_the_list_tells_more_of_its_neighbours():
+    # Guards against neighbours that read what it has just read.
+    peers = make_peers(near=12, far=20, name="a0")
+
+    partners = peers._partners()
+
+    assert len(partners) == 8
+    assert sum(name.startswith("far") for name in partners) == 1
+
+
 def test_gateway_that_has_just_started_tells_as_many_as_ever():
     # Guards against a new gateway that learns of its neighbours' load too late.
     peers = make_peers(near=5, far=20, heard=False)
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -39,11 +39,17 @@
     holder_age_ms=100_000,
     data_centre="a",
     leaving=None,
+    repeats=None,
+    version=-1,
+    version_age_ms=1_000_000,
 ):
     """Lets a gateway hear of another one."""
     message = {
         "data_centre": data_centre,
         "loads": {},
+        "version": version,
+        "version_age_ms": version_age_ms,
+        "repeats": repeats or {},
         "suspects": [],
         "crashes": [],
         "told": {},
--- a/caroblug/gateway/tests/test_slowness.py
+++ b/caroblug/gateway/tests/test_slowness.py
@@ -111,3 +111,33 @@
     site.look()
 
     assert site.paths() == {"y"}
+
+
+def test_slow_engine_that_another_gateway_found_is_avoided():
+    # Guards against a search by each of many gateways, each with few streams.
+    finder, other = Site(SlowStream(30.0, "x")), Site()
+    finder.look(8)
+    finder.streams[0].gap = 70.0
+    finder.say("x", 8.0)
+    finder.look()
+    other.clock.advance(finder.clock.now_ms() - other.clock.now_ms())
+
+    for name, (pace, age_ms) in finder.context.fleet.recent_paces(
+        finder.clock.now_ms()
+    ).items():
+        told_ms = other.clock.now_ms() - age_ms
+        other.context.fleet.on_pace(name, pace, told_ms)
+
+    assert other.paths() == {"y"}
+
+
+def test_older_word_of_a_slow_engine_loses_to_a_newer_one():
+    # Guards against an engine that is avoided again after it has recovered.
+    site = Site()
+    fleet = site.context.fleet
+    now_ms = site.clock.now_ms()
+    fleet.on_pace("x", 1.0, now_ms)
+
+    fleet.on_pace("x", 8.0, now_ms - 500)
+
+    assert site.paths() == {"x", "y"}
