Price engines by the prompts that they have yet to read

Cause: after all gateways were gone, callers come back at once; all prompts of a data centre went over its quickest chain, whose engines read some 90 a second between the token steps of other requests, while two more chains idled. Change: an engine costs more on a path by the reading time of the prompts sent to it without a first event yet; neighbours are taken to do as this gateway does. One request after the other still takes the quickest chain.

--- a/caroblug/core/placement/_paths.py
+++ b/caroblug/core/placement/_paths.py
@@ -33,6 +33,11 @@
 """Cost per unit of use above `_CROWDED`: memory that runs out preempts the
 newest request, whose prompt is then read again."""
 
+_READ_COST = 0.008
+"""Cost of a ms that an engine is busy with prompts sent to it before. A second
+chain then takes its part of what comes at once, while one request after the
+other goes over the quickest."""
+
 _MOST_PARTS = 32
 """Engines on one path that the first engine takes."""
 
@@ -116,7 +121,13 @@
     if after is not None:
         ready = [e for e in ready if e.name != after.engine.name]
     use = {e.name: loads.use(e, model) for e in ready}
-    weight = {e.name: _weight_ms(use[e.name], rng) for e in ready}
+    weight = {
+        e.name: _weight_ms(use[e.name], rng)
+        + loads.unread(e.name)
+        * model.reading_ms(e.kind, len(e.holds))
+        * _READ_COST
+        for e in ready
+    }
     layer_ms = model.step_ms / model.layers
     crossing_ms = model.crossing_ms * _CROSSING_QUEUE
     start = after.layers.end if after else 0
--- a/caroblug/core/placement/_types.py
+++ b/caroblug/core/placement/_types.py
@@ -61,6 +61,9 @@
         load_s: Time to load all layers, in seconds.
         crossing_ms: Time that a usual prompt's activations take from one data
             centre to another, when nobody else uses the link.
+        read_ms: Time of reading a usual prompt through all layers, at pace 1.
+        read_steps: Token steps of other requests that come between the pieces
+            in which a usual prompt is read.
     """
 
     layers: int
@@ -71,6 +74,8 @@
     kinds: dict[str, EngineKind]
     load_s: float = 0.0
     crossing_ms: float = 28.0
+    read_ms: float = 0.0
+    read_steps: int = 0
 
     def most_layers(self, kind: EngineKind, streams: int) -> int:
         """Returns how many layers fit beside the memory of `streams`.
@@ -82,6 +87,17 @@
         layer_mb = self.layer_mb + streams * self.usual_tokens * self.kv_mb
         return min(self.layers, int(kind.memory_mb / layer_mb))
 
+    def reading_ms(self, kind: EngineKind, layers: int) -> float:
+        """Returns how long an engine is busy with a usual prompt, in ms.
+
+        Args:
+            kind: The engine's kind.
+            layers: Layers that the engine runs.
+        """
+        reading_ms = self.read_ms * kind.read_pace
+        steps_ms = self.read_steps * self.step_ms * kind.step_pace
+        return (reading_ms + steps_ms) * layers / self.layers
+
     def token_room(self, kind: EngineKind, layers: int) -> float:
         """Returns how many tokens fit beside `layers` layers."""
         if layers <= 0 or self.kv_mb <= 0:
