Move who reads at the store out of the peers' exchange

A move: ranks, the age of the version and the place among the neighbours are in Readers, without gossip or sockets. The tests are the same but for one name.

--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -18,6 +18,7 @@
 from caroblug.gateway._interfaces import Member, Registry, Unavailable
 from caroblug.gateway._packing import pack, unpack
 from caroblug.gateway._peer_calls import PeerCalls
+from caroblug.gateway._readers import Readers
 
 TELL_PATH = "/tell"
 
@@ -54,24 +55,6 @@
 """How long a gateway that has left the group is still told: its lease may
 have run out only because the store was away."""
 
-_READERS = 2
-"""Gateways of a data centre that wait at the store for a newer configuration;
-one may be frozen or cut off. The others follow them."""
-
-_FOLLOWED_MS = 4500
-"""Time since the configuration was last known to be the newest after which a
-gateway reads it itself: the wait of a reader, and some exchanges."""
-
-_ISOLATED_MS = 1000
-"""The same since any other gateway was heard of."""
-
-_RANK_MS = 8
-"""Unit of the time of a read by which gateways are ranked as readers; each
-rank is twice as long as the one before."""
-
-_UNREACHED_RANK = 30
-"""Rank of a gateway whose last read failed."""
-
 _SILENT_MS = 1500
 """After this a gateway's load is forgotten: its streams have been taken over
 or are lost."""
@@ -110,9 +93,7 @@
         self._far: set[str] = set()
         self._holders = HolderWatch(context.clock.now_ms())
         self._versions: dict[str, int] = {}
-        self._rank = 0
-        self._ranks: dict[str, int] = {}
-        self._confirmed_ms: int | None = None
+        self._readers = Readers(context.clock, context.settings.instance)
         self._repeats_left: dict[str, dict[str, int]] = {}
         self._fetching_version = -1
         self._news = event.Event()
@@ -121,6 +102,11 @@
         self._calls.serve(TELL_PATH, self._take)
         self.tenure = TenureState.NONE
 
+    @property
+    def readers(self) -> Readers:
+        """Who reads at the store for this data centre."""
+        return self._readers
+
     @property
     def calls(self) -> PeerCalls:
         """Answers other gateways' messages."""
@@ -160,7 +146,7 @@
         Args:
             confirmed_ms: When it was known to be the newest one.
         """
-        self._confirmed_ms = confirmed_ms
+        self._readers.start_version(confirmed_ms)
         self._news.set()
 
     def call(self, name: str, path: str, message: dict) -> dict | Unavailable:
@@ -249,8 +235,8 @@
             "data_centre": settings.data_centre,
             "loads": context.fleet.loads.own(),
             "version": self._version(),
-            "version_age_ms": self._version_age_ms(now_ms),
-            "rank": self._rank,
+            "version_age_ms": self._readers.version_age_ms,
+            "rank": self._readers.rank,
             "repeats": self._count_repeats(now_ms),
             "list_age_ms": self._list_age_ms(),
             "list_digest": context.fleet.listing.digest,
@@ -361,11 +347,11 @@
         self._on_unanswered(message.get("unanswered", {}))
         self._on_list_age(name, message)
         # Gateways of the version before say neither rank nor age.
-        self._ranks[name] = int(message.get("rank", 0))
+        self._readers.hear(name, int(message.get("rank", 0)))
         self._versions[name] = int(message["version"])
         if self._versions[name] == self._version():
             age_ms = int(message.get("version_age_ms", UNKNOWN_MS))
-            self.confirm_version(self._context.clock.now_ms() - age_ms)
+            self._readers.confirm_version(self._context.clock.now_ms() - age_ms)
         self._repeats_left[name] = {
             str(service): int(left)
             for service, left in message.get("repeats", {}).items()
@@ -456,48 +442,18 @@
         """
         self._context.ask_about.update(str(name) for name in names)
 
-    def confirm_version(self, at_ms: int) -> None:
-        """Notes that the configuration was the newest one at a moment."""
-        if self._confirmed_ms is None or at_ms > self._confirmed_ms:
-            self._confirmed_ms = at_ms
-
-    def note_store_read(self, took_ms: int | None) -> None:
-        """Ranks this gateway by the time of a read at the store.
-
-        Args:
-            took_ms: Time that it took; None if it failed.
-        """
-        if took_ms is None:
-            self._rank = _UNREACHED_RANK
-        else:
-            self._rank = (took_ms // _RANK_MS).bit_length()
-
     def is_first_at_home(self) -> bool:
         """Returns whether this is the first reader of its data centre."""
-        return self._place_at_home() == 0
+        return self._readers.is_first(self._neighbours())
 
     def reads_configuration(self) -> bool:
-        """Returns whether this gateway waits at the store for changes.
+        """Returns whether this gateway waits at the store for changes."""
+        heard_ms = max(self._heard_ms.values(), default=0)
+        return self._readers.waits(self._neighbours(), heard_ms)
 
-        The others get them from those that do. Guards against links that are
-        full: a large configuration would come to each gateway from the store
-        at the same moment, and streams would pause behind it.
-        """
-        if self._confirmed_ms is None or self._place_at_home() < _READERS:
-            return True
-        now_ms = self._context.clock.now_ms()
-        if now_ms - max(self._heard_ms.values(), default=0) > _ISOLATED_MS:
-            return True
-        return now_ms - self._confirmed_ms > _FOLLOWED_MS
-
-    def _place_at_home(self) -> int:
-        """Returns how many of the data centre read rather than this one."""
-        mine = (self._rank, self._context.settings.instance)
-        return sum(
-            (self._ranks.get(name, 0), name) < mine
-            for name in self._staying()
-            if name not in self._far
-        )
+    def _neighbours(self) -> list[str]:
+        """Returns other gateways of the data centre that are heard."""
+        return [name for name in self._staying() if name not in self._far]
 
     def is_deputy(self) -> bool:
         """Returns whether this gateway places layers for want of a holder.
@@ -541,7 +497,7 @@
                 del self._seen_ms[name]
                 del self._members[name]
                 self._versions.pop(name, None)
-                self._ranks.pop(name, None)
+                self._readers.forget(name)
                 self._near.discard(name)
                 self._far.discard(name)
 
@@ -563,11 +519,6 @@
         known = self._context.configuration
         return known.version if known is not None else -1
 
-    def _version_age_ms(self, now_ms: int) -> int:
-        if self._confirmed_ms is None:
-            return UNKNOWN_MS
-        return min(UNKNOWN_MS, now_ms - self._confirmed_ms)
-
     def _list_age_ms(self) -> int:
         fleet = self._context.fleet
         if not fleet.known:
--- a/caroblug/gateway/_watches.py
+++ b/caroblug/gateway/_watches.py
@@ -189,7 +189,7 @@
             read.configuration, read.raw, "store"
         ):
             self._peers.on_new_version(confirmed_ms)
-        self._peers.confirm_version(confirmed_ms)
+        self._peers.readers.confirm_version(confirmed_ms)
 
     def _on_store_back(self) -> None:
         """Lets the configuration be read anew.
@@ -251,10 +251,10 @@
         self._note("backends", listing)
         if isinstance(listing, Unavailable):
             self._list_failures += 1
-            self._peers.note_store_read(None)
+            self._peers.readers.note_read(None)
             return False
         self._list_failures = 0
-        self._peers.note_store_read(context.clock.now_ms() - asked_ms)
+        self._peers.readers.note_read(context.clock.now_ms() - asked_ms)
         if listing.ignored != self._ignored:
             self._ignored = listing.ignored
             context.log.write("backends.ignored", records=listing.ignored)
--- a/caroblug/gateway/tests/test_configuration_spread.py
+++ b/caroblug/gateway/tests/test_configuration_spread.py
@@ -46,14 +46,14 @@
 def test_gateway_whose_reads_are_quicker_reads_for_the_others():
     # Guards against a slow link that carries what a quick one could.
     context, peers = make_peers("g0")
-    peers.note_store_read(200)
+    peers.readers.note_read(200)
 
     assert not peers.reads_configuration()
 
 
 def test_gateway_whose_reads_fail_does_not_read_for_the_others():
     context, peers = make_peers("g0")
-    peers.note_store_read(None)
+    peers.readers.note_read(None)
 
     assert not peers.reads_configuration()
 
