--- /dev/null
+++ b/caroblug/gateway/tests/test_peer_calls.py
@@ -0,0 +1,43 @@
+"""Messages from other gateways that can't be answered."""
+
+import pytest
+
+from caroblug.gateway._caller_requests import RawRequest
+from caroblug.gateway._peer_calls import PeerCalls
+from caroblug.gateway.tests.fakes import make_context
+
+
+class FakeReply:
+    """Keeps the answer that it is given."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.body = b""
+
+    def send(self, status, headers, body=b""):
+        self.status = status
+        self.body = body
+
+
+def answer(path: str, body: bytes) -> FakeReply:
+    calls = PeerCalls(make_context())
+    calls.serve("/double", lambda message: {"twice": message["number"] * 2})
+    reply = FakeReply()
+    calls.answer(RawRequest("POST", path, [], body, False, 0), reply)
+    return reply
+
+
+def test_message_is_answered_by_the_handler_of_its_path():
+    reply = answer("/double", b'{"number":21}')
+
+    assert (reply.status, reply.body) == (200, b'{"twice":42}')
+
+
+def test_unknown_path_is_not_found():
+    assert answer("/nothing", b"{}").status == 404
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{}", b"7", b'"text"'])
+def test_message_of_another_form_is_refused(body):
+    # Guards against a gateway that ends for what another version sends.
+    assert answer("/double", body).status == 400
