--- a/caroblug/gateway/_repeats.py
+++ b/caroblug/gateway/_repeats.py
@@ -6,7 +6,7 @@
 last that they have most left.
 """
 
-from gevent import lock
+import gevent
 
 from caroblug.gateway._context import Context
 from caroblug.gateway._interfaces import Unavailable
@@ -35,7 +35,7 @@
     def __init__(self, context: Context, peers: Peers) -> None:
         self._context = context
         self._peers = peers
-        self._borrowing = lock.BoundedSemaphore()
+        self._loans: dict[str, gevent.Greenlet] = {}
         self._ask_again_ms: dict[str, int] = {}
 
     def take(self, service: str) -> bool:
@@ -43,16 +43,11 @@
 
         Waits for other gateways if the own part is spent.
         """
-        if self._take(service):
-            return True
-        with self._borrowing:
-            # Whoever had the turn before may have borrowed enough.
-            allowed = self._take(service) or (
-                self._borrow(service) and self._take(service)
-            )
-        if not allowed:
-            self._context.tallies.count("repeats_denied", service=service)
-        return allowed
+        while not self._take(service):
+            if not self._wait_for_loan(service):
+                self._context.tallies.count("repeats_denied", service=service)
+                return False
+        return True
 
     def answer_loan(self, message: dict) -> dict:
         """Answers another gateway that asks for repeats."""
@@ -72,6 +67,18 @@
             service, context.fleet.loads.gateways, context.clock.now_ms()
         )
 
+    def _wait_for_loan(self, service: str) -> bool:
+        """Waits for a loan, one for all streams that wait at this moment.
+
+        Returns:
+            Whether something was lent.
+        """
+        loan = self._loans.get(service)
+        if loan is None or loan.dead:
+            loan = self._loans[service] = gevent.spawn(self._borrow, service)
+        loan.join()
+        return bool(loan.value)
+
     def _borrow(self, service: str) -> bool:
         """Asks other gateways; returns whether one of them lent something."""
         context = self._context
