Compress a list once for all gateways that lack it

Found on reading the change again: a configuration was packed once for all, the list once for each gateway that asked. Packer serves both, without a version of its own. Behaviour is the same otherwise.

--- a/caroblug/gateway/_packing.py
+++ b/caroblug/gateway/_packing.py
@@ -17,6 +17,20 @@
     return base64.b64encode(zlib.compress(text.encode(), _LEVEL)).decode()
 
 
+class Packer:
+    """Packs a text once for all who get it."""
+
+    def __init__(self) -> None:
+        self._text = ""
+        self._packed = pack("")
+
+    def pack(self, text: str) -> str:
+        """Returns a text in its short form."""
+        if text is not self._text:
+            self._text, self._packed = text, pack(text)
+        return self._packed
+
+
 def unpack(packed: str) -> str:
     """Returns the text that was packed.
 
--- a/caroblug/gateway/_peer_calls.py
+++ b/caroblug/gateway/_peer_calls.py
@@ -13,7 +13,7 @@
 Handler = Callable[[dict], dict]
 
 _CALL_S = 0.3
-_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
 """What a message of another form raises where it is taken apart."""
 
 
@@ -40,8 +40,8 @@
             return
         try:
             answer = handler(json.loads(request.body))
-        except _UNREADABLE as error:
-            self._note_unreadable(request.path, error)
+        except UNREADABLE as error:
+            self.note_unreadable(request.path, error)
             reply.send(400, [], b"message does not parse")
             return
         reply.send(200, [], _encode(answer))
@@ -64,11 +64,12 @@
             return Unavailable(f"status {answer.head.status}")
         try:
             return dict(json.loads(answer.body))
-        except _UNREADABLE as error:
-            self._note_unreadable(path, error)
+        except UNREADABLE as error:
+            self.note_unreadable(path, error)
             return Unavailable(f"answer does not parse: {error!r}")
 
-    def _note_unreadable(self, path: str, error: Exception) -> None:
+    def note_unreadable(self, path: str, error: Exception) -> None:
+        """Writes a line for a message that can't be taken apart."""
         self._context.log.write(
             "peer.unreadable", path=path, reason=repr(error)
         )
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -16,8 +16,8 @@
 from caroblug.gateway._holder_watch import UNKNOWN_MS, HolderWatch
 from caroblug.gateway._http_client import Address
 from caroblug.gateway._interfaces import Member, Registry, Unavailable
-from caroblug.gateway._packing import pack, unpack
-from caroblug.gateway._peer_calls import PeerCalls
+from caroblug.gateway._packing import Packer, unpack
+from caroblug.gateway._peer_calls import UNREADABLE, PeerCalls
 from caroblug.gateway._readers import Readers
 
 TELL_PATH = "/tell"
@@ -97,7 +97,8 @@
         self._repeats_left: dict[str, dict[str, int]] = {}
         self._fetching_version = -1
         self._news = event.Event()
-        self._packed = (-1, "")
+        self._configurations = Packer()
+        self._lists = Packer()
         self._calls = PeerCalls(context)
         self._calls.serve(TELL_PATH, self._take)
         self.tenure = TenureState.NONE
@@ -221,8 +222,8 @@
             return
         try:
             self._take_answer(answer, name)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            self._context.log.write("peer.unreadable", reason=repr(error))
+        except UNREADABLE as error:
+            self._calls.note_unreadable(TELL_PATH, error)
 
     def _message(self) -> dict:
         context = self._context
@@ -262,13 +263,15 @@
         self._take_news(name, message)
         answer = self._message()
         if message["version"] < self._version():
-            answer["packed_configuration"] = self._pack_configuration()
+            raw = self._context.raw_configuration
+            answer["packed_configuration"] = self._configurations.pack(raw)
         elif message["version"] > self._version():
             self._fetch(name, int(message["version"]))
         if self._differs(message) and answer["list_age_ms"] < int(
             message["list_age_ms"]
         ):
-            answer["packed_list"] = pack(self._context.fleet.listing.raw)
+            raw = self._context.fleet.listing.raw
+            answer["packed_list"] = self._lists.pack(raw)
         return answer
 
     def _fetch(self, name: str, version: int) -> None:
@@ -283,12 +286,6 @@
             self._busy.add(name)
             gevent.spawn(self._tell, name)
 
-    def _pack_configuration(self) -> str:
-        version = self._version()
-        if self._packed[0] != version:
-            self._packed = (version, pack(self._context.raw_configuration))
-        return self._packed[1]
-
     def _count_repeats(self, now_ms: int) -> dict[str, int]:
         """Returns how many repeats are left, by service."""
         context = self._context
--- a/caroblug/gateway/tests/test_configuration_spread.py
+++ b/caroblug/gateway/tests/test_configuration_spread.py
@@ -8,7 +8,7 @@
 import pytest
 
 from caroblug.gateway._interfaces import Member
-from caroblug.gateway._packing import pack, unpack
+from caroblug.gateway._packing import Packer, pack, unpack
 from caroblug.gateway._peers import TenureState
 from caroblug.gateway.tests.test_placement import make_placement, tell
 
@@ -117,6 +117,14 @@
     assert unpack(pack(RAW)) == RAW
 
 
+def test_text_is_packed_once_for_all_who_get_it():
+    # Guards against compressing a list again for each gateway that lacks it.
+    packer = Packer()
+
+    assert packer.pack(RAW) is packer.pack(RAW)
+    assert unpack(packer.pack("another")) == "another"
+
+
 @pytest.mark.parametrize("packed", ["", "spoilt", pack(RAW)[:-40]])
 def test_broken_packed_text_is_a_value_error(packed):
     with pytest.raises(ValueError, match=r"packed|Incorrect|padd"):
