Drop intents of skipped records, and stop the ticks of a stopped network

IntentFold.skip_to passed over expired records and kept the intents before them, although one of the skipped records may have voided them. The key stayed undecided at that owner until a batch with a higher horizon. Now these intents are dropped, so that the fold knows as much as that of a new process. The new test fails without the change.

`pytest test_frame_authentication.py test_liveness.py` hung: the second file waits until the event loop is idle, and PeerNetwork.stop left its tick greenlet running for ever (seen in gevent's list of greenlets: one for each network of the first file). stop ends it now, and the test's proxy closes its connections. The two files pass in that order.

--- a/caroblug/core/state/_intents.py
+++ b/caroblug/core/state/_intents.py
@@ -112,8 +112,19 @@
         return batch
 
     def skip_to(self, offset: int) -> None:
-        """Skips records that expired before they were read."""
-        self._next_offset = max(self._next_offset, offset)
+        """Skips records that expired before they were read.
+
+        The intents before the offset have expired as well. They are dropped,
+        because one of the skipped records may have voided them, and the key
+        would stay undecided. The fold then knows as much as that of a new
+        process, which starts at the oldest retained record.
+        """
+        if offset <= self._next_offset:
+            return
+        self._next_offset = offset
+        for key in list(self._keys):
+            while key in self._keys and self._keys[key].offset < offset:
+                self._drop_first_intent(key)
 
     def _is_late(self, batch: CallBatch, offset: int) -> bool:
         """Returns whether the writer's same or a later batch is folded.
--- a/caroblug/core/state/tests/test_intents.py
+++ b/caroblug/core/state/tests/test_intents.py
@@ -365,3 +365,22 @@
     log.append(3, encode_batch(late))
     owner.read(log, 3)
     assert owner.fold.lookup(_KEYS[0]) is None
+
+
+def test_key_is_free_where_an_expired_void_record_was_skipped():
+    """Guards against an intent that blocks its key although it was voided.
+
+    An owner reads an intent, then pauses until the record that voids it has
+    expired from the log.
+    """
+    log = _Log()
+    owner, paused = _Owner("owner"), _Owner("paused")
+    owner.core.admit(0, _KEYS[0], _REQUESTS[0], _WITHIN_MS)
+    _commit(owner, log, 0)
+    paused.read(log, 1)
+    assert paused.fold.lookup(_KEYS[0]) is not None
+    owner.core.cancel(_KEYS[0])
+    _commit(owner, log, 2)
+    log.expire(_RETENTION_MS + 3)
+    paused.read(log, _RETENTION_MS + 3)
+    assert paused.fold.lookup(_KEYS[0]) is None
--- a/caroblug/transport/_peers.py
+++ b/caroblug/transport/_peers.py
@@ -61,6 +61,7 @@
         self._sessions: dict[str, Session] = {}
         self._in_flight: collections.Counter[str] = collections.Counter()
         self._server: server.StreamServer | None = None
+        self._ticker: gevent.Greenlet | None = None
         self._stopped = False
         self._pause_detector = PauseDetector(
             clock,
@@ -82,12 +83,14 @@
         self._server.start()
         self._hello.host = self._hello.host or host
         self._hello.port = self._hello.port or self._server.server_port
-        gevent.spawn(self._tick_forever)
+        self._ticker = gevent.spawn(self._tick_forever)
         return self._server.server_port
 
     def stop(self) -> None:
-        """Closes the listener and every connection."""
+        """Closes the listener and every connection, and ends the ticks."""
         self._stopped = True
+        if self._ticker is not None:
+            self._ticker.kill(block=False)
         if self._server is not None:
             self._server.stop(timeout=0)
         for session in self._sessions.values():
--- a/caroblug/transport/tests/test_frame_authentication.py
+++ b/caroblug/transport/tests/test_frame_authentication.py
@@ -5,7 +5,7 @@
 
 import gevent
 import pytest
-from gevent import server, socket
+from gevent import pool, server, socket
 
 from caroblug.gen.wire import ttypes as wire
 from caroblug.transport import (
@@ -62,6 +62,7 @@
         self.to_server = None
         self.to_client = None
         self.sent = []
+        self._forwarders = pool.Group()
         self._server = server.StreamServer((_HOST, 0), self._accept)
         self._server.start()
         self.port = self._server.server_port
@@ -69,7 +70,7 @@
     def _accept(self, client, _):
         upstream = socket.create_connection((_HOST, self._port))
         self.to_server, self.to_client = upstream, client
-        gevent.spawn(self._forward, upstream, client, None)
+        self._forwarders.spawn(self._forward, upstream, client, None)
         self._forward(client, upstream, self.sent)
 
     def _forward(self, source, sink, recorded):
@@ -86,6 +87,9 @@
 
     def stop(self):
         self._server.stop(timeout=0)
+        self._forwarders.kill()
+        for sock in (self.to_server, self.to_client):
+            sock.close()
 
 
 def _read(source, length):
