Keep copies of the server list for starts without it

Cause: on the shifted deployment all gateways lose power while a third of the store's partitions answer 503, the one with the list of servers among them.

The active gateway now saves the list in three other partitions when it changes, at most every 2 s, and a start that gets no list within 100 ms reads the newest copy. The list replaces the copy as soon as it can be read; an older list never replaces a newer copy; a copy never replaces a list.

Ruled out: the list from peers, as all of them start at once; addresses from the configuration, which has none.

--- a/caroblug/gateway/__init__.py
+++ b/caroblug/gateway/__init__.py
@@ -1,6 +1,7 @@
 """The gateway, an entry for engines that forward tokens to each other."""
 
 from caroblug.gateway._caller_requests import RawRequest
+from caroblug.gateway._compression import compress_data, decompress_data
 from caroblug.gateway._exchange_results import (
     ExchangeFailure,
     HttpResponse,
@@ -58,6 +59,8 @@
     "SettingsProblem",
     "Unavailable",
     "check_gateway_settings",
+    "compress_data",
+    "decompress_data",
     "fetch",
     "format_request",
     "make_gateway",
--- a/caroblug/gateway/_compression.py
+++ b/caroblug/gateway/_compression.py
@@ -15,9 +15,12 @@
 
 def compress_text(text: str) -> str:
     """Returns a text compressed and encoded for use in JSON."""
-    return base64.b64encode(
-        zlib.compress(text.encode(), _COMPRESSION_LEVEL)
-    ).decode()
+    return base64.b64encode(compress_data(text)).decode()
+
+
+def compress_data(text: str) -> bytes:
+    """Returns a text compressed."""
+    return zlib.compress(text.encode(), _COMPRESSION_LEVEL)
 
 
 class TextCompressor:
@@ -40,15 +43,23 @@
 def decompress_text(compressed: str) -> str:
     """Returns the text that `compress_text` was given.
 
+    Raises:
+        ValueError: If the input is not a compressed text or its text is too
+            long.
+    """
+    return decompress_data(base64.b64decode(compressed))
+
+
+def decompress_data(compressed: bytes) -> str:
+    """Returns the text that `compress_data` was given.
+
     Raises:
         ValueError: If the input is not a compressed text or its text is too
             long.
     """
     decompressor = zlib.decompressobj()
     try:
-        data = decompressor.decompress(
-            base64.b64decode(compressed), _MAX_TEXT_BYTES
-        )
+        data = decompressor.decompress(compressed, _MAX_TEXT_BYTES)
     except zlib.error as error:
         raise ValueError(f"invalid compressed text: {error}") from error
     if not decompressor.eof:
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -59,6 +59,10 @@
 """Time within which an unanswered order may still be carried out, in ms. An
 engine can be unresponsive for seconds before it processes the order."""
 
+_RESTORED_LISTING_AGE_MS = 900_000
+"""Age that a restored listing counts as, in ms. Each listing that was read from
+the store counts as newer."""
+
 _UNLISTED_RETENTION_MS = 15000
 """Time for which the state of a backend server is retained after it has left
 the listing, in ms."""
@@ -131,6 +135,7 @@
         self._rng = rng
         self._listing = Listing({}, -1)
         self._listed_ms = -1
+        self._restored = False
         self._states: dict[str, _BackendState] = collections.defaultdict(
             _BackendState
         )
@@ -138,8 +143,13 @@
 
     @property
     def has_listing(self) -> bool:
-        """Whether a listing has been read."""
-        return self._listed_ms >= 0
+        """Whether a listing is known."""
+        return self._listing.end >= 0
+
+    @property
+    def has_confirmed_listing(self) -> bool:
+        """Whether the listing was read from the store, by some gateway."""
+        return self.has_listing and not self._restored
 
     @property
     def listing(self) -> Listing:
@@ -173,6 +183,7 @@
         before = self._listing.backends
         self._listing = listing
         self._listed_ms = now_ms
+        self._restored = False
         for name, backend in listing.backends.items():
             state = self._states[name]
             state.listed_ms = now_ms
@@ -186,6 +197,22 @@
                 del self._states[name]
         return True
 
+    def restore_listing(self, listing: Listing, now_ms: int) -> bool:
+        """Adopts a saved copy of the listing if no listing is known.
+
+        Args:
+            listing: The copy.
+            now_ms: Current time.
+
+        Returns:
+            Whether the copy was adopted.
+        """
+        if self.has_listing:
+            return False
+        self.update_listing(listing, now_ms - _RESTORED_LISTING_AGE_MS)
+        self._restored = True
+        return True
+
     def confirm_listing(self, digest: str, end: int, listed_ms: int) -> None:
         """Records that another gateway has read the same listing more recently.
 
@@ -199,6 +226,7 @@
                 self._listing, end=max(end, self._listing.end)
             )
             self._listed_ms = listed_ms
+            self._restored = False
 
     def backends(self, service: str) -> list[BackendServer]:
         """Returns the backend servers of a service that are not draining."""
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -16,6 +16,7 @@
 from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._http_server import HttpServer, Reply
 from caroblug.gateway._interfaces import CallerRequest, Dialect, Registry
+from caroblug.gateway._listing_backup import ListingBackup
 from caroblug.gateway._liveness import LivenessMonitor
 from caroblug.gateway._peers import Peers
 from caroblug.gateway._pending_request import (
@@ -87,8 +88,13 @@
         self._reload = reload
         self._crashes = CrashSuspicions(context.clock, context.fleet)
         self._peers = Peers(context, registry, self._crashes)
-        self._store_watcher = StoreWatcher(context, registry, self._peers)
         self._placement = PlacementController(context, registry, self._peers)
+        self._backup = ListingBackup(
+            context, registry, lambda: self._placement.is_active
+        )
+        self._store_watcher = StoreWatcher(
+            context, registry, self._peers, self._backup
+        )
         self._suspect_probes = SuspectProbes(context)
         self._responses = GatewayResponses(context)
         self._retry_budget = SharedRetryBudget(context, self._peers)
@@ -143,6 +149,8 @@
         for loop in (
             self._store_watcher.run_configuration,
             self._store_watcher.run_list,
+            self._store_watcher.run_restore,
+            self._backup.run,
             self._placement.run_lease,
             self._placement.run_plan,
             self._peers.run_members,
--- a/caroblug/gateway/_interfaces.py
+++ b/caroblug/gateway/_interfaces.py
@@ -156,6 +156,18 @@
     def read_backends(self) -> Listing | Unavailable:
         """Reads the list of backend servers."""
 
+    @abc.abstractmethod
+    def save_backends(self, listing: Listing) -> Unavailable | None:
+        """Saves copies of a list of backend servers, apart from the list.
+
+        Returns:
+            None if most of the copies were saved.
+        """
+
+    @abc.abstractmethod
+    def read_saved_backends(self) -> Listing | Unavailable:
+        """Reads the newest copy of the list that can be read."""
+
     @abc.abstractmethod
     def renew_placement_lease(
         self, lease_ms: int
--- a/caroblug/gateway/_store_watcher.py
+++ b/caroblug/gateway/_store_watcher.py
@@ -12,6 +12,7 @@
     Registry,
     Unavailable,
 )
+from caroblug.gateway._listing_backup import ListingBackup
 from caroblug.gateway._peers import Peers
 
 _Read = TypeVar("_Read")
@@ -34,9 +35,17 @@
 """Pause after a failed read of the list. Rejected calls cost money, too."""
 
 _LIST_POLL_S = 0.05
+_START_POLL_S = 0.005
 _INITIAL_LIST_RETRY_MS = 150
 """Pause after a failed read while no list has been read yet."""
 
+_RESTORE_DELAY_S = 0.1
+"""Time that a start waits for the list before it reads the copies, unless
+the first read fails earlier, in s."""
+
+_RESTORE_RETRY_S = 0.5
+"""Pause after an attempt to read the copies of the list, in s."""
+
 _FIRST_READER_WAIT_MS = 3000
 """Duration of the first reader's wait for a change. A connection that went
 silent reports nothing until its wait ends, and all gateways restart their waits
@@ -90,12 +99,18 @@
         context: Shared state of the gateway's components.
         registry: Access to the platform's list and configuration.
         peers: Exchange of state with other gateways.
+        backup: Copies of the list, for starts at which it can't be read.
     """
 
     def __init__(
-        self, context: Context, registry: Registry, peers: Peers
+        self,
+        context: Context,
+        registry: Registry,
+        peers: Peers,
+        backup: ListingBackup,
     ) -> None:
         self._context = context
+        self._backup = backup
         self._peers = peers
         self._registry = registry
         self._lost: set[str] = set()
@@ -236,6 +251,23 @@
         if self._context.clock.now_ms() - since_ms > _FIRST_READER_OVERDUE_MS:
             self._call.kill(block=False)
 
+    def run_restore(self) -> None:
+        """Restores the list from its copies unless it is read in time.
+
+        Guards against a start at which the store can't give the list. Every
+        request would be refused although the backend servers are running.
+        """
+        fleet = self._context.fleet
+        end_ms = self._context.clock.now_ms() + _RESTORE_DELAY_S * 1000
+        while (
+            not fleet.has_listing
+            and not self._list_failures
+            and self._context.clock.now_ms() < end_ms
+        ):
+            gevent.sleep(_START_POLL_S)
+        while not fleet.has_listing and not self._backup.restore():
+            gevent.sleep(_RESTORE_RETRY_S)
+
     def run_list(self) -> None:
         """Refreshes the list of backend servers until the process ends."""
         fleet = self._context.fleet
--- a/caroblug/gateway/tests/fakes.py
+++ b/caroblug/gateway/tests/fakes.py
@@ -90,6 +90,12 @@
     def read_backends(self):
         return Unavailable("not set")
 
+    def save_backends(self, listing):
+        return Unavailable("not set")
+
+    def read_saved_backends(self):
+        return Unavailable("not set")
+
     def renew_placement_lease(self, lease_ms):
         return self.lease
 
--- a/caroblug/gateway/tests/test_store_watcher.py
+++ b/caroblug/gateway/tests/test_store_watcher.py
@@ -11,6 +11,7 @@
     _store_watcher,
     make_listing,
 )
+from caroblug.gateway._listing_backup import ListingBackup
 from caroblug.gateway._peers import LeaseState
 from caroblug.gateway._store_watcher import StoreWatcher
 from caroblug.gateway.tests.test_placement import (
@@ -20,6 +21,11 @@
 from caroblug.utils import ManualClock
 
 
+def make_watcher(context, registry, peers) -> StoreWatcher:
+    backup = ListingBackup(context, registry, lambda: False)
+    return StoreWatcher(context, registry, peers, backup)
+
+
 def make_configuration(version: int) -> Configuration:
     return Configuration(version, {}, {}, RequestLimits(), None)
 
@@ -28,7 +34,7 @@
     # Guards against a change that is applied only after the timeout of a wait
     # whose answer was lost.
     context, registry, peers, _ = make_placement()
-    watcher = StoreWatcher(context, registry, peers)
+    watcher = make_watcher(context, registry, peers)
     reads = []
     registry.read_configuration = lambda: reads.append(1) or Unavailable("")
     registry.read_backends = lambda: Unavailable("silent")
@@ -44,7 +50,7 @@
     # Guards against a long wait on a connection that went silent during an
     # outage of the store.
     context, registry, peers, _ = make_placement()
-    watcher = StoreWatcher(context, registry, peers)
+    watcher = make_watcher(context, registry, peers)
     registry.wait_for_change = lambda end, wait_ms: event.Event().wait()
     registry.read_configuration = lambda: ConfigurationRead(
         make_configuration(6), 1
@@ -70,7 +76,7 @@
     # Guards against all gateways waiting long on connections that went silent.
     context, registry, peers, _ = make_placement()
     context.fleet.loads.gateways = gateways
-    wait_ms = StoreWatcher(context, registry, peers)._choose_wait_ms()
+    wait_ms = make_watcher(context, registry, peers)._choose_wait_ms()
 
     assert 3000 <= wait_ms <= 20_000
     assert wait_ms / max(1, gateways) <= 4000
@@ -79,7 +85,7 @@
 def test_unavailable_store_is_called_less_and_less_often():
     # Guards against the cost of many calls to a store that rejects all of them.
     context, registry, peers, _ = make_placement()
-    watcher = StoreWatcher(context, registry, peers)
+    watcher = make_watcher(context, registry, peers)
 
     assert context.configuration is not None
     pauses = [watcher._retry_delay_ms(failures) for failures in range(40)]
@@ -98,7 +104,7 @@
     monkeypatch.setattr(_store_watcher, "_RECOVERY_READ_WAIT_S", 0.02)
     monkeypatch.setattr(_store_watcher, "_RETRY_MS", 1)
     context, registry, peers, _ = make_placement()
-    return StoreWatcher(context, registry, peers), context, registry, peers
+    return make_watcher(context, registry, peers), context, registry, peers
 
 
 def hang(*args):
@@ -225,7 +231,7 @@
     for index in range(2, 9):
         receive_peer_state(peers, f"g{index}", LeaseState.NONE)
 
-    assert StoreWatcher(context, registry, peers)._choose_wait_ms() <= 3000
+    assert make_watcher(context, registry, peers)._choose_wait_ms() <= 3000
 
 
 @pytest.mark.parametrize("gateways", [5, 26, 400])
@@ -234,7 +240,7 @@
     context, registry, peers, _ = make_placement("g2")
     context.fleet.loads.gateways = gateways
     receive_peer_state(peers, "g1", LeaseState.NONE)
-    wait_ms = StoreWatcher(context, registry, peers)._choose_wait_ms()
+    wait_ms = make_watcher(context, registry, peers)._choose_wait_ms()
 
     assert 3000 <= wait_ms <= 20_000
     assert wait_ms >= min(15_000, 750 * gateways)
@@ -248,7 +254,7 @@
     # changes for the other gateways.
     clock = ManualClock(100_000)
     context, registry, peers, _ = make_placement("g2", clock)
-    watcher = StoreWatcher(context, registry, peers)
+    watcher = make_watcher(context, registry, peers)
     receive_peer_state(peers, "g1", LeaseState.NONE)
     registry.read_configuration = lambda: ConfigurationRead(
         make_configuration(6), 1
