Choose replacements by how soon they have prefilled the streams

Cause: the path of a running stream was changed to the cheapest one by the time of a token, although each engine that is new on it prefills all tokens so far while the caller waits.

--- a/caroblug/gateway/_stream_retry_policy.py
+++ b/caroblug/gateway/_stream_retry_policy.py
@@ -63,7 +63,7 @@
             state.pending.admitted.service,
             state.now_ms,
             frozenset(state.excluded_engines) | refused,
-            after=state.path.parts[0],
+            current=state.path,
         )
 
     def can_retry(self, result: RunResult) -> bool:
