--- a/caroblug/gateway/_liveness.py
+++ b/caroblug/gateway/_liveness.py
@@ -13,12 +13,11 @@
   streams stall together.
 """
 
-from collections.abc import Callable
-
 import gevent
 
 from caroblug.core.placement import Engine
 from caroblug.gateway._context import Context
+from caroblug.gateway._engine_prober import EngineProber
 from caroblug.gateway._exchange_results import FailureKind
 from caroblug.gateway._http_client import Exchange
 from caroblug.gateway._running_streams import EngineUse, RunningStreams
@@ -51,14 +50,6 @@
 between events. Streams over a slow engine would otherwise look stalled between
 any two events."""
 
-_PROBE_TIMEOUT_S = 0.04
-"""Timeout of a probe, in s. The longest round trip inside a region takes about
-2 ms, and an engine accepts a connection within 1 ms."""
-
-_PROBE_CONNECTIONS = 2
-"""Connections that a probe opens in parallel. A single one would fail with
-each lost packet."""
-
 _CONTROL_PROBES = 2
 """Engines with running streams that are probed beside the stalled ones, as a
 control group."""
@@ -67,33 +58,24 @@
 """Minimum time between two probes of the same engine, in ms."""
 
 
-def _connect(engine: Engine) -> FailureKind | None:
-    """Opens and closes a connection; returns the failure, if any."""
-    exchange = Exchange(engine.address)
-    problem = exchange.connect(_PROBE_TIMEOUT_S)
-    exchange.close()
-    return problem.failure if problem is not None else None
-
-
 class LivenessMonitor:
     """Detects engines that die on the paths of running streams.
 
     Args:
         context: State that the gateway's components share.
         running: Running streams of this gateway.
-        connect: Opens and closes a connection to an engine and returns the
-            failure, if any.
+        prober: Probes engines.
     """
 
     def __init__(
         self,
         context: Context,
         running: RunningStreams,
-        connect: Callable[[Engine], FailureKind | None] = _connect,
+        prober: EngineProber,
     ) -> None:
         self._context = context
         self._running = running
-        self._connect = connect
+        self._prober = prober
         self._used_ms: dict[str, int] = {}
         self._probe_spacing = Throttle(_MIN_PROBE_INTERVAL_MS)
 
@@ -182,7 +164,7 @@
             controls: Engines with running streams, probed for comparison.
         """
         probed = stalled + controls
-        jobs = [gevent.spawn(self._probe_engine, engine) for engine in probed]
+        jobs = [gevent.spawn(self._prober.probe, engine) for engine in probed]
         gevent.joinall(jobs)
         self._context.telemetry.count("engine_probes")
         failures = {
@@ -199,19 +181,6 @@
                 ended = failure is FailureKind.REFUSED
                 self._running.on_engine_lost(engine, ended)
 
-    def _probe_engine(self, engine: Engine) -> FailureKind | None:
-        """Opens connections in parallel; returns a failure if all fail."""
-        jobs = [
-            gevent.spawn(self._connect, engine)
-            for _ in range(_PROBE_CONNECTIONS)
-        ]
-        gevent.joinall(jobs)
-        failures = [job.value for job in jobs]
-        if None in failures:
-            return None
-        refused = FailureKind.REFUSED in failures
-        return FailureKind.REFUSED if refused else failures[0]
-
 
 def _stall_threshold_ms(use: EngineUse) -> float:
     """Returns the stall after which an engine is probed, in ms."""
--- a/caroblug/gateway/tests/test_liveness.py
+++ b/caroblug/gateway/tests/test_liveness.py
@@ -8,6 +8,7 @@
 
 from caroblug.core.placement import LayerRange, Path, PathPart
 from caroblug.core.placement.tests.fleets import make_engine
+from caroblug.gateway._engine_prober import EngineProber
 from caroblug.gateway._exchange_results import FailureKind
 from caroblug.gateway._liveness import LivenessMonitor
 from caroblug.gateway._running_streams import RunningStream, RunningStreams
@@ -62,7 +63,9 @@
         self.failures: dict[str, FailureKind] = {}
         self.probed: list[str] = []
         self.liveness = LivenessMonitor(
-            self.context, self.running, self._connect
+            self.context,
+            self.running,
+            EngineProber(self.clock, self._connect),
         )
         # Watches need sockets, so they are replaced by a stub.
         self.liveness._watch = lambda engine: None
