Show pauses and the span of time in caroblug-explain losses

A cause of lost requests was listed with the seconds it fell on, and how long the streams paused had to be read line by line. Each cause now has the median, the 95th percentile and the maximum of the longest pauses, and from when to when it lasted.

Left: test requests with short time-outs still stand first ("no answer in time"), as no log line tells them from others.

--- a/caroblug/explain/_commands.py
+++ b/caroblug/explain/_commands.py
@@ -102,6 +102,14 @@
 
 def _print_loss(loss: Loss) -> None:
     print(f"{loss.requests:6} {loss.outcome}: {loss.cause}")
+    span = f"{_format_time(loss.first_s)} to {_format_time(loss.last_s)}"
+    print(f"       from {span}")
+    if loss.pauses is not None:
+        pauses = loss.pauses
+        print(
+            f"       longest pause, ms: p50={pauses.p50} p95={pauses.p95} "
+            f"max={pauses.max}"
+        )
     for name, counts in (
         ("engines", loss.engines),
         ("instances", loss.instances),
--- a/caroblug/explain/_losses.py
+++ b/caroblug/explain/_losses.py
@@ -1,6 +1,7 @@
 """Groups late, refused and failed requests by outcome and cause."""
 
 import collections
+import math
 import re
 from collections.abc import Iterable
 
@@ -15,6 +16,21 @@
 and event numbers."""
 
 
+@attrs.frozen
+class PauseSummary:
+    """Longest pauses of some streams, in ms.
+
+    Attributes:
+        p50: Median over the streams.
+        p95: 95th percentile.
+        max: Longest one.
+    """
+
+    p50: int
+    p95: int
+    max: int
+
+
 @attrs.frozen
 class Loss:
     """Group of lost requests with the same outcome and cause.
@@ -27,6 +43,10 @@
         engines: Requests by engine, most frequent first.
         instances: Requests by instance, most frequent first.
         seconds: Requests by whole second since 1970, in order of time.
+        first_s: Time of the first of the requests, in s since 1970.
+        last_s: Time of the last one.
+        pauses: Longest pauses of the streams among them; None if there are no
+            streams with a pause.
     """
 
     outcome: str
@@ -35,6 +55,9 @@
     engines: dict[str, int]
     instances: dict[str, int]
     seconds: dict[int, int]
+    first_s: float
+    last_s: float
+    pauses: PauseSummary | None
 
 
 def group_losses(lines: Iterable[LogLine]) -> list[Loss]:
@@ -86,4 +109,30 @@
         dict(collections.Counter(e for e in engines if e).most_common()),
         dict(collections.Counter(x.instance for x in lines).most_common()),
         dict(sorted(seconds.items())),
+        min(line.at_s for line in lines),
+        max(line.at_s for line in lines),
+        _summarize_pauses(lines),
+    )
+
+
+def _summarize_pauses(lines: list[LogLine]) -> PauseSummary | None:
+    pauses = sorted(
+        int(pause_ms)
+        for line in lines
+        if (pause_ms := line.fields.get("pause_ms"))
     )
+    if not pauses:
+        return None
+    return PauseSummary(
+        _percentile(pauses, 0.5), _percentile(pauses, 0.95), pauses[-1]
+    )
+
+
+def _percentile(values: list[int], share: float) -> int:
+    """Returns the smallest of sorted values that `share` of them don't exceed.
+
+    Args:
+        values: At least one value, in ascending order.
+        share: Share of the values, from 0 to 1.
+    """
+    return values[max(0, math.ceil(share * len(values)) - 1)]
--- a/caroblug/explain/tests/test_losses.py
+++ b/caroblug/explain/tests/test_losses.py
@@ -3,6 +3,7 @@
 import json
 
 from caroblug.explain import LogLine, group_losses, main
+from caroblug.explain._losses import PauseSummary
 
 
 def answered(at_s, instance="g1", kind="request", **fields):
@@ -11,8 +12,12 @@
 
 LINES = [
     answered(1.0),
-    answered(2.1, late="pause", cause="path changed", engine="e1"),
-    answered(2.9, "g2", late="pause", cause="path changed", engine="e1"),
+    answered(
+        2.1, late="pause", cause="path changed", engine="e1", pause_ms=310
+    ),
+    answered(
+        2.9, "g2", late="pause", cause="path changed", engine="e1", pause_ms=330
+    ),
     answered(4.0, late="first_event", cause=""),
     answered(
         5.0, kind="request.failed", status=503, reason="no engine for layer 7"
@@ -43,6 +48,24 @@
     assert len(losses) == 5
 
 
+def test_losses_have_their_pauses_and_their_time():
+    paused = [
+        answered(10.0 + n / 100, late="pause", cause="path changed", pause_ms=n)
+        for n in range(301, 401)
+    ]
+
+    (loss,) = group_losses(paused)
+
+    assert (loss.first_s, loss.last_s) == (13.01, 14.0)
+    assert loss.pauses == PauseSummary(350, 395, 400)
+
+
+def test_losses_without_a_pause_have_none():
+    (loss,) = group_losses([answered(1.0, late="first_event", pause_ms=0)])
+
+    assert loss.pauses is None
+
+
 def test_command_prints_losses(tmp_path, capsys):
     path = tmp_path / "log"
     tables = [
@@ -57,6 +80,9 @@
     path.write_text("\n".join(json.dumps(table) for table in tables))
 
     assert main(["losses", str(path)]) == 0
-    assert "2 late: pause: path changed" in capsys.readouterr().out
+    printed = capsys.readouterr().out
+    assert "2 late: pause: path changed" in printed
+    assert "from 00:00:02.100 to 00:00:02.900" in printed
+    assert "longest pause, ms: p50=310 p95=330 max=330" in printed
     assert main(["--json", "losses", str(path)]) == 0
     assert len(json.loads(capsys.readouterr().out)) == 5
