Revert "Let running streams end before a sound engine replaces a slow one's layers"

The controller takes the order for failed after the time of a load and orders the next engine. Three engines of one data centre gave up their layers for layer 39 (orders at seconds 22.0, 24.2 and 27.0, loaded at 31.5).

What an urgent order costs the streams over a sound engine stays open: docs/design/0018.

--- a/caroblug/core/placement/_planner.py
+++ b/caroblug/core/placement/_planner.py
@@ -52,8 +52,7 @@
         engine: The engine in its state when the plan was computed.
         target: Layers that it is to hold.
         urgent: Whether the move adds a layer that no engine of its data centre
-            serves, not even a slow one, so that all requests there go to other
-            data centres. An
+            serves, so that all requests there go to other data centres. An
             urgent move does not wait for requests that run through the layers
             given up: the wait takes seconds, in which the other data centres
             run out of memory.
@@ -113,7 +112,6 @@
     engines: list[Engine],
     model: ModelShape,
     requests_per_chain: int = DEFAULT_REQUESTS_PER_CHAIN,
-    slow_engines: list[Engine] | None = None,
 ) -> list[Move]:
     """Returns the moves that turn the held layers into the planned ones.
 
@@ -123,19 +121,14 @@
         model: The model.
         requests_per_chain: Requests of mean length for which a chain reserves
             KV cache.
-        slow_engines: Further engines, which serve so slowly that their layers
-            are assigned to others.
     """
-    serving_engines = engines + (slow_engines or [])
     engines = sorted(engines, key=lambda e: _layer_time_key(e, model))
     assignments = [_Assignment(e, e.holds) for e in engines]
     missing = {}
     serving = {}
     for data_centre in sorted({e.data_centre for e in engines}):
         local = [a for a in assignments if a.engine.data_centre == data_centre]
-        missing[data_centre] = _missing_layers(
-            serving_engines, data_centre, model
-        )
+        missing[data_centre] = _missing_layers(engines, data_centre, model)
         serving[data_centre] = _plan_data_centre(
             local, model, requests_per_chain
         )
--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -204,10 +204,7 @@
         if self._is_settling(engines, now_ms):
             return
         moves = plan_moves(
-            engines,
-            require_model(service),
-            self._requests_per_chain(engines),
-            self._slow_engines(service, now_ms),
+            engines, require_model(service), self._requests_per_chain(engines)
         )
         for start in range(0, len(moves), _MAX_PARALLEL_ORDERS):
             batch = moves[start : start + _MAX_PARALLEL_ORDERS]
@@ -241,21 +238,6 @@
             else healthy
         )
 
-    def _slow_engines(self, service: Service, now_ms: int) -> list[Engine]:
-        """Returns slow engines that still serve.
-
-        Without them, a layer that only a slow engine holds would count as
-        missing. The urgent order for it would abort the streams over a sound
-        engine, all of which would then be prefilled again on one other engine.
-        """
-        fleet = self._context.fleet
-        return [
-            e
-            for e in fleet.engines(service, now_ms)
-            if fleet.slowdown(e.name) >= _MAX_SLOWDOWN
-            and not fleet.is_failing(e.name)
-        ]
-
     def _requests_per_chain(self, engines: list[Engine]) -> int:
         """Returns the number of requests that a chain reserves memory for.
 
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -279,32 +279,6 @@
     assert set(range(32, 48)) <= set(layers_of(order[1]))
 
 
-def test_order_for_a_slow_engines_layers_waits_for_running_streams():
-    # Guards against streams over a sound engine that are aborted, and all
-    # prefilled again on one other engine, because an engine elsewhere is slow.
-    context, _, _, placement = make_placement()
-    list_chain_and_replica(context)
-    placement.renew_lease()
-    context.fleet.on_slowdown("e2", 12.0, context.clock.now_ms())
-
-    placement.plan_once()
-
-    assert [urgent for _, _, _, urgent in context.dialect.orders] == [False]
-
-
-def test_order_for_a_lost_slow_engines_layers_is_urgent():
-    # Guards against waiting for running streams while a layer is not served.
-    context, _, _, placement = make_placement()
-    list_chain_and_replica(context)
-    placement.renew_lease()
-    context.fleet.on_slowdown("e2", 12.0, context.clock.now_ms())
-    context.fleet.eject("e2", context.clock.now_ms())
-
-    placement.plan_once()
-
-    assert [urgent for _, _, _, urgent in context.dialect.orders] == [True]
-
-
 def test_layers_of_a_slightly_slow_engine_are_not_placed_on_others():
     context, _, _, placement = make_placement()
     list_chain_and_replica(context)
