Tell local peers at once that an engine is lost

Cause: of the gateways whose streams run over an engine that lost power, those with four streams or more probe it after a stall of 60 ms, the others after 120 ms, as a single stream often pauses.

A gateway that finds an engine lost now reports it to four local peers at once, and a gateway to which an engine was reported probes it after a stall of 1.2 gaps. The report alone is still not believed: the probe has to fail. Each loss costs four messages for each gateway that finds it.

--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -105,7 +105,7 @@
         self._calls = PlainCallHandler(
             context, self._crashes, self._retry_budget
         )
-        self._running = RunningStreams(context)
+        self._running = RunningStreams(context, self._peers.on_engine_lost)
         prober = EngineProber(context.clock)
         self._liveness = LivenessMonitor(context, self._running, prober)
         self._slowness = SlownessDetector(context, self._running)
--- a/caroblug/gateway/_liveness.py
+++ b/caroblug/gateway/_liveness.py
@@ -45,11 +45,18 @@
 """Stall of all streams over an engine, in ms, after which it is probed if there
 are fewer than `_MANY_STREAMS`. A pause of 200 ms makes a stream late."""
 
+_STALL_SUSPECTED_MS = 30
+"""Stall of all streams over an engine, in ms, after which it is probed if a
+peer reports that it failed."""
+
 _STALL_GAPS = 2.0
 """Shortest stall that leads to a probe, as a multiple of the shortest mean gap
 between events. Streams over a slow engine would otherwise look stalled between
 any two events."""
 
+_SUSPECTED_STALL_GAPS = 1.2
+"""Like `_STALL_GAPS`, for an engine that a peer reports as failed."""
+
 _CONTROL_PROBES = 2
 """Engines with running streams that are probed beside the stalled ones, as a
 control group."""
@@ -94,7 +101,8 @@
             name = use.engine.name
             if name in self._used_ms or self._should_watch(use):
                 self._refresh_watch(use.engine, now_ms)
-            if now_ms - use.event_ms < _stall_threshold_ms(use):
+            suspected = self._context.fleet.is_suspected(name, now_ms)
+            if now_ms - use.event_ms < _stall_threshold_ms(use, suspected):
                 healthy.append(use.engine)
             elif self._probe_spacing.allows(name, now_ms):
                 stalled.append(use.engine)
@@ -182,7 +190,14 @@
                 self._running.on_engine_lost(engine, ended)
 
 
-def _stall_threshold_ms(use: EngineUse) -> float:
-    """Returns the stall after which an engine is probed, in ms."""
+def _stall_threshold_ms(use: EngineUse, suspected: bool) -> float:
+    """Returns the stall after which an engine is probed, in ms.
+
+    Args:
+        use: Use of the engine by this gateway's streams.
+        suspected: Whether a peer reports that the engine failed.
+    """
+    if suspected:
+        return max(_STALL_SUSPECTED_MS, use.gap_ms * _SUSPECTED_STALL_GAPS)
     min_ms = _STALL_MANY_MS if use.streams >= _MANY_STREAMS else _STALL_FEW_MS
     return max(min_ms, use.gap_ms * _STALL_GAPS)
--- a/caroblug/gateway/_running_streams.py
+++ b/caroblug/gateway/_running_streams.py
@@ -1,6 +1,7 @@
 """Running streams, grouped by the engines on their paths."""
 
 import abc
+from collections.abc import Callable
 
 import attrs
 import gevent
@@ -60,10 +61,14 @@
 
     Args:
         context: State shared by the gateway's components.
+        report_loss: Reports a lost engine to other gateways.
     """
 
-    def __init__(self, context: Context) -> None:
+    def __init__(
+        self, context: Context, report_loss: Callable[[], None]
+    ) -> None:
         self._context = context
+        self._report_loss = report_loss
         self._streams: set[RunningStream] = set()
 
     def add(self, stream: RunningStream) -> None:
@@ -114,5 +119,6 @@
             for_ms=for_ms,
             streams=len(affected),
         )
+        self._report_loss()
         for stream in affected:
             gevent.spawn(stream.on_engine_lost, engine.name, ended)
