--- a/caroblug/core/placement/_paths.py
+++ b/caroblug/core/placement/_paths.py
@@ -39,11 +39,6 @@
 that arrive at once over several chains, while requests that arrive one after
 another all take the fastest chain."""
 
-_REPAIR_PREFILL_FACTOR = 0.05
-"""Cost of a millisecond that the caller of a running request waits while an
-engine that is new on its path prefills all tokens so far. All requests over a
-lost engine are moved at once, and their prefills queue."""
-
 _MAX_PARTS = 32
 """Maximum number of engines on a path, which the first engine enforces."""
 
@@ -110,13 +105,12 @@
     data_centre: str,
     rng: random.Random,
     excluded_first: frozenset[str] = frozenset(),
-    current: Path | None = None,
+    after: PathPart | None = None,
 ) -> Path | NoPath:
     """Returns the path with the lowest cost.
 
     The cost is the time of a decode step, network included, and surcharges for
-    memory use, pending prefills and remote engines. If the path of a running
-    request is changed, the prefills on engines that are new on it are added.
+    memory use, pending prefills and remote engines.
 
     Args:
         engines: Engines that may be used. Engines that are loading or hold no
@@ -127,15 +121,14 @@
         rng: Source of the random tie-breaks, which keep entries from all
             choosing the same path.
         excluded_first: Names of engines with which the path must not begin.
-        current: Path of a running request that is changed. Its first part is
-            retained, and its other parts keep the request's KV cache.
+        after: Part with which the path has to begin, if the path of a running
+            request is changed.
 
     Returns:
         The path, or NoPath if the engines leave a coverage gap or the path
         would have too many parts.
     """
     ready = [e for e in engines if len(e.holds) and not e.loading]
-    after = current.parts[0] if current is not None else None
     if after is not None:
         ready = [e for e in ready if e.name != after.engine.name]
     use = {e.name: loads.memory_use(e, model) for e in ready}
@@ -146,7 +139,6 @@
         * _PREFILL_QUEUE_FACTOR
         for e in ready
     }
-    cached = _cached_ranges(current)
     layer_ms = model.step_ms / model.layers
     transfer_ms = model.transfer_ms * _LINK_QUEUE_FACTOR
     start = after.layers.end if after else 0
@@ -176,9 +168,6 @@
             edge_ms += HOP_MS + cost_ms[engine.name]
             if engine.data_centre != location:
                 edge_ms += transfer_ms if last else _REMOTE_START_MS
-            if cached and (engine.name, layer, end) not in cached:
-                part = PathPart(engine, LayerRange(layer, end))
-                edge_ms += _repair_cost_ms(part, model, loads)
             key = (end, engine.data_centre)
             if cost + edge_ms < best.get(key, float("inf")):
                 best[key] = cost + edge_ms
@@ -188,23 +177,6 @@
     return NoPath(farthest)
 
 
-def _cached_ranges(current: Path | None) -> frozenset[tuple[str, int, int]]:
-    """Returns engine, first and last layer of each part with a KV cache."""
-    parts = current.parts if current is not None else ()
-    return frozenset(
-        (p.engine.name, p.layers.first, p.layers.end) for p in parts
-    )
-
-
-def _repair_cost_ms(
-    part: PathPart, model: ModelShape, loads: EngineLoads
-) -> float:
-    """Returns the cost of prefilling a running request on a new part."""
-    prefill_ms = model.prefill_time_ms(part.engine.kind, len(part.layers))
-    prefills = loads.pending_prefills(part.engine.name) + 1
-    return prefills * prefill_ms * _REPAIR_PREFILL_FACTOR
-
-
 def _memory_cost_ms(use: float, rng: random.Random) -> float:
     cost_ms = use * _MEMORY_USE_MS + rng.random() * 0.3
     if use > _HIGH_USE:
--- a/caroblug/core/placement/tests/test_paths.py
+++ b/caroblug/core/placement/tests/test_paths.py
@@ -122,9 +122,8 @@
         make_engine("z", BIG, first=30, end=80),
     ]
     first = PathPart(engines[0], LayerRange(0, 40))
-    current = Path((first, PathPart(engines[1], LayerRange(40, 80))))
 
-    path = choose([engines[0], engines[2]], current=current)
+    path = choose([engines[0], engines[2]], after=first)
 
     assert path.parts[0] == first
     assert path.names == ("x", "z")
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -17,6 +17,7 @@
     ModelShape,
     NoPath,
     Path,
+    PathPart,
     choose_path,
 )
 from caroblug.gateway._exchange_results import FailureKind
@@ -302,7 +303,7 @@
         now_ms: int,
         excluded: frozenset[str] = frozenset(),
         excluded_first: frozenset[str] = frozenset(),
-        current: Path | None = None,
+        after: PathPart | None = None,
     ) -> Path | NoPath:
         """Returns a path over the engines of a service.
 
@@ -311,8 +312,8 @@
             now_ms: Current time.
             excluded: Names of engines that must not be on the path.
             excluded_first: Names of engines that the path must not start with.
-            current: Path of a running request that is changed. Its first
-                part is retained.
+            after: First part to retain, if the path of a running request is
+                changed.
 
         Returns:
             The path, or the first layer that no usable engine holds.
@@ -331,7 +332,7 @@
             self._data_centre,
             self._rng,
             excluded_first,
-            current,
+            after,
         )
 
     def engines(self, service: Service, now_ms: int) -> list[Engine]:
--- a/caroblug/gateway/_stream_path_repair.py
+++ b/caroblug/gateway/_stream_path_repair.py
@@ -56,18 +56,13 @@
                 # between data centres, for all affected streams at once. A new
                 # run elsewhere that prefills them again is faster.
                 return "part is lost, the next one is far"
-            added = state.begin_path_change(path)
             outcome = self._request_path_change(name, path)
-            if exchange is state.exchange and outcome in (
-                OrderOutcome.BEGUN,
-                OrderOutcome.HOLDS,
-            ):
-                state.change_path(path, added)
-                return ""
-            state.end_path_change(added)
             if exchange is not state.exchange:
                 # The run ended meanwhile, and the next run has its own path.
                 return ""
+            if outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS):
+                state.change_path(path)
+                return ""
             if outcome is not OrderOutcome.CONFLICT:
                 break
             # An engine that is new on the path is unavailable or full.
--- a/caroblug/gateway/_stream_retry_policy.py
+++ b/caroblug/gateway/_stream_retry_policy.py
@@ -63,7 +63,7 @@
             state.pending.admitted.service,
             state.now_ms,
             frozenset(state.excluded_engines) | refused,
-            current=state.path,
+            after=state.path.parts[0],
         )
 
     def can_retry(self, result: RunResult) -> bool:
--- a/caroblug/gateway/_stream_state.py
+++ b/caroblug/gateway/_stream_state.py
@@ -76,34 +76,8 @@
         self.end_prefill()
         self._leave_path()
 
-    def begin_path_change(self, path: Path) -> tuple[str, ...]:
-        """Counts the prefills of the engines that are new on a path.
-
-        Without this, all streams over a lost engine would move to the same
-        replacement, since each sees the loads of the time before the loss.
-
-        Args:
-            path: The path that the current run is to take.
-
-        Returns:
-            Names of the new engines, for `end_path_change` or `change_path`.
-        """
-        added = tuple(n for n in path.names if n not in self.path.names)
-        self.context.fleet.loads.begin_prefill(added)
-        return added
-
-    def end_path_change(self, added: tuple[str, ...]) -> None:
-        """Discounts the prefills of a path change that was not carried out."""
-        self.context.fleet.loads.end_prefill(added)
-
-    def change_path(self, path: Path, added: tuple[str, ...]) -> None:
-        """Moves the load of the current run to another path.
-
-        Args:
-            path: The path.
-            added: Engines that prefill the request until its next event.
-        """
-        self._prefilling_engines += added
+    def change_path(self, path: Path) -> None:
+        """Moves the load of the current run to another path."""
         self._leave_path()
         self._enter_path(path)
         self.last_event_ms = self.now_ms
