--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -52,9 +52,9 @@
 
 _MAX_SLOWDOWN = 3.0
 """Slowdown of an engine, relative to its kind, from which its layers are placed
-on idle engines. Callers notice each pause of the streams over it, and unless
-another engine of the data centre holds these layers, all streams there go to
-other data centres."""
+on others. Callers notice each pause of the streams over it, and unless another
+engine of the data centre holds these layers, all streams there go to other data
+centres."""
 
 _LOAD_SLACK_MS = 2500
 """Added to the expected time of a load before the load is ordered again, in ms,
@@ -203,9 +203,9 @@
         engines = self._reliable_engines(service, now_ms)
         if self._is_settling(engines, now_ms):
             return
-        moves = self._plan(service, engines)
-        if not moves:
-            moves = self._plan_without_slow_engines(service, engines)
+        moves = plan_moves(
+            engines, require_model(service), self._requests_per_chain(engines)
+        )
         for start in range(0, len(moves), _MAX_PARALLEL_ORDERS):
             batch = moves[start : start + _MAX_PARALLEL_ORDERS]
             jobs = [
@@ -214,36 +214,14 @@
             ]
             gevent.joinall(jobs)
 
-    def _plan(self, service: Service, engines: list[Engine]) -> list[Move]:
-        return plan_moves(
-            engines, require_model(service), self._requests_per_chain(engines)
-        )
-
-    def _plan_without_slow_engines(
-        self, service: Service, engines: list[Engine]
-    ) -> list[Move]:
-        """Returns moves of idle engines to layers that only slow ones serve.
-
-        An engine over which streams run is not moved, as all of them would be
-        prefilled again on one other engine. That costs more than the slow
-        engine, which still serves.
-        """
-        fleet = self._context.fleet
-        fast = [e for e in engines if fleet.slowdown(e.name) < _MAX_SLOWDOWN]
-        if len(fast) == len(engines):
-            return []
-        return [
-            move
-            for move in self._plan(service, fast)
-            if fleet.loads.tokens(move.engine.name) < 1
-        ]
-
     def _reliable_engines(self, service: Service, now_ms: int) -> list[Engine]:
         """Returns the engines whose layers needn't be placed on others.
 
-        A failing engine is waited for as long as every layer has another
-        holder. Where a layer has none, every request is rejected meanwhile, so
-        loading it elsewhere costs less, even if the engine comes back intact.
+        An engine that has become slow is left out, though it still serves
+        where no other engine holds its layers. A failing engine is waited for
+        as long as every layer has another holder. Where a layer has none, every
+        request is rejected meanwhile, so loading it elsewhere costs less, even
+        if the engine comes back intact.
         """
         fleet = self._context.fleet
         engines = [
@@ -251,6 +229,7 @@
             for e in fleet.engines(service, now_ms)
             if not fleet.has_ended(e.name)
             and fleet.failed_for_ms(e.name, now_ms) < _REPLACEMENT_DELAY_MS
+            and fleet.slowdown(e.name) < _MAX_SLOWDOWN
         ]
         healthy = [e for e in engines if not fleet.is_failing(e.name)]
         return (
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -279,34 +279,6 @@
     assert set(range(32, 48)) <= set(layers_of(order[1]))
 
 
-def test_engine_with_streams_is_not_moved_to_a_slow_engines_layers():
-    # Guards against streams over a sound engine that are aborted, and all
-    # prefilled again on one other engine, because an engine elsewhere is slow.
-    context, _, _, placement = make_placement()
-    list_chain_and_replica(context)
-    placement.renew_lease()
-    context.fleet.on_slowdown("e2", 12.0, context.clock.now_ms())
-    context.fleet.loads.update_peer("g2", {"e0": 700, "spare": 700})
-
-    placement.plan_once()
-
-    assert context.dialect.orders == []
-
-
-def test_engine_with_streams_is_moved_once_the_slow_engine_is_lost():
-    context, _, _, placement = make_placement()
-    list_chain_and_replica(context)
-    placement.renew_lease()
-    context.fleet.on_slowdown("e2", 12.0, context.clock.now_ms())
-    context.fleet.loads.update_peer("g2", {"e0": 700, "spare": 700})
-    context.fleet.eject("e2", context.clock.now_ms())
-
-    placement.plan_once()
-
-    (order,) = context.dialect.orders
-    assert set(range(32, 48)) <= set(layers_of(order[1]))
-
-
 def test_layers_of_a_slightly_slow_engine_are_not_placed_on_others():
     context, _, _, placement = make_placement()
     list_chain_and_replica(context)
