Save only a recent list of backend servers

A gateway that was paused while it placed layers could replace the copies of a newer list by its own when it resumed, and the gateway that saved the newer one would not write it again, as its digest has not changed. A server that drains would be ready in the copies. Lists of more than 3 s are no longer saved. Found by reading; the test fails without the check.

--- a/caroblug/gateway/_listing_backup.py
+++ b/caroblug/gateway/_listing_backup.py
@@ -23,6 +23,10 @@
 """Minimum time between two saves, in ms. Engines that load their layers change
 the list several times a second, and each save costs several calls."""
 
+_MAX_SAVED_AGE_MS = 3000
+"""Age up to which a list is saved, in ms. A gateway that was paused has an
+older one when it resumes, and would replace the copies of a newer list."""
+
 _CHECK_INTERVAL_S = 0.25
 
 
@@ -62,14 +66,7 @@
             self._saved_digest = ""
             return
         listing = fleet.listing
-        if not fleet.has_confirmed_listing or (
-            listing.digest == self._saved_digest
-        ):
-            return
-        if (
-            self._attempted_ms is not None
-            and now_ms - self._attempted_ms < _MIN_SAVE_INTERVAL_MS
-        ):
+        if listing.digest == self._saved_digest or not self._may_save(now_ms):
             return
         self._attempted_ms = now_ms
         problem = self._registry.save_backends(listing)
@@ -82,6 +79,18 @@
                 "backends.not_saved", reason=problem.message
             )
 
+    def _may_save(self, now_ms: int) -> bool:
+        """Returns whether the list is recent and the last save long ago."""
+        fleet = self._context.fleet
+        if not fleet.has_confirmed_listing:
+            return False
+        if fleet.listing_age_ms(now_ms) > _MAX_SAVED_AGE_MS:
+            return False
+        return (
+            self._attempted_ms is None
+            or now_ms - self._attempted_ms >= _MIN_SAVE_INTERVAL_MS
+        )
+
     def restore(self) -> bool:
         """Restores the list from its copies unless a list is known.
 
--- a/caroblug/gateway/tests/test_listing_backup.py
+++ b/caroblug/gateway/tests/test_listing_backup.py
@@ -212,6 +212,20 @@
     assert start.registry.copy.end == 21
 
 
+def test_list_of_a_gateway_that_was_paused_is_not_saved(start):
+    # Guards against an outdated list that replaces the copies of a newer one.
+    start.registry.listing = list_of(make_plain_server("left"))
+    start.read_list()
+    start.context.clock.advance(10_000)
+    start.backup.save_if_due()
+    assert not start.registry.saves
+
+    start.registry.listing = list_of(make_plain_server("d1"), end=2)
+    start.read_list()
+    start.backup.save_if_due()
+    assert set(start.registry.copy.backends) == {"d1"}
+
+
 def test_failed_save_is_repeated(start):
     # Guards against an outdated copy after an outage of the store.
     start.registry.listing = list_of(make_plain_server("d1"))
@@ -220,6 +234,7 @@
     start.backup.save_if_due()
     start.registry.writable = True
     start.context.clock.advance(5000)
+    start.read_list()
     start.backup.save_if_due()
 
     assert set(start.registry.copy.backends) == {"d1"}
