--- a/caroblug/core/state/tests/test_intents.py
+++ b/caroblug/core/state/tests/test_intents.py
@@ -368,11 +368,7 @@
 
 
 def test_key_is_free_where_an_expired_void_record_was_skipped():
-    """Guards against an intent that blocks its key although it was voided.
-
-    An owner reads an intent, then pauses until the record that voids it has
-    expired from the log.
-    """
+    """Guards against an intent that blocks its key although it was voided."""
     log = _Log()
     owner, paused = _Owner("owner"), _Owner("paused")
     owner.core.admit(0, _KEYS[0], _REQUESTS[0], _WITHIN_MS)
--- a/caroblug/gateway/tests/test_listing_backup.py
+++ b/caroblug/gateway/tests/test_listing_backup.py
@@ -178,8 +178,7 @@
 
 
 def test_changes_of_the_list_are_saved_by_the_active_gateway(start):
-    # Guards against a copy without the latest servers, and against every
-    # gateway paying for the copies.
+    # Guards against outdated copies, and copies that every gateway writes.
     start.registry.listing = list_of(make_plain_server("d1"), end=2)
     start.read_list()
     start.active = False
