Log the limits that backend servers name in their responses

The adapter decodes the header, and a line backend_server.limit is written whenever a server's limit changes. No decision uses it yet.

A response without a limit ends one only if its request was sent after the limit was last named, as responses on different connections overtake each other.

--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -1,6 +1,6 @@
 """Account shares, fair queues, load limits, retry budgets and quarantine.
 
-Modules are imported on first use: the gateway needs only three of them.
+Modules are imported on first use: the gateway needs only some of them.
 """
 
 from caroblug.lazy import make_lazy_exports
@@ -19,6 +19,7 @@
     "HomeShares": "_shares",
     "HomeEntries": "_home_entries",
     "ItemQueue": "_fair_queue",
+    "ServerLimits": "_server_limits",
     "UnreportedStreams": "_overload",
     "QUEUE_KINDS": "_fair_queue",
     "WindowedRetryBudget": "_windowed_retry_budget",
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -10,6 +10,7 @@
 import attrs
 
 from caroblug.core.access import Service
+from caroblug.core.limits import ServerLimits
 from caroblug.core.placement import (
     Engine,
     EngineLoads,
@@ -140,6 +141,7 @@
             _BackendState
         )
         self._loads = EngineLoads()
+        self._limits = ServerLimits()
 
     @property
     def has_listing(self) -> bool:
@@ -161,6 +163,11 @@
         """Estimated load of each engine, in tokens."""
         return self._loads
 
+    @property
+    def limits(self) -> ServerLimits:
+        """Request rates that backend servers ask all gateways to keep."""
+        return self._limits
+
     def listing_age_ms(self, now_ms: int) -> int:
         """Returns the age of the listing, in ms."""
         return now_ms - self._listed_ms
--- a/caroblug/gateway/_interfaces.py
+++ b/caroblug/gateway/_interfaces.py
@@ -265,6 +265,8 @@
         running: Number of requests running there; None if not reported.
         waiting: Number of requests waiting there.
         headers: Headers to return to the caller.
+        rate_limit_per_s: Requests a second that the server accepts from all
+            gateways together; None if it names no limit.
     """
 
     request_id: str | None
@@ -274,6 +276,7 @@
     running: int | None
     waiting: int
     headers: tuple[tuple[str, str], ...]
+    rate_limit_per_s: float | None = None
 
 
 @attrs.frozen
--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -22,6 +22,7 @@
     RunState,
 )
 from caroblug.gateway._pending_request import GatewayResponses, PendingRequest
+from caroblug.gateway._server_advice import apply_server_advice
 from caroblug.gateway._shared_retry_budget import SharedRetryBudget
 
 _MAX_SENDS = 4
@@ -156,6 +157,7 @@
         problem = exchange.connect(min(CONNECT_TIMEOUT_S, left_s))
         if problem is None:
             pending.on_send(self._context)
+            sent_ms = clock.now_ms()
             data = self._encode(pending, backend)
             problem = exchange.send(data, left_s, self._is_bodiless(pending))
         if problem is not None:
@@ -167,6 +169,7 @@
         if isinstance(head, ExchangeFailure):
             return self._on_exchange_failure(pending, backend, head)
         metadata = context.dialect.decode_answer(head)
+        apply_server_advice(context, backend.name, metadata, sent_ms)
         context.fleet.on_response(
             backend.name, metadata.running, metadata.waiting, clock.now_ms()
         )
--- /dev/null
+++ b/caroblug/gateway/_server_advice.py
@@ -0,0 +1,26 @@
+"""What backend servers say in their responses about the load they accept."""
+
+from caroblug.gateway._context import Context
+from caroblug.gateway._interfaces import AnswerMetadata
+
+
+def apply_server_advice(
+    context: Context, name: str, metadata: AnswerMetadata, sent_ms: int
+) -> None:
+    """Records what a response says about the load that its server accepts.
+
+    Args:
+        context: State shared by the gateway's components.
+        name: Name of the backend server.
+        metadata: The response's decoded head.
+        sent_ms: When the request was sent.
+    """
+    changed = context.fleet.limits.on_response(
+        name, metadata.rate_limit_per_s, sent_ms, context.clock.now_ms()
+    )
+    if changed:
+        context.log.write(
+            "backend_server.limit",
+            backend_server=name,
+            rate_per_s=metadata.rate_limit_per_s,
+        )
--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -22,6 +22,7 @@
 )
 from caroblug.gateway._run_results import RunEnd, RunResult
 from caroblug.gateway._running_streams import RunningStream, RunningStreams
+from caroblug.gateway._server_advice import apply_server_advice
 from caroblug.gateway._stream_path_repair import StreamPathRepair
 from caroblug.gateway._stream_retry_policy import (
     MAX_PAUSE_MS,
@@ -66,6 +67,7 @@
         self._running = running
         self._connect_attempts = ConnectAttempts()
         self._abort_reason = ""
+        self._sent_ms = 0
 
     @property
     def unreachable(self) -> bool:
@@ -126,6 +128,7 @@
         for name in self._connect_attempts.on_connected():
             state.eject_engine(name, FailureKind.CONNECT.value)
         pending.on_send(self._context)
+        self._sent_ms = state.now_ms
         pending.tried.add(first)
         # Once the first byte is sent, the request may run even if no response
         # arrives.
@@ -151,6 +154,7 @@
         pending = state.pending
         first = state.path.first.name
         metadata = self._context.dialect.decode_answer(head)
+        apply_server_advice(self._context, first, metadata, self._sent_ms)
         if metadata.run is RunState.NOT_RUN:
             pending.ran -= 1
             state.began_on.discard(first)
