Keep the limits that backend servers name, over all gateways together

What callers and engines saw: an engine in need that takes 1 request a second got 12 in 4 s, and 22 at 1.3 a second (allowed 11 and 13), so that what it was given went on growing with the traffic.

Cause: a gateway decoded nothing of what a server says about the load that it accepts, but its running and waiting requests. Paths and servers were chosen by their cost alone. Class: a server's word about itself that is passed on to the caller and not acted upon; and a bound that concerns all gateways, which none of them can keep alone.

Change: gateways tell each other the limits that they know, in the exchange that exists. One gateway owns a limit: it claims it when it has requests for the server and no owner is known, sends nothing for 2.5 s, in which the claim reaches the others, and renews it while it has requests. Of two claims that of the first gateway by name holds. The owner spends 0.9 of the limit by a token bucket; the others avoid the server, and ask the owner for one permit when no other server is left, at most three owners a request. If none is to be had the request is refused at once. Only the first engine of a path counts, as only it gets a request. An owner that got no answer for 2 s prefers the server for one request, since only responses show that a limit has ended.

Ruled out: an equal part for each gateway (300 gateways with a bucket of one request each may send 300 at once at a limit of 1); a part for each gateway that has been told (their number is known to none of them).

--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -19,6 +19,8 @@
     "HomeShares": "_shares",
     "HomeEntries": "_home_entries",
     "ItemQueue": "_fair_queue",
+    "LimitOwner": "_server_limits",
+    "LimitReport": "_server_limits",
     "ServerLimits": "_server_limits",
     "UnreportedStreams": "_overload",
     "QUEUE_KINDS": "_fair_queue",
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -129,9 +129,12 @@
     Args:
         data_centre: Data centre of this gateway.
         rng: Source of randomness.
+        limits: Limits that backend servers name in their responses.
     """
 
-    def __init__(self, data_centre: str, rng: random.Random) -> None:
+    def __init__(
+        self, data_centre: str, rng: random.Random, limits: ServerLimits
+    ) -> None:
         self._data_centre = data_centre
         self._rng = rng
         self._listing = Listing({}, -1)
@@ -141,7 +144,7 @@
             _BackendState
         )
         self._loads = EngineLoads()
-        self._limits = ServerLimits()
+        self._limits = limits
 
     @property
     def has_listing(self) -> bool:
@@ -202,6 +205,7 @@
                 and not state.in_flight
             ):
                 del self._states[name]
+        self._limits.retain(self._states.keys())
         return True
 
     def restore_listing(self, listing: Listing, now_ms: int) -> bool:
@@ -292,9 +296,16 @@
             now_ms: Current time.
 
         Returns:
-            The backend server; None if all have been tried.
+            The backend server; None if all others have been tried or would
+            exceed their limits.
         """
-        usable = [b for b in self.backends(service.name) if b.name not in tried]
+        untried = self._untried(service, tried, now_ms)
+        for backend in untried:
+            if self._limits.needs_probe(backend.name, now_ms):
+                return backend
+        usable = [
+            b for b in untried if self._limits.is_available(b.name, now_ms)
+        ]
         healthy = [b for b in usable if not self.is_excluded(b.name, now_ms)]
         if not healthy:
             # All of them failed or were full recently. The one whose ejection
@@ -304,6 +315,83 @@
             return usable[0] if usable else None
         return min(healthy, key=lambda b: self._relative_load(b, now_ms))
 
+    def choose_limited_backends(
+        self, service: Service, tried: set[str], now_ms: int
+    ) -> list[BackendServer]:
+        """Returns the backend servers that need a permit, least loaded first.
+
+        Args:
+            service: The service.
+            tried: Names of backend servers that the request was already sent
+                to.
+            now_ms: Current time.
+        """
+        limited = [
+            b
+            for b in self._untried(service, tried, now_ms)
+            if not self._limits.is_available(b.name, now_ms)
+            and not self.is_excluded(b.name, now_ms)
+        ]
+        return sorted(limited, key=lambda b: self._relative_load(b, now_ms))
+
+    def _untried(
+        self, service: Service, tried: set[str], now_ms: int
+    ) -> list[BackendServer]:
+        """Returns the backend servers that a request may still be sent to."""
+        untried = [
+            b for b in self.backends(service.name) if b.name not in tried
+        ]
+        for backend in untried:
+            self._record_demand(backend, now_ms)
+        return untried
+
+    def _record_demand(self, backend: BackendServer, now_ms: int) -> None:
+        local = backend.data_centre == self._data_centre
+        self._limits.on_demand(backend.name, local, now_ms)
+
+    def choose_first_path(
+        self,
+        service: Service,
+        now_ms: int,
+        excluded: frozenset[str],
+        excluded_first: frozenset[str],
+    ) -> Path | NoPath:
+        """Returns a path for a new run that keeps the limits of all engines.
+
+        Only the first engine of a path receives the request, so that its limit
+        alone counts.
+
+        Args:
+            service: The service; it must have a model.
+            now_ms: Current time.
+            excluded: Names of engines that must not be on the path.
+            excluded_first: Names of engines that the path must not start with.
+        """
+        limited = [
+            b
+            for b in self.backends(service.name)
+            if self._limits.is_limited(b.name)
+        ]
+        for backend in limited:
+            self._record_demand(backend, now_ms)
+        for backend in limited:
+            if backend.name in excluded_first or not self._limits.needs_probe(
+                backend.name, now_ms
+            ):
+                continue
+            others = frozenset(self._listing.backends) - {backend.name}
+            path = self.choose_engines(service, now_ms, excluded, others)
+            if isinstance(path, Path):
+                return path
+        unavailable = frozenset(
+            b.name
+            for b in limited
+            if not self._limits.is_available(b.name, now_ms)
+        )
+        return self.choose_engines(
+            service, now_ms, excluded, excluded_first | unavailable
+        )
+
     def choose_engines(
         self,
         service: Service,
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -8,7 +8,12 @@
 from gevent import event
 
 from caroblug.core.access import DenialReason, Denied, RouteKind, admit
-from caroblug.core.limits import RetryAfter, WindowedRetryBudget
+from caroblug.core.limits import (
+    LimitOwner,
+    RetryAfter,
+    ServerLimits,
+    WindowedRetryBudget,
+)
 from caroblug.gateway._caller_requests import RawRequest
 from caroblug.gateway._context import Context
 from caroblug.gateway._crash_suspicions import CrashSuspicions
@@ -16,6 +21,7 @@
 from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._http_server import HttpServer, Reply
 from caroblug.gateway._interfaces import CallerRequest, Dialect, Registry
+from caroblug.gateway._limit_permits import PERMIT_PATH, LimitPermits
 from caroblug.gateway._listing_backup import ListingBackup
 from caroblug.gateway._liveness import LivenessMonitor
 from caroblug.gateway._peers import Peers
@@ -101,14 +107,22 @@
         self._peers.calls.register(
             LEND_PATH, self._retry_budget.handle_loan_request
         )
+        self._permits = LimitPermits(context, self._peers.calls)
+        self._peers.calls.register(
+            PERMIT_PATH, self._permits.handle_permit_request
+        )
         self._calls = PlainCallHandler(
-            context, self._crashes, self._retry_budget
+            context, self._crashes, self._retry_budget, self._permits
         )
         self._running = RunningStreams(context)
         self._liveness = LivenessMonitor(context, self._running)
         self._slowness = SlownessDetector(context, self._running)
         self._streams = StreamHandler(
-            context, self._crashes, self._running, self._retry_budget
+            context,
+            self._crashes,
+            self._running,
+            self._retry_budget,
+            self._permits,
         )
         self._terminating = event.Event()
         self._settings_problem = ""
@@ -350,7 +364,11 @@
         clock=clock,
         rng=rng,
         dialect=dialect,
-        fleet=Fleet(settings.data_centre, rng),
+        fleet=Fleet(
+            settings.data_centre,
+            rng,
+            ServerLimits(LimitOwner(settings.instance, settings.peers)),
+        ),
         retry_budget=WindowedRetryBudget(
             settings.retry_ratio,
             settings.retry_extra,
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -12,6 +12,7 @@
 import gevent
 from gevent import event
 
+from caroblug.core.limits import LimitOwner, LimitReport
 from caroblug.core.placement import LayerRange
 from caroblug.gateway._compression import TextCompressor, decompress_text
 from caroblug.gateway._context import Context
@@ -281,6 +282,7 @@
             },
             "paces": context.fleet.recent_slowdowns(now_ms),
             "leaving": context.fleet.recently_leaving(now_ms),
+            "limits": _encode_limits(context.fleet.limits.reports(now_ms)),
             "unanswered": context.fleet.unanswered_orders(now_ms),
             "crashes": self._crashes.export(),
             "tenure": self.lease_state.value,
@@ -374,7 +376,8 @@
         self._apply_suspects(message["suspects"])
         self._apply_engine_reports(message["told"])
         self._apply_leaving(message["leaving"])
-        # Gateways of the previous version don't send these two fields.
+        # Gateways of the previous version don't send these fields.
+        self._apply_limits(message.get("limits", {}))
         self._apply_slowdowns(message.get("paces", {}))
         self._apply_unanswered_orders(message.get("unanswered", {}))
         self._apply_list_age(name, message)
@@ -437,6 +440,20 @@
         for name, age_ms in leaving.items():
             self._context.fleet.on_leaving(str(name), now_ms - int(age_ms))
 
+    def _apply_limits(self, reports: dict) -> None:
+        """Applies the limits that servers have named to a peer."""
+        context = self._context
+        now_ms = context.clock.now_ms()
+        for name, fields in reports.items():
+            report = _decode_limit(fields)
+            if context.fleet.limits.merge(str(name), report, now_ms):
+                context.log.write(
+                    "backend_server.limit",
+                    backend_server=name,
+                    rate_per_s=report.rate_per_s,
+                    source="peer",
+                )
+
     def _apply_slowdowns(self, paces: dict) -> None:
         """Applies the slowdowns that engines have reported to a peer.
 
@@ -565,3 +582,36 @@
         if not fleet.has_listing:
             return 1_000_000
         return fleet.listing_age_ms(self._context.clock.now_ms())
+
+
+def _encode_limits(reports: dict[str, LimitReport]) -> dict[str, list]:
+    """Returns reports of limits as JSON values, by server."""
+    return {
+        server: [
+            report.rate_per_s,
+            report.sequence,
+            report.renewed,
+            *((owner.name, *owner.address) if owner else ()),
+        ]
+        for server, report in reports.items()
+        for owner in (report.owner,)
+    }
+
+
+def _decode_limit(fields: list) -> LimitReport:
+    """Decodes a report of a limit.
+
+    Raises:
+        TypeError: If a field has another type.
+        ValueError: If a field has no valid value, or their number is wrong.
+    """
+    rate_per_s, sequence, renewed, *owner = fields
+    if owner:
+        name, host, port = owner
+        owner = LimitOwner(str(name), (str(host), int(port)))
+    return LimitReport(
+        None if rate_per_s is None else float(rate_per_s),
+        int(sequence),
+        owner or None,
+        int(renewed),
+    )
--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -21,6 +21,7 @@
     ForwardMetadata,
     RunState,
 )
+from caroblug.gateway._limit_permits import LimitPermits
 from caroblug.gateway._pending_request import GatewayResponses, PendingRequest
 from caroblug.gateway._server_advice import apply_server_advice
 from caroblug.gateway._shared_retry_budget import SharedRetryBudget
@@ -71,6 +72,7 @@
         context: State shared by the gateway's components.
         crashes: Suspicions against requests that crash backend servers.
         retry_budget: Budget that retries are taken from.
+        permits: Permits for servers with a limit.
     """
 
     def __init__(
@@ -78,10 +80,12 @@
         context: Context,
         crashes: CrashSuspicions,
         retry_budget: SharedRetryBudget,
+        permits: LimitPermits,
     ) -> None:
         self._context = context
         self._crashes = crashes
         self._retry_budget = retry_budget
+        self._permits = permits
         self._responses = GatewayResponses(context)
 
     def serve(self, pending: PendingRequest) -> None:
@@ -92,9 +96,7 @@
         while pending.sends < _MAX_SENDS:
             if pending.left_ms(clock.now_ms()) <= 0:
                 break
-            backend = self._context.fleet.choose_backend(
-                pending.admitted.service, pending.tried, clock.now_ms()
-            )
+            backend = self._choose_backend(pending)
             if backend is None:
                 break
             if pending.sends and not self._retry_budget.take(
@@ -121,6 +123,23 @@
                 break
         self._finish(pending, last)
 
+    def _choose_backend(self, pending: PendingRequest) -> BackendServer | None:
+        """Returns a server and counts the request towards its limit."""
+        fleet = self._context.fleet
+        service = pending.admitted.service
+        now_ms = self._context.clock.now_ms()
+        backend = fleet.choose_backend(service, pending.tried, now_ms)
+        if backend is None:
+            limited = fleet.choose_limited_backends(
+                service, pending.tried, now_ms
+            )
+            backend = self._permits.acquire_first(limited)
+        if backend is not None and not fleet.limits.take(
+            backend.name, self._context.clock.now_ms()
+        ):
+            return None
+        return backend
+
     def _attempt(
         self, pending: PendingRequest, backend: BackendServer
     ) -> AttemptResult:
--- a/caroblug/gateway/_stream_retry_policy.py
+++ b/caroblug/gateway/_stream_retry_policy.py
@@ -1,9 +1,11 @@
 """Retry decisions and path selection for one stream."""
 
+import attrs
 import gevent
 
 from caroblug.core.placement import NoPath, Path
 from caroblug.gateway._crash_suspicions import CrashSuspicions
+from caroblug.gateway._limit_permits import LimitPermits
 from caroblug.gateway._run_results import RunEnd, RunResult
 from caroblug.gateway._shared_retry_budget import SharedRetryBudget
 from caroblug.gateway._stream_state import StreamState
@@ -15,11 +17,19 @@
 _PATH_RETRY_INTERVAL_S = 0.1
 """Interval between searches for a path for a stream that has begun."""
 
+_MAX_PERMIT_REQUESTS = 3
+"""Paths for which a permit is requested before a stream is refused."""
+
 _MAX_RERUN_PATH_USE = 0.7
 """Use of the fullest engine of a path below which the path can take a stream
 moved from another one."""
 
 
+@attrs.frozen
+class LimitsReached:
+    """No run can begin, since the first engines of all paths are limited."""
+
+
 class StreamRetryPolicy:
     """Decides whether and over which path one stream runs again.
 
@@ -27,6 +37,7 @@
         state: State of the stream.
         crashes: Suspicions against requests that crash backend servers.
         retry_budget: Budget that retries are taken from.
+        permits: Permits for engines with a limit.
     """
 
     def __init__(
@@ -34,10 +45,12 @@
         state: StreamState,
         crashes: CrashSuspicions,
         retry_budget: SharedRetryBudget,
+        permits: LimitPermits,
     ) -> None:
         self._state = state
         self._crashes = crashes
         self._retry_budget = retry_budget
+        self._permits = permits
         self._holds_retry = False
 
     def choose_path(self) -> Path | NoPath:
@@ -50,6 +63,53 @@
             frozenset(state.began_on),
         )
 
+    def choose_first_path(self) -> Path | NoPath | LimitsReached:
+        """Returns a path whose first engine accepts a request now.
+
+        Requests permits from the owners of limits if there is no path over
+        other engines.
+        """
+        state = self._state
+        path = state.context.fleet.choose_first_path(
+            state.pending.admitted.service,
+            state.now_ms,
+            frozenset(state.excluded_engines),
+            frozenset(state.began_on),
+        )
+        if isinstance(path, Path):
+            return path
+        return self._choose_limited_path()
+
+    def _choose_limited_path(self) -> Path | NoPath | LimitsReached:
+        """Returns a path for which the owner of a limit grants a permit."""
+        state = self._state
+        excluded_first = set(state.began_on)
+        limited = False
+        for _ in range(_MAX_PERMIT_REQUESTS):
+            path = state.context.fleet.choose_engines(
+                state.pending.admitted.service,
+                state.now_ms,
+                frozenset(state.excluded_engines),
+                frozenset(excluded_first),
+            )
+            if isinstance(path, NoPath):
+                return LimitsReached() if limited else path
+            if self._permits.acquire(path.first.name):
+                return path
+            excluded_first.add(path.first.name)
+            limited = True
+        return LimitsReached()
+
+    def take_permit(self, path: Path) -> bool:
+        """Counts a run towards the limit of its path's first engine.
+
+        Returns:
+            Whether the run may begin. The limit may have been reached, or
+            named, while the retry was acquired.
+        """
+        state = self._state
+        return state.context.fleet.limits.take(path.first.name, state.now_ms)
+
     def choose_replacement_path(self, refused: frozenset[str]) -> Path | NoPath:
         """Returns a path that continues the current run.
 
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -13,6 +13,7 @@
 from caroblug.core.placement import NoPath, Path
 from caroblug.gateway._context import Context
 from caroblug.gateway._crash_suspicions import CrashSuspicions
+from caroblug.gateway._limit_permits import LimitPermits
 from caroblug.gateway._pending_request import (
     NO_ENGINES_RETRY_AFTER_MS,
     GatewayResponses,
@@ -22,7 +23,10 @@
 from caroblug.gateway._running_streams import RunningStream, RunningStreams
 from caroblug.gateway._shared_retry_budget import SharedRetryBudget
 from caroblug.gateway._stream_path_repair import StreamPathRepair
-from caroblug.gateway._stream_retry_policy import StreamRetryPolicy
+from caroblug.gateway._stream_retry_policy import (
+    LimitsReached,
+    StreamRetryPolicy,
+)
 from caroblug.gateway._stream_runner import StreamRunner
 from caroblug.gateway._stream_state import StreamState, make_stream_state
 
@@ -41,6 +45,7 @@
         crashes: Suspicions against requests that crash backend servers.
         running: Registry of running streams.
         retry_budget: Budget that retries are taken from.
+        permits: Permits for engines with a limit.
     """
 
     def __init__(
@@ -49,17 +54,21 @@
         crashes: CrashSuspicions,
         running: RunningStreams,
         retry_budget: SharedRetryBudget,
+        permits: LimitPermits,
     ) -> None:
         self._context = context
         self._crashes = crashes
         self._running = running
         self._retry_budget = retry_budget
+        self._permits = permits
         self._responses = GatewayResponses(context)
 
     def serve(self, pending: PendingRequest) -> None:
         """Responds to a request by its deadline at the latest."""
         state = make_stream_state(self._context, pending)
-        policy = StreamRetryPolicy(state, self._crashes, self._retry_budget)
+        policy = StreamRetryPolicy(
+            state, self._crashes, self._retry_budget, self._permits
+        )
         repair = StreamPathRepair(state, policy)
         runner = StreamRunner(
             state, policy, repair, self._crashes, self._running
@@ -113,11 +122,9 @@
             if self._state.left_ms <= 0:
                 result = RunResult(RunEnd.OUT_OF_TIME, "no time left")
                 break
-            path = self._policy.choose_path()
-            if isinstance(path, NoPath):
-                result = RunResult(
-                    RunEnd.NO_PATH, f"no engine for layer {path.layer}"
-                )
+            path = self._policy.choose_first_path()
+            if not isinstance(path, Path):
+                result = _no_run(path)
                 if self._policy.wait_before_retry():
                     continue
                 break
@@ -126,6 +133,8 @@
                 if self._policy.wait_before_retry():
                     continue
                 break
+            if not self._policy.take_permit(path):
+                continue
             self._policy.on_run_started()
             result = self._runner.run(self, path)
             self._log_failed_run(result)
@@ -208,3 +217,12 @@
             use=round(state.path.use, 2),
             events=state.events.count,
         )
+
+
+def _no_run(problem: NoPath | LimitsReached) -> RunResult:
+    """Returns the result of a search that found no path for a run."""
+    if isinstance(problem, LimitsReached):
+        return RunResult(
+            RunEnd.LIMITED, "engines accept no more requests a second"
+        )
+    return RunResult(RunEnd.NO_PATH, f"no engine for layer {problem.layer}")
--- a/caroblug/gateway/tests/fakes.py
+++ b/caroblug/gateway/tests/fakes.py
@@ -5,7 +5,12 @@
 import attrs
 
 from caroblug.core.access import Configuration, Service
-from caroblug.core.limits import RetryAfter, WindowedRetryBudget
+from caroblug.core.limits import (
+    LimitOwner,
+    RetryAfter,
+    ServerLimits,
+    WindowedRetryBudget,
+)
 from caroblug.core.placement import LayerRange
 from caroblug.core.placement.tests.fleets import MODEL
 from caroblug.gateway import (
@@ -124,7 +129,7 @@
         clock=clock,
         rng=rng,
         dialect=FakeDialect(),
-        fleet=Fleet("a", rng),
+        fleet=Fleet("a", rng, ServerLimits(LimitOwner(name, NOWHERE))),
         retry_budget=WindowedRetryBudget(0.2, 50, 10000),
         retry_after=RetryAfter(rng),
         log=DecisionLog(name, clock),
--- a/caroblug/gateway/tests/test_fleet.py
+++ b/caroblug/gateway/tests/test_fleet.py
@@ -3,6 +3,7 @@
 import random
 
 from caroblug.core.access import Service
+from caroblug.core.limits import LimitOwner, ServerLimits
 from caroblug.core.placement import LayerRange, NoPath
 from caroblug.core.placement.tests.fleets import MODEL
 from caroblug.gateway import BackendServer, make_listing
@@ -31,7 +32,8 @@
 
 
 def make_fleet(*backends, end=1, now_ms=0):
-    fleet = Fleet("a", random.Random(1))
+    limits = ServerLimits(LimitOwner("g1", ("10.0.0.9", 1)))
+    fleet = Fleet("a", random.Random(1), limits)
     fleet.update_listing(list_of(*backends, end=end), now_ms)
     return fleet
 
