--- a/caroblug/gateway/tests/test_fleet.py
+++ b/caroblug/gateway/tests/test_fleet.py
@@ -189,3 +189,86 @@
 
     assert engine.holds == LayerRange(0, 80)
     assert not engine.loading
+
+
+def limit(fleet, name, now_ms=0):
+    """Lets a server name a limit that no gateway owns yet."""
+    fleet.limits.on_response(name, 1.0, now_ms, now_ms)
+
+
+def test_limited_server_is_avoided_while_another_one_is_left():
+    fleet = make_fleet(make_plain_server("d1"), make_plain_server("d2"))
+    limit(fleet, "d1")
+
+    for _ in range(20):
+        assert fleet.choose_backend(PLAIN, set(), 0).name == "d2"
+
+
+def test_limited_server_is_not_used_instead_of_a_failed_one():
+    # Guards against the last resort, a server that failed a moment ago, being
+    # one that asked for fewer requests.
+    fleet = make_fleet(make_plain_server("d1"), make_plain_server("d2"))
+    limit(fleet, "d1")
+    fleet.eject("d2", 0)
+
+    assert fleet.choose_backend(PLAIN, set(), 10).name == "d2"
+    assert fleet.choose_backend(PLAIN, {"d2"}, 10) is None
+
+
+def test_limited_servers_are_listed_for_permits():
+    fleet = make_fleet(*(make_plain_server(f"d{i}") for i in range(3)))
+    for name in ("d0", "d1"):
+        limit(fleet, name)
+
+    limited = fleet.choose_limited_backends(PLAIN, {"d0"}, 0)
+    assert [backend.name for backend in limited] == ["d1"]
+
+
+def test_server_without_responses_is_probed_by_the_owner_of_its_limit():
+    fleet = make_fleet(make_plain_server("d1"), make_plain_server("d2"))
+    limit(fleet, "d1")
+    for now_ms in (0, 1500, 3000):
+        fleet.choose_backend(PLAIN, set(), now_ms)
+
+    assert fleet.choose_backend(PLAIN, set(), 4000).name == "d1"
+
+
+def test_limited_engine_is_on_paths_but_starts_none():
+    fleet = make_fleet(
+        make_engine("e1", 0, 40),
+        make_engine("e2", 0, 40),
+        make_engine("e3", 40, 80),
+    )
+    for name in ("e1", "e3"):
+        limit(fleet, name)
+
+    for _ in range(20):
+        path = fleet.choose_first_path(POOL, 0, frozenset(), frozenset())
+        assert names(path) == ("e2", "e3")
+
+
+def test_path_over_a_limited_engine_is_left_to_permits():
+    fleet = make_fleet(make_engine("e1", 0, 80))
+    limit(fleet, "e1")
+
+    path = fleet.choose_first_path(POOL, 0, frozenset(), frozenset())
+    assert names(path) == NoPath(0)
+    assert names(fleet.choose_engines(POOL, 0)) == ("e1",)
+
+
+def test_engine_without_responses_is_probed_by_the_owner_of_its_limit():
+    fleet = make_fleet(make_engine("e1", 0, 80), make_engine("e2", 0, 80))
+    limit(fleet, "e1")
+    for now_ms in (0, 1500, 3000):
+        fleet.choose_first_path(POOL, now_ms, frozenset(), frozenset())
+
+    path = fleet.choose_first_path(POOL, 4000, frozenset(), frozenset())
+    assert names(path) == ("e1",)
+
+
+def test_limit_of_an_unlisted_server_is_forgotten():
+    fleet = make_fleet(make_plain_server("d1"))
+    limit(fleet, "d1")
+    fleet.update_listing(list_of(end=2), 20_000)
+
+    assert not fleet.limits.is_limited("d1")
