Let claims of limits settle longer when hundreds of servers are limited

Cause: a message between gateways carries a part of the limits only, so that a claim takes longer to spread in a fleet that is in need as a whole, while a new owner waited for a fixed 2.5 s. Seen in a model with messages of 8 limits: several owners of one limit at once (100 limits, 40 gateways, 24 limits without delay). Messages now carry 48 limits, and the wait and the timeout of claims grow beyond 144.

--- a/caroblug/core/limits/_server_limits.py
+++ b/caroblug/core/limits/_server_limits.py
@@ -58,9 +58,13 @@
 _ENDED_RETENTION_MS = 10000
 """Time for which the end of a limit is reported to other gateways."""
 
-_MAX_REPORTS = 24
+_MAX_REPORTS = 48
 """Limits reported in one message."""
 
+_QUICK_LIMITS = 3 * _MAX_REPORTS
+"""Number of limits up to which a claim spreads in the times above. With more of
+them each message carries a small part, and the times grow accordingly."""
+
 
 @attrs.frozen
 class LimitOwner:
@@ -397,8 +401,9 @@
     def _claim(self, limit: _ServerLimit, now_ms: int) -> None:
         limit.owner = self._instance
         limit.owner_seen_ms = now_ms
+        settled_ms = now_ms + int(_SETTLING_MS * self._delay_factor())
         limit.bucket = _TokenBucket(
-            _usable_rate(limit.rate_per_s), 0.0, now_ms + _SETTLING_MS
+            _usable_rate(limit.rate_per_s), 0.0, settled_ms
         )
 
     def _report(self, limit: _ServerLimit, now_ms: int) -> LimitReport:
@@ -417,11 +422,16 @@
         )
 
     def _has_owner(self, limit: _ServerLimit, now_ms: int) -> bool:
+        timeout_ms = _CLAIM_TIMEOUT_MS * self._delay_factor()
         return (
             limit.owner is not None
-            and now_ms - limit.owner_seen_ms < _CLAIM_TIMEOUT_MS
+            and now_ms - limit.owner_seen_ms < timeout_ms
         )
 
+    def _delay_factor(self) -> float:
+        """Returns how much longer claims spread because of many limits."""
+        return max(1.0, len(self._limits) / _QUICK_LIMITS)
+
     def _owns(self, limit: _ServerLimit, now_ms: int) -> bool:
         return limit.bucket is not None and self._has_owner(limit, now_ms)
 
