--- a/caroblug/gateway/_interfaces.py
+++ b/caroblug/gateway/_interfaces.py
@@ -267,6 +267,9 @@
         headers: Headers to return to the caller.
         rate_limit_per_s: Requests a second that the server accepts from all
             gateways together; None if it names no limit.
+        rest_ms: Time for which a server that rejected the request wants no
+            others from this gateway; 0 if it names none.
+        leaving: Whether the server says that it is draining.
     """
 
     request_id: str | None
@@ -277,6 +280,8 @@
     waiting: int
     headers: tuple[tuple[str, str], ...]
     rate_limit_per_s: float | None = None
+    rest_ms: int = 0
+    leaving: bool = False
 
 
 @attrs.frozen
--- a/caroblug/gateway/_server_advice.py
+++ b/caroblug/gateway/_server_advice.py
@@ -24,3 +24,10 @@
             backend_server=name,
             rate_per_s=metadata.rate_limit_per_s,
         )
+    if metadata.rest_ms or metadata.leaving:
+        context.log.write(
+            "backend_server.advice",
+            backend_server=name,
+            rest_ms=metadata.rest_ms,
+            leaving=metadata.leaving,
+        )
