Send no requests to a server for the time of rest that it asked for

What engines saw: an engine answered a gateway 503 with a Retry-After of 3 s and got 10 requests from it in that time (2 allowed). Callers were served.

Cause: after a rejection a gateway avoided a server for a time of its own choice, 0.3 to 1.2 s, whatever the server asked for; and the choice of a plain server fell back to any server when none was healthy. Class: a server's word about itself that is not acted upon, as with limits; and a last resort that overrides it.

Change: the fleet keeps the end of the rest for each server. Until then the server is on no path and never the last resort, and a request that was about to be sent when the response came is not sent. Responses to earlier requests don't shorten the rest. A call or stream for which nothing else is left is refused at once.

--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -86,6 +86,8 @@
         full_until_ms: End of the backoff after rejections for lack of
             capacity.
         refusals: Consecutive rejections for lack of capacity.
+        rest_until_ms: End of the time for which it wants no requests from this
+            gateway.
         failures: Consecutive failures.
         ended: Whether its process has ended.
         ordered_layers: Layers that it was ordered to hold; None if no order
@@ -111,6 +113,7 @@
     pace_probe_ms: int = 0
     full_until_ms: int = 0
     refusals: int = 0
+    rest_until_ms: int = 0
     failures: int = 0
     ended: bool = False
     ordered_layers: LayerRange | None = None
@@ -339,7 +342,9 @@
     ) -> list[BackendServer]:
         """Returns the backend servers that a request may still be sent to."""
         untried = [
-            b for b in self.backends(service.name) if b.name not in tried
+            b
+            for b in self.backends(service.name)
+            if b.name not in tried and not self.is_at_rest(b.name, now_ms)
         ]
         for backend in untried:
             self._record_demand(backend, now_ms)
@@ -641,9 +646,16 @@
         state.busy_until_ms = 0
 
     def is_excluded(self, name: str, now_ms: int) -> bool:
-        """Returns whether a backend server is ejected or was full recently."""
+        """Returns whether a backend server is ejected, full or at rest."""
         state = self._states[name]
-        return state.ejected_until_ms > now_ms or state.full_until_ms > now_ms
+        until_ms = max(
+            state.ejected_until_ms, state.full_until_ms, state.rest_until_ms
+        )
+        return until_ms > now_ms
+
+    def is_at_rest(self, name: str, now_ms: int) -> bool:
+        """Returns whether a backend server wants no requests at this time."""
+        return self._states[name].rest_until_ms > now_ms
 
     def failed_for_ms(self, name: str, now_ms: int) -> int:
         """Returns how long a backend server has been failing, 0 if not."""
@@ -719,6 +731,14 @@
         state.refusals += 1
         state.full_until_ms = now_ms + duration_ms
 
+    def on_rest(self, name: str, until_ms: int) -> None:
+        """Records that a backend server wants no requests until a time.
+
+        Responses to requests that were sent before don't end the rest.
+        """
+        state = self._states[name]
+        state.rest_until_ms = max(state.rest_until_ms, until_ms)
+
     def on_accepted(self, names: tuple[str, ...]) -> None:
         """Records that backend servers accepted a request."""
         for name in names:
--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -23,7 +23,10 @@
 )
 from caroblug.gateway._limit_permits import LimitPermits
 from caroblug.gateway._pending_request import GatewayResponses, PendingRequest
-from caroblug.gateway._server_advice import apply_server_advice
+from caroblug.gateway._server_advice import (
+    AT_REST_REASON,
+    apply_server_advice,
+)
 from caroblug.gateway._shared_retry_budget import SharedRetryBudget
 
 _MAX_SENDS = 4
@@ -174,11 +177,14 @@
         clock = context.clock
         left_s = pending.left_ms(clock.now_ms()) / 1000
         problem = exchange.connect(min(CONNECT_TIMEOUT_S, left_s))
-        if problem is None:
-            pending.on_send(self._context)
-            sent_ms = clock.now_ms()
-            data = self._encode(pending, backend)
-            problem = exchange.send(data, left_s, self._is_bodiless(pending))
+        if problem is not None:
+            return self._on_exchange_failure(pending, backend, problem)
+        sent_ms = clock.now_ms()
+        if context.fleet.is_at_rest(backend.name, sent_ms):
+            return AttemptResult(AttemptOutcome.NOT_SENT, AT_REST_REASON)
+        pending.on_send(self._context)
+        data = self._encode(pending, backend)
+        problem = exchange.send(data, left_s, self._is_bodiless(pending))
         if problem is not None:
             return self._on_exchange_failure(pending, backend, problem)
         head = exchange.read_head(self._response_timeout_s(pending))
--- a/caroblug/gateway/_server_advice.py
+++ b/caroblug/gateway/_server_advice.py
@@ -3,6 +3,9 @@
 from caroblug.gateway._context import Context
 from caroblug.gateway._interfaces import AnswerMetadata
 
+AT_REST_REASON = "the backend server wants no requests"
+"""Why a request was not sent to a server that had been chosen."""
+
 
 def apply_server_advice(
     context: Context, name: str, metadata: AnswerMetadata, sent_ms: int
@@ -15,8 +18,9 @@
         metadata: The response's decoded head.
         sent_ms: When the request was sent.
     """
+    now_ms = context.clock.now_ms()
     changed = context.fleet.limits.on_response(
-        name, metadata.rate_limit_per_s, sent_ms, context.clock.now_ms()
+        name, metadata.rate_limit_per_s, sent_ms, now_ms
     )
     if changed:
         context.log.write(
@@ -24,6 +28,8 @@
             backend_server=name,
             rate_per_s=metadata.rate_limit_per_s,
         )
+    if metadata.rest_ms:
+        context.fleet.on_rest(name, now_ms + metadata.rest_ms)
     if metadata.rest_ms or metadata.leaving:
         context.log.write(
             "backend_server.advice",
--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -22,7 +22,10 @@
 )
 from caroblug.gateway._run_results import RunEnd, RunResult
 from caroblug.gateway._running_streams import RunningStream, RunningStreams
-from caroblug.gateway._server_advice import apply_server_advice
+from caroblug.gateway._server_advice import (
+    AT_REST_REASON,
+    apply_server_advice,
+)
 from caroblug.gateway._stream_path_repair import StreamPathRepair
 from caroblug.gateway._stream_retry_policy import (
     MAX_PAUSE_MS,
@@ -103,9 +106,9 @@
 
     def _send_and_read(self, stream: RunningStream) -> RunResult:
         state = self._state
-        problem = self._send()
-        if problem is not None:
-            return self._on_exchange_failure(problem)
+        result = self._send()
+        if result is not None:
+            return result
         state.events.begin_run()
         state.pace = EventPace()
         state.last_event_ms = state.now_ms
@@ -115,8 +118,12 @@
             return head
         return self._read_response(head)
 
-    def _send(self) -> ExchangeFailure | None:
-        """Sends the request to the first engine of the path."""
+    def _send(self) -> RunResult | None:
+        """Sends the request to the first engine of the path.
+
+        Returns:
+            How the run ended, if it could not be sent.
+        """
         state = self._state
         pending = state.pending
         first = state.path.first.name
@@ -124,7 +131,9 @@
         timeout_s = min(self._connect_attempts.timeout_s, left_s)
         problem = state.exchange.connect(timeout_s)
         if problem is not None:
-            return problem
+            return self._on_exchange_failure(problem)
+        if self._context.fleet.is_at_rest(first, state.now_ms):
+            return RunResult(RunEnd.NOT_SENT, AT_REST_REASON)
         for name in self._connect_attempts.on_connected():
             state.eject_engine(name, FailureKind.CONNECT.value)
         pending.on_send(self._context)
@@ -134,7 +143,8 @@
         # arrives.
         pending.ran += 1
         state.began_on.add(first)
-        return state.exchange.send(self._encode(), left_s)
+        problem = state.exchange.send(self._encode(), left_s)
+        return self._on_exchange_failure(problem) if problem else None
 
     def _read_head(self) -> ResponseHead | RunResult:
         while True:
