Send no requests to a server that says in its responses that it is draining

Whether a server drains was taken from the list alone, and from health checks while the list can't be read.

Change: the fleet remembers the announcement with the start of the process that made it, until a later process of that name is listed, whatever the list says meanwhile and also while its entry is missing. Gateways tell each other, so that the one that places layers does not count on such an engine.

--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -68,6 +68,24 @@
 """Time for which the state of a backend server is retained after it has left
 the listing, in ms."""
 
+_EXIT_RETENTION_MS = 600_000
+"""Time for which an announced exit is remembered, in ms: longer than a server
+drains, or than its entry may be missing from the listing."""
+
+
+@attrs.frozen
+class _AnnouncedExit:
+    """The announcement of a server process that it is going to exit.
+
+    Attributes:
+        started_ms: When the process started, which tells it from the next one
+            of the same name.
+        announced_ms: When this gateway learned of it.
+    """
+
+    started_ms: int
+    announced_ms: int
+
 
 @attrs.define
 class _BackendState:
@@ -148,6 +166,7 @@
         )
         self._loads = EngineLoads()
         self._limits = limits
+        self._exits: dict[str, _AnnouncedExit] = {}
 
     @property
     def has_listing(self) -> bool:
@@ -259,6 +278,51 @@
         state = self._states[name]
         state.leaving_ms = max(state.leaving_ms, now_ms)
 
+    def on_exit_announced(self, name: str, now_ms: int) -> bool:
+        """Records that a server says in a response that it is draining.
+
+        Unlike `on_leaving` this holds whatever the listing says, until another
+        process of that name is listed.
+
+        Returns:
+            Whether this is new.
+        """
+        backend = self._listing.backends.get(name)
+        started_ms = backend.started_ms if backend else 0
+        return self.on_exit_reported(name, started_ms, now_ms)
+
+    def on_exit_reported(self, name: str, started_ms: int, now_ms: int) -> bool:
+        """Records an announcement that another gateway has received.
+
+        Args:
+            name: The backend server.
+            started_ms: When the process that is going to exit started.
+            now_ms: Current time.
+
+        Returns:
+            Whether this is new.
+        """
+        known = self._exits.get(name)
+        if known is not None and known.started_ms >= started_ms:
+            return False
+        for other, announced in list(self._exits.items()):
+            if now_ms - announced.announced_ms > _EXIT_RETENTION_MS:
+                del self._exits[other]
+        self._exits[name] = _AnnouncedExit(started_ms, now_ms)
+        return True
+
+    def announced_exits(self) -> dict[str, int]:
+        """Returns the listed servers that have announced their exit.
+
+        Returns:
+            Start of the process that is going to exit, by name.
+        """
+        return {
+            name: announced.started_ms
+            for name, announced in self._exits.items()
+            if name in self._listing.backends
+        }
+
     def recently_leaving(self, now_ms: int) -> dict[str, int]:
         """Returns servers recently found draining.
 
@@ -273,7 +337,10 @@
         }
 
     def _is_leaving(self, backend: BackendServer) -> bool:
-        if backend.leaving:
+        announced = self._exits.get(backend.name)
+        if backend.leaving or (
+            announced is not None and backend.started_ms <= announced.started_ms
+        ):
             return True
         leaving_ms = self._states[backend.name].leaving_ms
         return (
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -282,6 +282,7 @@
             },
             "paces": context.fleet.recent_slowdowns(now_ms),
             "leaving": context.fleet.recently_leaving(now_ms),
+            "exits": context.fleet.announced_exits(),
             "limits": _encode_limits(context.fleet.limits.reports(now_ms)),
             "unanswered": context.fleet.unanswered_orders(now_ms),
             "crashes": self._crashes.export(),
@@ -378,6 +379,7 @@
         self._apply_leaving(message["leaving"])
         # Gateways of the previous version don't send these fields.
         self._apply_limits(message.get("limits", {}))
+        self._apply_exits(message.get("exits", {}))
         self._apply_slowdowns(message.get("paces", {}))
         self._apply_unanswered_orders(message.get("unanswered", {}))
         self._apply_list_age(name, message)
@@ -454,6 +456,14 @@
                     source="peer",
                 )
 
+    def _apply_exits(self, exits: dict) -> None:
+        """Applies that servers have told a peer that they are draining."""
+        now_ms = self._context.clock.now_ms()
+        for name, started_ms in exits.items():
+            self._context.fleet.on_exit_reported(
+                str(name), int(started_ms), now_ms
+            )
+
     def _apply_slowdowns(self, paces: dict) -> None:
         """Applies the slowdowns that engines have reported to a peer.
 
--- a/caroblug/gateway/_server_advice.py
+++ b/caroblug/gateway/_server_advice.py
@@ -30,10 +30,12 @@
         )
     if metadata.rest_ms:
         context.fleet.on_rest(name, now_ms + metadata.rest_ms)
-    if metadata.rest_ms or metadata.leaving:
         context.log.write(
-            "backend_server.advice",
+            "backend_server.rest", backend_server=name, rest_ms=metadata.rest_ms
+        )
+    if metadata.leaving and context.fleet.on_exit_announced(name, now_ms):
+        context.log.write(
+            "backend_server.leaving",
             backend_server=name,
-            rest_ms=metadata.rest_ms,
-            leaving=metadata.leaving,
+            list_age_ms=context.fleet.listing_age_ms(now_ms),
         )
--- a/caroblug/gateway/tests/test_fleet.py
+++ b/caroblug/gateway/tests/test_fleet.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from caroblug.core.access import Service
 from caroblug.core.limits import LimitOwner, ServerLimits
 from caroblug.core.placement import LayerRange, NoPath
@@ -302,3 +304,35 @@
     fleet.on_rest("d1", 1500)
 
     assert fleet.choose_backend(PLAIN, set(), 2000) is None
+
+
+def test_announced_exit_holds_whatever_the_listing_says():
+    # Guards against requests to a server that is about to exit, while its
+    # entry still says that it is ready.
+    fleet = make_fleet(make_plain_server("d1"))
+
+    assert fleet.on_exit_announced("d1", 0)
+    assert not fleet.on_exit_announced("d1", 10)
+    fleet.update_listing(list_of(make_plain_server("d1"), end=2), 5000)
+    assert fleet.choose_backend(PLAIN, set(), 5000) is None
+
+
+def test_announced_exit_outlasts_a_gap_in_the_listing():
+    # Guards against entries that lapse while the store is away and come back.
+    fleet = make_fleet(make_plain_server("d1"))
+    fleet.on_exit_announced("d1", 0)
+    fleet.update_listing(list_of(end=2), 30_000)
+    fleet.update_listing(list_of(make_plain_server("d1"), end=3), 60_000)
+
+    assert fleet.choose_backend(PLAIN, set(), 60_000) is None
+
+
+def test_announced_exit_does_not_concern_the_next_process():
+    fleet = make_fleet(make_plain_server("d1"))
+    fleet.on_exit_announced("d1", 0)
+    restarted = attrs.evolve(make_plain_server("d1"), started_ms=5)
+    fleet.update_listing(list_of(restarted, end=2), 5000)
+
+    assert fleet.choose_backend(PLAIN, set(), 5000).name == "d1"
+    assert fleet.on_exit_announced("d1", 5001)
+    assert fleet.choose_backend(PLAIN, set(), 5001) is None
--- a/caroblug/gateway/tests/test_peers.py
+++ b/caroblug/gateway/tests/test_peers.py
@@ -112,3 +112,18 @@
     peers._fetch_from.add("remote7")
 
     assert "remote7" in peers._choose_partners()
+
+
+def test_announced_exits_reach_other_gateways():
+    # Guards against a gateway that places layers and counts on an engine whose
+    # exit only other gateways were told of.
+    contexts, exchanges = [], []
+    for name in ("g1", "g2"):
+        context, _, peers, _ = make_placement(name)
+        list_engines(context, make_engine("e1", 0, 80))
+        contexts.append(context)
+        exchanges.append(peers)
+    contexts[0].fleet.on_exit_announced("e1", 100_000)
+    exchanges[1]._handle_message(exchanges[0]._build_message())
+
+    assert not contexts[1].fleet.backends("pool")
