--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -371,7 +371,7 @@
         """
         untried = self._untried(service, tried, now_ms)
         for backend in untried:
-            if self._limits.needs_probe(backend.name, now_ms):
+            if self._needs_limit_probe(backend.name, now_ms):
                 return backend
         usable = [
             b for b in untried if self._limits.is_available(b.name, now_ms)
@@ -417,6 +417,12 @@
             self._record_demand(backend, now_ms)
         return untried
 
+    def _needs_limit_probe(self, name: str, now_ms: int) -> bool:
+        """Returns whether a request should show if a limit has ended."""
+        return self._limits.needs_probe(name, now_ms) and not self.is_excluded(
+            name, now_ms
+        )
+
     def _record_demand(self, backend: BackendServer, now_ms: int) -> None:
         local = backend.data_centre == self._data_centre
         self._limits.on_demand(backend.name, local, now_ms)
@@ -447,7 +453,7 @@
         for backend in limited:
             self._record_demand(backend, now_ms)
         for backend in limited:
-            if backend.name in excluded_first or not self._limits.needs_probe(
+            if backend.name in excluded_first or not self._needs_limit_probe(
                 backend.name, now_ms
             ):
                 continue
--- a/caroblug/gateway/tests/test_fleet.py
+++ b/caroblug/gateway/tests/test_fleet.py
@@ -336,3 +336,15 @@
     assert fleet.choose_backend(PLAIN, set(), 5000).name == "d1"
     assert fleet.on_exit_announced("d1", 5001)
     assert fleet.choose_backend(PLAIN, set(), 5001) is None
+
+
+def test_server_that_failed_is_not_probed_for_its_limit():
+    # Guards against a caller whose request goes to a server that is known to
+    # be down.
+    fleet = make_fleet(make_plain_server("d1"), make_plain_server("d2"))
+    limit(fleet, "d1")
+    for now_ms in (0, 1500, 3000):
+        fleet.choose_backend(PLAIN, set(), now_ms)
+    fleet.eject("d1", 3990)
+
+    assert fleet.choose_backend(PLAIN, set(), 4000).name == "d2"
