--- a/caroblug/gateway/_suspect_probes.py
+++ b/caroblug/gateway/_suspect_probes.py
@@ -56,8 +56,15 @@
                 self.probe(backend)
 
     def probe(self, backend: BackendServer) -> None:
-        """Starts a probe of a backend server, unless one is in progress."""
-        if backend.name in self._probing:
+        """Starts a probe of a backend server.
+
+        None is started while another one is in progress or while the server
+        wants no requests.
+        """
+        now_ms = self._context.clock.now_ms()
+        if backend.name in self._probing or self._context.fleet.is_at_rest(
+            backend.name, now_ms
+        ):
             return
         self._probing.add(backend.name)
         gevent.spawn(self._run_probe, backend)
