--- a/caroblug/core/limits/_server_limits.py
+++ b/caroblug/core/limits/_server_limits.py
@@ -222,6 +222,14 @@
         limit = self._limits.get(server)
         return limit is not None and limit.rate_per_s is not None
 
+    def limited(self) -> list[str]:
+        """Returns the names of all servers that name a limit."""
+        return [
+            server
+            for server, limit in self._limits.items()
+            if limit.rate_per_s is not None
+        ]
+
     def is_available(self, server: str, now_ms: int) -> bool:
         """Returns whether a request may be sent to a server now."""
         limit = self._limits.get(server)
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -445,31 +445,34 @@
             excluded: Names of engines that must not be on the path.
             excluded_first: Names of engines that the path must not start with.
         """
-        limited = [
-            b
-            for b in self.backends(service.name)
-            if self._limits.is_limited(b.name)
-        ]
-        for backend in limited:
+        unavailable = set(excluded_first)
+        for backend in self._limited_backends(service):
+            name = backend.name
             self._record_demand(backend, now_ms)
-        for backend in limited:
-            if backend.name in excluded_first or not self._needs_limit_probe(
-                backend.name, now_ms
+            if name not in excluded_first and self._needs_limit_probe(
+                name, now_ms
             ):
-                continue
-            others = frozenset(self._listing.backends) - {backend.name}
-            path = self.choose_engines(service, now_ms, excluded, others)
-            if isinstance(path, Path):
-                return path
-        unavailable = frozenset(
-            b.name
-            for b in limited
-            if not self._limits.is_available(b.name, now_ms)
-        )
+                others = frozenset(self._listing.backends) - {name}
+                path = self.choose_engines(service, now_ms, excluded, others)
+                if isinstance(path, Path):
+                    return path
+            if not self._limits.is_available(name, now_ms):
+                unavailable.add(name)
         return self.choose_engines(
-            service, now_ms, excluded, excluded_first | unavailable
+            service, now_ms, excluded, frozenset(unavailable)
         )
 
+    def _limited_backends(self, service: Service) -> list[BackendServer]:
+        """Returns the backend servers of a service that name a limit."""
+        found = map(self._listing.backends.get, self._limits.limited())
+        return [
+            b
+            for b in found
+            if b is not None
+            and b.service == service.name
+            and not self._is_leaving(b)
+        ]
+
     def choose_engines(
         self,
         service: Service,
