--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -21,6 +21,7 @@
     "ItemQueue": "_fair_queue",
     "LimitOwner": "_server_limits",
     "LimitReport": "_server_limits",
+    "ServerAvailability": "_server_availability",
     "ServerLimits": "_server_limits",
     "UnreportedStreams": "_overload",
     "QUEUE_KINDS": "_fair_queue",
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -10,7 +10,7 @@
 import attrs
 
 from caroblug.core.access import Service
-from caroblug.core.limits import ServerLimits
+from caroblug.core.limits import ServerAvailability, ServerLimits
 from caroblug.core.placement import (
     Engine,
     EngineLoads,
@@ -68,24 +68,6 @@
 """Time for which the state of a backend server is retained after it has left
 the listing, in ms."""
 
-_EXIT_RETENTION_MS = 600_000
-"""Time for which an announced exit is remembered, in ms: longer than a server
-drains, or than its entry may be missing from the listing."""
-
-
-@attrs.frozen
-class _AnnouncedExit:
-    """The announcement of a server process that it is going to exit.
-
-    Attributes:
-        started_ms: When the process started, which tells it from the next one
-            of the same name.
-        announced_ms: When this gateway learned of it.
-    """
-
-    started_ms: int
-    announced_ms: int
-
 
 @attrs.define
 class _BackendState:
@@ -104,8 +86,6 @@
         full_until_ms: End of the backoff after rejections for lack of
             capacity.
         refusals: Consecutive rejections for lack of capacity.
-        rest_until_ms: End of the time for which it wants no requests from this
-            gateway.
         failures: Consecutive failures.
         ended: Whether its process has ended.
         ordered_layers: Layers that it was ordered to hold; None if no order
@@ -131,7 +111,6 @@
     pace_probe_ms: int = 0
     full_until_ms: int = 0
     refusals: int = 0
-    rest_until_ms: int = 0
     failures: int = 0
     ended: bool = False
     ordered_layers: LayerRange | None = None
@@ -166,7 +145,7 @@
         )
         self._loads = EngineLoads()
         self._limits = limits
-        self._exits: dict[str, _AnnouncedExit] = {}
+        self._availability = ServerAvailability()
 
     @property
     def has_listing(self) -> bool:
@@ -193,6 +172,11 @@
         """Request rates that backend servers ask all gateways to keep."""
         return self._limits
 
+    @property
+    def availability(self) -> ServerAvailability:
+        """Times in which backend servers accept no requests."""
+        return self._availability
+
     def listing_age_ms(self, now_ms: int) -> int:
         """Returns the age of the listing, in ms."""
         return now_ms - self._listed_ms
@@ -289,27 +273,7 @@
         """
         backend = self._listing.backends.get(name)
         started_ms = backend.started_ms if backend else 0
-        return self.on_exit_reported(name, started_ms, now_ms)
-
-    def on_exit_reported(self, name: str, started_ms: int, now_ms: int) -> bool:
-        """Records an announcement that another gateway has received.
-
-        Args:
-            name: The backend server.
-            started_ms: When the process that is going to exit started.
-            now_ms: Current time.
-
-        Returns:
-            Whether this is new.
-        """
-        known = self._exits.get(name)
-        if known is not None and known.started_ms >= started_ms:
-            return False
-        for other, announced in list(self._exits.items()):
-            if now_ms - announced.announced_ms > _EXIT_RETENTION_MS:
-                del self._exits[other]
-        self._exits[name] = _AnnouncedExit(started_ms, now_ms)
-        return True
+        return self._availability.on_exit_announced(name, started_ms, now_ms)
 
     def announced_exits(self) -> dict[str, int]:
         """Returns the listed servers that have announced their exit.
@@ -318,8 +282,8 @@
             Start of the process that is going to exit, by name.
         """
         return {
-            name: announced.started_ms
-            for name, announced in self._exits.items()
+            name: started_ms
+            for name, started_ms in self._availability.exits().items()
             if name in self._listing.backends
         }
 
@@ -337,9 +301,8 @@
         }
 
     def _is_leaving(self, backend: BackendServer) -> bool:
-        announced = self._exits.get(backend.name)
-        if backend.leaving or (
-            announced is not None and backend.started_ms <= announced.started_ms
+        if backend.leaving or self._availability.is_exiting(
+            backend.name, backend.started_ms
         ):
             return True
         leaving_ms = self._states[backend.name].leaving_ms
@@ -411,7 +374,8 @@
         untried = [
             b
             for b in self.backends(service.name)
-            if b.name not in tried and not self.is_at_rest(b.name, now_ms)
+            if b.name not in tried
+            and not self._availability.is_at_rest(b.name, now_ms)
         ]
         for backend in untried:
             self._record_demand(backend, now_ms)
@@ -724,14 +688,11 @@
     def is_excluded(self, name: str, now_ms: int) -> bool:
         """Returns whether a backend server is ejected, full or at rest."""
         state = self._states[name]
-        until_ms = max(
-            state.ejected_until_ms, state.full_until_ms, state.rest_until_ms
+        return (
+            state.ejected_until_ms > now_ms
+            or state.full_until_ms > now_ms
+            or self._availability.is_at_rest(name, now_ms)
         )
-        return until_ms > now_ms
-
-    def is_at_rest(self, name: str, now_ms: int) -> bool:
-        """Returns whether a backend server wants no requests at this time."""
-        return self._states[name].rest_until_ms > now_ms
 
     def failed_for_ms(self, name: str, now_ms: int) -> int:
         """Returns how long a backend server has been failing, 0 if not."""
@@ -807,14 +768,6 @@
         state.refusals += 1
         state.full_until_ms = now_ms + duration_ms
 
-    def on_rest(self, name: str, until_ms: int) -> None:
-        """Records that a backend server wants no requests until a time.
-
-        Responses to requests that were sent before don't end the rest.
-        """
-        state = self._states[name]
-        state.rest_until_ms = max(state.rest_until_ms, until_ms)
-
     def on_accepted(self, names: tuple[str, ...]) -> None:
         """Records that backend servers accepted a request."""
         for name in names:
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -12,7 +12,6 @@
 import gevent
 from gevent import event
 
-from caroblug.core.limits import LimitOwner, LimitReport
 from caroblug.core.placement import LayerRange
 from caroblug.gateway._compression import TextCompressor, decompress_text
 from caroblug.gateway._context import Context
@@ -23,6 +22,7 @@
     UNKNOWN_AGE_MS,
     LeaseHolderTracker,
 )
+from caroblug.gateway._limit_messages import decode_limit, encode_limits
 from caroblug.gateway._peer_calls import DECODE_ERRORS, PeerCalls
 from caroblug.gateway._reader_ranking import ReaderRanking
 
@@ -283,7 +283,7 @@
             "paces": context.fleet.recent_slowdowns(now_ms),
             "leaving": context.fleet.recently_leaving(now_ms),
             "exits": context.fleet.announced_exits(),
-            "limits": _encode_limits(context.fleet.limits.reports(now_ms)),
+            "limits": encode_limits(context.fleet.limits.reports(now_ms)),
             "unanswered": context.fleet.unanswered_orders(now_ms),
             "crashes": self._crashes.export(),
             "tenure": self.lease_state.value,
@@ -447,7 +447,7 @@
         context = self._context
         now_ms = context.clock.now_ms()
         for name, fields in reports.items():
-            report = _decode_limit(fields)
+            report = decode_limit(fields)
             if context.fleet.limits.merge(str(name), report, now_ms):
                 context.log.write(
                     "backend_server.limit",
@@ -458,11 +458,18 @@
 
     def _apply_exits(self, exits: dict) -> None:
         """Applies that servers have told a peer that they are draining."""
-        now_ms = self._context.clock.now_ms()
+        context = self._context
+        now_ms = context.clock.now_ms()
         for name, started_ms in exits.items():
-            self._context.fleet.on_exit_reported(
+            if context.fleet.availability.on_exit_announced(
                 str(name), int(started_ms), now_ms
-            )
+            ):
+                context.log.write(
+                    "backend_server.leaving",
+                    backend_server=name,
+                    list_age_ms=self._list_age_ms(),
+                    source="peer",
+                )
 
     def _apply_slowdowns(self, paces: dict) -> None:
         """Applies the slowdowns that engines have reported to a peer.
@@ -592,36 +599,3 @@
         if not fleet.has_listing:
             return 1_000_000
         return fleet.listing_age_ms(self._context.clock.now_ms())
-
-
-def _encode_limits(reports: dict[str, LimitReport]) -> dict[str, list]:
-    """Returns reports of limits as JSON values, by server."""
-    return {
-        server: [
-            report.rate_per_s,
-            report.sequence,
-            report.renewed,
-            *((owner.name, *owner.address) if owner else ()),
-        ]
-        for server, report in reports.items()
-        for owner in (report.owner,)
-    }
-
-
-def _decode_limit(fields: list) -> LimitReport:
-    """Decodes a report of a limit.
-
-    Raises:
-        TypeError: If a field has another type.
-        ValueError: If a field has no valid value, or their number is wrong.
-    """
-    rate_per_s, sequence, renewed, *owner = fields
-    if owner:
-        name, host, port = owner
-        owner = LimitOwner(str(name), (str(host), int(port)))
-    return LimitReport(
-        None if rate_per_s is None else float(rate_per_s),
-        int(sequence),
-        owner or None,
-        int(renewed),
-    )
--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -180,7 +180,7 @@
         if problem is not None:
             return self._on_exchange_failure(pending, backend, problem)
         sent_ms = clock.now_ms()
-        if context.fleet.is_at_rest(backend.name, sent_ms):
+        if context.fleet.availability.is_at_rest(backend.name, sent_ms):
             return AttemptResult(AttemptOutcome.NOT_SENT, AT_REST_REASON)
         pending.on_send(self._context)
         data = self._encode(pending, backend)
--- a/caroblug/gateway/_server_advice.py
+++ b/caroblug/gateway/_server_advice.py
@@ -29,7 +29,7 @@
             rate_per_s=metadata.rate_limit_per_s,
         )
     if metadata.rest_ms:
-        context.fleet.on_rest(name, now_ms + metadata.rest_ms)
+        context.fleet.availability.on_rest(name, metadata.rest_ms, now_ms)
         context.log.write(
             "backend_server.rest", backend_server=name, rest_ms=metadata.rest_ms
         )
--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -132,7 +132,7 @@
         problem = state.exchange.connect(timeout_s)
         if problem is not None:
             return self._on_exchange_failure(problem)
-        if self._context.fleet.is_at_rest(first, state.now_ms):
+        if self._context.fleet.availability.is_at_rest(first, state.now_ms):
             return RunResult(RunEnd.NOT_SENT, AT_REST_REASON)
         for name in self._connect_attempts.on_connected():
             state.eject_engine(name, FailureKind.CONNECT.value)
--- a/caroblug/gateway/_suspect_probes.py
+++ b/caroblug/gateway/_suspect_probes.py
@@ -62,7 +62,8 @@
         wants no requests.
         """
         now_ms = self._context.clock.now_ms()
-        if backend.name in self._probing or self._context.fleet.is_at_rest(
+        availability = self._context.fleet.availability
+        if backend.name in self._probing or availability.is_at_rest(
             backend.name, now_ms
         ):
             return
