--- a/caroblug/core/limits/tests/test_server_limits.py
+++ b/caroblug/core/limits/tests/test_server_limits.py
@@ -303,23 +303,26 @@
     assert len(times) >= rate_per_s * 8 * 0.6
 
 
-@pytest.mark.parametrize("seed", range(4))
-def test_limit_holds_through_restarts_and_removals(seed):
+@pytest.mark.parametrize(
+    ("gateways", "seed"), [(60, 0), (60, 1), (60, 2), (60, 3), (300, 4)]
+)
+def test_limit_holds_through_restarts_and_removals(gateways, seed):
     # Guards against two owners of one limit while the first one is replaced.
     rng = random.Random(seed)
-    fleet = _Fleet(60, 2.0, seed)
+    fleet = _Fleet(gateways, 2.0, seed)
     fleet.run(6)
     for _ in range(4):
         fleet.restart(fleet.owner())
         fleet.run(rng.uniform(0.1, 4.0))
         fleet.remove(fleet.owner())
         fleet.run(rng.uniform(0.1, 4.0))
-        fleet.restart(f"g{rng.randrange(60, 90):03d}")
-    fleet.run(8)
+        # A new gateway joins.
+        fleet.restart(f"g{gateways + rng.randrange(30):03d}")
+    fleet.run(12)
 
     times = fleet.judged_arrivals(0)
     assert most_in_a_window(times) <= 1.5 * 2.0 * 4 + 5
-    assert sum(t > fleet.now_ms - 4000 for t in times) >= 4
+    assert sum(t > fleet.now_ms - 4000 for t in times) >= 6
 
 
 def test_end_of_a_limit_reaches_all_gateways():
