--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -37,6 +37,7 @@
 server while another attempt is still allowed."""
 
 _MIN_ERROR_STATUS = 500
+_NO_SERVER_REASON = "no backend server accepts requests"
 
 
 class AttemptOutcome(enum.Enum):
@@ -95,7 +96,7 @@
         """Responds to a call by its deadline at the latest."""
         clock = self._context.clock
         retryable = pending.admitted.route.retryable
-        last = AttemptResult(AttemptOutcome.NOT_SENT, "no backend server")
+        last = AttemptResult(AttemptOutcome.NOT_SENT, _NO_SERVER_REASON)
         while pending.sends < _MAX_SENDS:
             if pending.left_ms(clock.now_ms()) <= 0:
                 break
