--- a/caroblug/core/limits/tests/test_server_limits.py
+++ b/caroblug/core/limits/tests/test_server_limits.py
@@ -338,8 +338,7 @@
 
 @pytest.mark.parametrize("servers", [10, 100])
 def test_each_of_many_limits_has_one_owner(servers, monkeypatch):
-    # Guards against several owners of a limit because the claims of a fleet
-    # that is in need as a whole take longer to spread.
+    # Guards against several owners of a limit while claims spread slowly.
     monkeypatch.setattr(_server_limits, "_MAX_REPORTS", 8)
     monkeypatch.setattr(_server_limits, "_QUICK_LIMITS", 24)
     rng = random.Random(1)
--- a/caroblug/gateway/tests/test_fleet.py
+++ b/caroblug/gateway/tests/test_fleet.py
@@ -207,8 +207,7 @@
 
 
 def test_limited_server_is_not_used_instead_of_a_failed_one():
-    # Guards against the last resort, a server that failed a moment ago, being
-    # one that asked for fewer requests.
+    # Guards against a last resort that asked for fewer requests.
     fleet = make_fleet(make_plain_server("d1"), make_plain_server("d2"))
     limit(fleet, "d1")
     fleet.eject("d2", 0)
@@ -295,8 +294,7 @@
 
 
 def test_response_to_an_earlier_request_does_not_end_a_rest():
-    # Guards against requests in a rest because a stream that began before it
-    # is answered meanwhile.
+    # Guards against a rest that ends with a response to an earlier request.
     fleet = make_fleet(make_plain_server("d1"))
     fleet.availability.on_rest("d1", 3000, 0)
     fleet.on_response("d1", 1, 0, 100)
@@ -306,8 +304,7 @@
 
 
 def test_announced_exit_holds_whatever_the_listing_says():
-    # Guards against requests to a server that is about to exit, while its
-    # entry still says that it is ready.
+    # Guards against requests to an exiting server that is listed as ready.
     fleet = make_fleet(make_plain_server("d1"))
 
     assert fleet.on_exit_announced("d1", 0)
@@ -338,8 +335,7 @@
 
 
 def test_server_that_failed_is_not_probed_for_its_limit():
-    # Guards against a caller whose request goes to a server that is known to
-    # be down.
+    # Guards against a caller's request to a server that is known to be down.
     fleet = make_fleet(make_plain_server("d1"), make_plain_server("d2"))
     limit(fleet, "d1")
     for now_ms in (0, 1500, 3000):
--- a/caroblug/gateway/tests/test_peers.py
+++ b/caroblug/gateway/tests/test_peers.py
@@ -115,8 +115,7 @@
 
 
 def test_announced_exits_reach_other_gateways():
-    # Guards against a gateway that places layers and counts on an engine whose
-    # exit only other gateways were told of.
+    # Guards against layers that are left to an engine about to exit.
     contexts, exchanges = [], []
     for name in ("g1", "g2"):
         context, _, peers, _ = make_placement(name)
