Leave out engines without the memory that a request needs

Cause: a path is chosen by cost alone, so that every stream is sent to some engine, full or not. Change: RoomNeed (tokens, max_use) is an argument of choose_path and of Fleet.choose_engines and choose_first_path. Engines whose use would exceed max_use are left out. NoRoom tells a lack of memory from a coverage gap. Conclusion: without a need, the same paths are chosen as before.

--- a/caroblug/core/placement/__init__.py
+++ b/caroblug/core/placement/__init__.py
@@ -1,7 +1,14 @@
 """Placement of model layers on engines, and paths of requests over engines."""
 
 from caroblug.core.placement._load import EngineLoads
-from caroblug.core.placement._paths import NoPath, Path, PathPart, choose_path
+from caroblug.core.placement._paths import (
+    NoPath,
+    NoRoom,
+    Path,
+    PathPart,
+    RoomNeed,
+    choose_path,
+)
 from caroblug.core.placement._planner import (
     Move,
     compute_requests_per_chain,
@@ -23,8 +30,10 @@
     "ModelShape",
     "Move",
     "NoPath",
+    "NoRoom",
     "Path",
     "PathPart",
+    "RoomNeed",
     "compute_requests_per_chain",
     "choose_path",
     "covers_model",
--- a/caroblug/core/placement/_paths.py
+++ b/caroblug/core/placement/_paths.py
@@ -98,6 +98,32 @@
     layer: int
 
 
+@attrs.frozen
+class RoomNeed:
+    """Memory that a request needs on each engine of its path.
+
+    Attributes:
+        tokens: Tokens that the request will hold in the engine's memory.
+        max_use: Share of the engine's memory that may be in use once the
+            request is on it, from 0 to 1.
+    """
+
+    tokens: int
+    max_use: float
+
+
+@attrs.frozen
+class NoRoom:
+    """Result of a search in which engines on every path lack free memory.
+
+    Attributes:
+        layer: First layer for which the longest partial path has no engine
+            with enough free memory.
+    """
+
+    layer: int
+
+
 def choose_path(
     engines: list[Engine],
     model: ModelShape,
@@ -106,7 +132,8 @@
     rng: random.Random,
     excluded_first: frozenset[str] = frozenset(),
     after: PathPart | None = None,
-) -> Path | NoPath:
+    need: RoomNeed | None = None,
+) -> Path | NoPath | NoRoom:
     """Returns the path with the lowest cost.
 
     The cost is the time of a decode step, network included, and surcharges for
@@ -122,16 +149,75 @@
             choosing the same path.
         excluded_first: Names of engines with which the path must not begin.
         after: Part with which the path has to begin, if the path of a running
-            request is changed.
+            request is changed. It needs no room on that part's engine.
+        need: Memory that the request needs; None if any engine will do.
 
     Returns:
-        The path, or NoPath if the engines leave a coverage gap or the path
-        would have too many parts.
+        The path, NoPath if the engines leave a coverage gap or the path would
+        have too many parts, or NoRoom if there is a path, but none whose
+        engines have the memory that is needed.
     """
     ready = [e for e in engines if len(e.holds) and not e.loading]
     if after is not None:
         ready = [e for e in ready if e.name != after.engine.name]
     use = {e.name: loads.memory_use(e, model) for e in ready}
+    search = _Search(model, loads, data_centre, rng, excluded_first, after)
+    if need is None:
+        return search.run(ready, use)
+    with_room = [e for e in ready if _has_room(e, model, use[e.name], need)]
+    path = search.run(with_room, use)
+    if isinstance(path, Path) or len(with_room) == len(ready):
+        return path
+    without_need = search.run(ready, use)
+    if isinstance(without_need, NoPath):
+        return without_need
+    return NoRoom(path.layer)
+
+
+def _has_room(
+    engine: Engine, model: ModelShape, use: float, need: RoomNeed
+) -> bool:
+    capacity = model.token_capacity(engine.kind, len(engine.holds))
+    if capacity <= 0:
+        return False
+    return use + need.tokens / capacity <= need.max_use
+
+
+@attrs.frozen
+class _Search:
+    """Arguments of one search that don't depend on the engines."""
+
+    model: ModelShape
+    loads: EngineLoads
+    data_centre: str
+    rng: random.Random
+    excluded_first: frozenset[str]
+    after: PathPart | None
+
+    def run(self, ready: list[Engine], use: dict[str, float]) -> Path | NoPath:
+        """Returns the path with the lowest cost over the given engines."""
+        return _find_path(
+            ready,
+            use,
+            self.model,
+            self.loads,
+            self.data_centre,
+            self.rng,
+            self.excluded_first,
+            self.after,
+        )
+
+
+def _find_path(
+    ready: list[Engine],
+    use: dict[str, float],
+    model: ModelShape,
+    loads: EngineLoads,
+    data_centre: str,
+    rng: random.Random,
+    excluded_first: frozenset[str],
+    after: PathPart | None,
+) -> Path | NoPath:
     cost_ms = {
         e.name: _memory_cost_ms(use[e.name], rng)
         + loads.pending_prefills(e.name)
--- a/caroblug/core/placement/tests/test_paths.py
+++ b/caroblug/core/placement/tests/test_paths.py
@@ -10,8 +10,10 @@
     EngineLoads,
     LayerRange,
     NoPath,
+    NoRoom,
     Path,
     PathPart,
+    RoomNeed,
     choose_path,
     plan_moves,
 )
@@ -188,3 +190,36 @@
     loads.remove_peer("other")
 
     assert loads.tokens("x") == 0
+
+
+def fill(loads, engine, use):
+    capacity = MODEL.token_capacity(engine.kind, len(engine.holds))
+    loads.add_request((engine.name,), int(use * capacity))
+
+
+def test_engine_without_the_memory_needed_is_on_no_path():
+    full = make_engine("x", BIG, first=0, end=16)
+    free = make_engine("y", BIG, first=0, end=16)
+    rest = [
+        make_engine(f"z{first}", BIG, first=first, end=first + 16)
+        for first in range(16, 80, 16)
+    ]
+    loads = EngineLoads()
+    fill(loads, full, 0.9)
+    need = RoomNeed(1000, 0.9)
+
+    for seed in range(20):
+        path = choose([full, free, *rest], loads, seed=seed, need=need)
+        assert path.first == free
+    assert choose([full, *rest], loads, need=need) == NoRoom(0)
+    assert choose([full, *rest], loads).first == full
+
+
+def test_coverage_gap_is_no_lack_of_memory():
+    # Guards against requests that wait for memory on layers that no engine
+    # serves.
+    full = make_engine("x", BIG, first=0, end=10)
+    loads = EngineLoads()
+    fill(loads, full, 0.9)
+
+    assert choose([full], loads, need=RoomNeed(1000, 0.5)) == NoPath(10)
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -17,8 +17,10 @@
     LayerRange,
     ModelShape,
     NoPath,
+    NoRoom,
     Path,
     PathPart,
+    RoomNeed,
     choose_path,
 )
 from caroblug.gateway._exchange_results import FailureKind
@@ -397,7 +399,8 @@
         now_ms: int,
         excluded: frozenset[str],
         excluded_first: frozenset[str],
-    ) -> Path | NoPath:
+        need: RoomNeed | None = None,
+    ) -> Path | NoPath | NoRoom:
         """Returns a path for a new run that keeps the limits of all engines.
 
         Only the first engine of a path receives the request, so that its limit
@@ -408,6 +411,7 @@
             now_ms: Current time.
             excluded: Names of engines that must not be on the path.
             excluded_first: Names of engines that the path must not start with.
+            need: Memory that the run needs; None if any engine will do.
         """
         unavailable = set(excluded_first)
         for backend in self._limited_backends(service):
@@ -417,13 +421,15 @@
                 name, now_ms
             ):
                 others = frozenset(self._listing.backends) - {name}
-                path = self.choose_engines(service, now_ms, excluded, others)
+                path = self.choose_engines(
+                    service, now_ms, excluded, others, need=need
+                )
                 if isinstance(path, Path):
                     return path
             if not self._limits.is_available(name, now_ms):
                 unavailable.add(name)
         return self.choose_engines(
-            service, now_ms, excluded, frozenset(unavailable)
+            service, now_ms, excluded, frozenset(unavailable), need=need
         )
 
     def _limited_backends(self, service: Service) -> list[BackendServer]:
@@ -444,7 +450,8 @@
         excluded: frozenset[str] = frozenset(),
         excluded_first: frozenset[str] = frozenset(),
         after: PathPart | None = None,
-    ) -> Path | NoPath:
+        need: RoomNeed | None = None,
+    ) -> Path | NoPath | NoRoom:
         """Returns a path over the engines of a service.
 
         Args:
@@ -454,9 +461,11 @@
             excluded_first: Names of engines that the path must not start with.
             after: First part to retain, if the path of a running request is
                 changed.
+            need: Memory that the run needs; None if any engine will do.
 
         Returns:
-            The path, or the first layer that no usable engine holds.
+            The path, NoPath with the first layer that no usable engine holds,
+            or NoRoom if there are paths, but none with the memory needed.
         """
         engines = [
             self._with_slowdown(e)
@@ -473,6 +482,7 @@
             self._rng,
             excluded_first,
             after,
+            need,
         )
 
     def engines(self, service: Service, now_ms: int) -> list[Engine]:
