Move the messages about backend servers out of the peer exchange

Change: ServerStateMessages encodes and applies what gateways tell each other about backend servers. The messages are the same. Test: caroblug/gateway passes.

--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -12,7 +12,6 @@
 import gevent
 from gevent import event
 
-from caroblug.core.placement import LayerRange
 from caroblug.gateway._compression import TextCompressor, decompress_text
 from caroblug.gateway._context import Context
 from caroblug.gateway._crash_suspicions import CrashSuspicions
@@ -22,9 +21,9 @@
     UNKNOWN_AGE_MS,
     LeaseHolderTracker,
 )
-from caroblug.gateway._limit_messages import decode_limit, encode_limits
 from caroblug.gateway._peer_calls import DECODE_ERRORS, PeerCalls
 from caroblug.gateway._reader_ranking import ReaderRanking
+from caroblug.gateway._server_state_messages import ServerStateMessages
 
 EXCHANGE_PATH = "/tell"
 
@@ -117,6 +116,7 @@
         self._new_version = event.Event()
         self._configuration_compressor = TextCompressor()
         self._list_compressor = TextCompressor()
+        self._server_state = ServerStateMessages(context)
         self._calls = PeerCalls(context)
         self._calls.register(EXCHANGE_PATH, self._handle_message)
         self.lease_state = LeaseState.NONE
@@ -262,29 +262,19 @@
         context = self._context
         now_ms = context.clock.now_ms()
         settings = context.settings
-        reports = context.fleet.recent_reports(now_ms)
         return {
             "name": settings.instance,
             "address": list(settings.peers),
             "data_centre": settings.data_centre,
             "loads": context.fleet.loads.own_tokens(),
+            **self._server_state.encode(now_ms),
             "version": self._version(),
             "version_age_ms": self._reader_ranking.version_age_ms,
             "rank": self._reader_ranking.rank,
             "repeats": self._count_retries_left(now_ms),
-            "list_age_ms": self._list_age_ms(),
+            "list_age_ms": self._server_state.list_age_ms(),
             "list_digest": context.fleet.listing.digest,
             "list_end": context.fleet.listing.end,
-            "suspects": context.fleet.ejected(now_ms),
-            "told": {
-                engine: [layers.first, layers.end, age_ms]
-                for engine, (layers, age_ms) in reports.items()
-            },
-            "paces": context.fleet.recent_slowdowns(now_ms),
-            "leaving": context.fleet.recently_leaving(now_ms),
-            "exits": context.fleet.announced_exits(),
-            "limits": encode_limits(context.fleet.limits.reports(now_ms)),
-            "unanswered": context.fleet.unanswered_orders(now_ms),
             "crashes": self._crashes.export(),
             "tenure": self.lease_state.value,
             "holder_age_ms": self._holder_age_ms(now_ms),
@@ -374,14 +364,7 @@
         is_local = message["data_centre"] == self._context.settings.data_centre
         (self._local if is_local else self._remote).add(name)
         self._apply_loads(name, message["loads"])
-        self._apply_suspects(message["suspects"])
-        self._apply_engine_reports(message["told"])
-        self._apply_leaving(message["leaving"])
-        # Gateways of the previous version don't send these fields.
-        self._apply_limits(message.get("limits", {}))
-        self._apply_exits(message.get("exits", {}))
-        self._apply_slowdowns(message.get("paces", {}))
-        self._apply_unanswered_orders(message.get("unanswered", {}))
+        self._server_state.apply(message)
         self._apply_list_age(name, message)
         # Gateways of the previous version report neither rank nor age.
         self._reader_ranking.set_rank(name, int(message.get("rank", 0)))
@@ -421,81 +404,9 @@
             self._context.fleet.confirm_listing(
                 message["list_digest"], int(message["list_end"]), listed_ms
             )
-        elif age_ms < self._list_age_ms():
+        elif age_ms < self._server_state.list_age_ms():
             self._fetch_from.add(name)
 
-    def _apply_engine_reports(self, told: dict) -> None:
-        """Applies what engines have reported to a peer about their layers."""
-        now_ms = self._context.clock.now_ms()
-        for engine, (first, end, age_ms) in told.items():
-            layers = LayerRange(int(first), int(end))
-            self._context.fleet.on_report(engine, layers, now_ms - int(age_ms))
-
-    def _apply_leaving(self, leaving: dict) -> None:
-        """Applies which backend servers a peer has found to be draining.
-
-        Guards against an unavailable store, with which each gateway would have
-        to detect each draining backend server by itself, at the cost of a
-        rejected request and a health check.
-        """
-        now_ms = self._context.clock.now_ms()
-        for name, age_ms in leaving.items():
-            self._context.fleet.on_leaving(str(name), now_ms - int(age_ms))
-
-    def _apply_limits(self, reports: dict) -> None:
-        """Applies the limits that servers have named to a peer."""
-        context = self._context
-        now_ms = context.clock.now_ms()
-        for name, fields in reports.items():
-            report = decode_limit(fields)
-            if context.fleet.limits.merge(str(name), report, now_ms):
-                context.log.write(
-                    "backend_server.limit",
-                    backend_server=name,
-                    rate_per_s=report.rate_per_s,
-                    source="peer",
-                )
-
-    def _apply_exits(self, exits: dict) -> None:
-        """Applies that servers have told a peer that they are draining."""
-        context = self._context
-        now_ms = context.clock.now_ms()
-        for name, started_ms in exits.items():
-            if context.fleet.availability.on_exit_announced(
-                str(name), int(started_ms), now_ms
-            ):
-                context.log.write(
-                    "backend_server.leaving",
-                    backend_server=name,
-                    list_age_ms=self._list_age_ms(),
-                    source="peer",
-                )
-
-    def _apply_slowdowns(self, paces: dict) -> None:
-        """Applies the slowdowns that engines have reported to a peer.
-
-        Guards against late detection. Each gateway has few streams on a slow
-        engine and reads the engine's report only once they have lagged.
-        """
-        now_ms = self._context.clock.now_ms()
-        for name, (pace, age_ms) in paces.items():
-            self._context.fleet.on_slowdown(
-                str(name), float(pace), now_ms - int(age_ms)
-            )
-
-    def _apply_unanswered_orders(self, unanswered: dict) -> None:
-        """Records a peer's unanswered orders, which may still take effect.
-
-        Guards against the failure of the gateway that gave them. The next
-        gateway to place layers would rely on engines that release their layers
-        later.
-        """
-        now_ms = self._context.clock.now_ms()
-        for name, age_ms in unanswered.items():
-            self._context.fleet.on_order_unanswered(
-                str(name), now_ms - int(age_ms)
-            )
-
     def _apply_loads(self, name: str, loads: dict) -> None:
         tokens = {str(key): float(value) for key, value in loads.items()}
         self._received_ms[name] = self._context.clock.now_ms()
@@ -506,13 +417,6 @@
         known = self._local & set(self._members)
         loads.local_gateways = len(known) + 1
 
-    def _apply_suspects(self, names: list) -> None:
-        """Queues probes of the engines that a peer considers failed.
-
-        The report alone is not trusted, as the peer may itself be cut off.
-        """
-        self._context.engines_to_probe.update(str(name) for name in names)
-
     def is_first_local_reader(self) -> bool:
         """Returns whether this gateway reads first in its data centre."""
         return self._reader_ranking.is_first_reader(self._local_peers())
@@ -593,9 +497,3 @@
     def _version(self) -> int:
         known = self._context.configuration
         return known.version if known is not None else -1
-
-    def _list_age_ms(self) -> int:
-        fleet = self._context.fleet
-        if not fleet.has_listing:
-            return 1_000_000
-        return fleet.listing_age_ms(self._context.clock.now_ms())
