Estimate the free memory of engines from their reports

Cause: gateways estimate the memory in use from their own counts alone, which are far off while peers are unknown, and all of them may send to the same free engine. Change: EngineRooms corrects the reported use by what gateways changed since. The report counts less from 1.5 s and no longer from 3 s on. Waiting requests and rejections mean no room until the next report, for at most 1 s. A gateway replaces its own ended requests, and uses its share of the free memory once in each round. The use is part of path costs and of Path.use. Conclusion: decisions about room have no I/O; reports are not fed yet.

--- a/caroblug/core/placement/__init__.py
+++ b/caroblug/core/placement/__init__.py
@@ -1,5 +1,6 @@
 """Placement of model layers on engines, and paths of requests over engines."""
 
+from caroblug.core.placement._engine_rooms import EngineRooms, RoomReport
 from caroblug.core.placement._load import EngineLoads
 from caroblug.core.placement._paths import (
     NoPath,
@@ -26,6 +27,7 @@
     "Engine",
     "EngineKind",
     "EngineLoads",
+    "EngineRooms",
     "LayerRange",
     "ModelShape",
     "Move",
@@ -34,6 +36,7 @@
     "Path",
     "PathPart",
     "RoomNeed",
+    "RoomReport",
     "compute_requests_per_chain",
     "choose_path",
     "covers_model",
--- /dev/null
+++ b/caroblug/core/placement/_engine_rooms.py
@@ -0,0 +1,384 @@
+"""Free memory of each engine, as engines report it."""
+
+import heapq
+import math
+import random
+from collections.abc import Container
+
+import attrs
+
+from caroblug.core.placement._load import EngineLoads
+from caroblug.core.placement._types import Engine, ModelShape
+
+_DECAY_BEGIN_MS = 1500
+"""Age from which a report counts less and less. Reports are read every 500 ms
+and reach all gateways of a large data centre within three exchange rounds."""
+
+_MAX_AGE_MS = 3000
+"""Age from which a report no longer counts."""
+
+_MIN_SPACING_MS = 100
+"""Time between two reports below which the later one is taken for the earlier.
+The age of a report excludes its transmission, so that a report that is passed
+on several times seems to get newer."""
+
+_MARK_MS = 1000
+"""Time for which an engine has no room after it reported waiting requests or
+rejected one, unless it reports again."""
+
+_MAX_VALID_USE = 1.5
+"""Reported share of the memory above which a report can't be right."""
+
+_MAX_COUNT = 1_000_000
+"""Reported number of requests above which a report can't be right."""
+
+_ROUND_MS = 500
+"""Period in which a gateway uses its part of an engine's free memory once; the
+interval of reports and of exchanges between gateways."""
+
+_SETTLING_MS = 1000
+"""Time until all gateways know the effect of what they sent on reports of an
+engine. Only the part `_ROUND_MS / _SETTLING_MS` of its free memory is offered
+in each round, as the same free memory is offered again until then."""
+
+_REMOTE_RESERVE = 0.05
+"""Share of an engine's memory that is left to the gateways of its own data
+centre. Otherwise, while all engines are full, most requests would run in
+other data centres, and be sent over slow links."""
+
+_MAX_UNSEEN_USE = 0.1
+"""Largest share of an engine's memory that unseen requests of other gateways
+count for in the cost of a path. A larger one would send requests of a busy
+gateway to other data centres although local engines have room."""
+
+_MESSAGE_AGE_MS = 300
+"""Mean age of what this gateway knows of its peers' requests."""
+
+
+@attrs.frozen
+class RoomReport:
+    """What an engine reports about its memory and its queue.
+
+    Attributes:
+        use: Share of the memory for requests that is in use; None if the
+            engine doesn't report it.
+        running: Number of requests running.
+        waiting: Number of requests waiting for a slot or for memory.
+        measured_ms: When this was so.
+    """
+
+    use: float | None
+    running: int
+    waiting: int
+    measured_ms: int
+
+
+@attrs.define
+class _Room:
+    """State of one engine.
+
+    Attributes:
+        report: Latest report; None if there is none yet.
+        marked_ms: When the engine last had waiting requests or rejected one;
+            -1 if it reported free memory since.
+        busy_share: Share of its slots that are taken, by its latest response.
+        busy_ms: When that response arrived.
+    """
+
+    report: RoomReport | None = None
+    marked_ms: int = -1
+    busy_share: float = 0.0
+    busy_ms: int = -_MAX_AGE_MS
+
+
+class EngineRooms:
+    """Estimates the memory use of engines and which of them have room.
+
+    The use of an engine is the use it reported and what gateways have changed
+    since, or what `EngineLoads` counts if its last report is too old. Several
+    gateways must not fill the same free memory. Each one may replace its own
+    requests that have ended, and uses its share of the remaining free memory
+    in each round.
+
+    Args:
+        loads: Tokens of all gateways' requests on each engine.
+        data_centre: Data centre of this gateway.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self, loads: EngineLoads, data_centre: str, rng: random.Random
+    ) -> None:
+        self._loads = loads
+        self._data_centre = data_centre
+        self._rng = rng
+        self._rooms: dict[str, _Room] = {}
+        self._round_offset_ms: int | None = None
+        self._round = -1
+        self._round_ms = 0
+        self._rounding = 0.0
+        # Of the gateways of all data centres, and of the local ones.
+        self._shares = (1.0, 1.0)
+        self._mean_use: float | None = None
+
+    def on_report(self, name: str, report: RoomReport, now_ms: int) -> bool:
+        """Records a report unless it is older than the last one.
+
+        Args:
+            name: Name of the engine.
+            report: Its report.
+            now_ms: Current time.
+
+        Returns:
+            Whether its values are possible; if not, it is ignored.
+        """
+        if not _is_valid(report, now_ms):
+            return False
+        if now_ms - report.measured_ms >= _MAX_AGE_MS:
+            return True
+        room = self._rooms.setdefault(name, _Room())
+        last = room.report
+        if last is not None and (
+            report.measured_ms < last.measured_ms + _MIN_SPACING_MS
+        ):
+            return True
+        room.report = report
+        if report.waiting:
+            room.marked_ms = now_ms
+        elif report.measured_ms > room.marked_ms:
+            room.marked_ms = -1
+        return True
+
+    def on_load(
+        self,
+        name: str,
+        running: int,
+        waiting: int,
+        slots: int | None,
+        now_ms: int,
+    ) -> bool:
+        """Records the load that a response of an engine states.
+
+        Args:
+            name: Name of the engine.
+            running: Number of requests running.
+            waiting: Number of requests waiting.
+            slots: Number of requests that can run at once; None if unknown.
+            now_ms: Current time.
+
+        Returns:
+            Whether its values are possible; if not, it is ignored.
+        """
+        if not _is_count(running) or not _is_count(waiting):
+            return False
+        room = self._rooms.setdefault(name, _Room())
+        if slots:
+            room.busy_share = (running + waiting) / slots
+            room.busy_ms = now_ms
+        if waiting:
+            room.marked_ms = now_ms
+        return True
+
+    def on_rejected(self, name: str, now_ms: int) -> None:
+        """Records that an engine rejected a request for lack of room."""
+        self._rooms.setdefault(name, _Room()).marked_ms = now_ms
+
+    def retain(self, names: Container[str]) -> None:
+        """Removes all engines but the named ones."""
+        for name in [name for name in self._rooms if name not in names]:
+            del self._rooms[name]
+
+    def report_age_ms(self, name: str, now_ms: int) -> int | None:
+        """Returns the age of an engine's latest report; None without one."""
+        room = self._rooms.get(name)
+        if room is None or room.report is None:
+            return None
+        return now_ms - room.report.measured_ms
+
+    def newest(self, now_ms: int, limit: int) -> dict[str, RoomReport]:
+        """Returns the newest reports that still count.
+
+        Args:
+            now_ms: Current time.
+            limit: Maximum number of reports.
+
+        Returns:
+            Report by name of the engine.
+        """
+        reports = [
+            (room.report.measured_ms, name)
+            for name, room in self._rooms.items()
+            if room.report is not None
+            and now_ms - room.report.measured_ms < _MAX_AGE_MS
+        ]
+        return {
+            name: self._rooms[name].report
+            for _, name in heapq.nlargest(limit, reports)
+        }
+
+    def use(self, engine: Engine, model: ModelShape, now_ms: int) -> float:
+        """Returns the estimated share of an engine's memory that is in use."""
+        counted = self._loads.memory_use(engine, model)
+        report = self._fresh_report(engine.name, now_ms)
+        if report is None or report.use is None:
+            return counted
+        capacity = _capacity(engine, model)
+        own = self._loads.own_change(engine.name, report.measured_ms)
+        peers = self._loads.peer_change(engine.name, report.measured_ms)
+        unseen = max(0.0, own) * self._others(engine, now_ms)
+        use = report.use + (own + peers) / capacity
+        use += min(_MAX_UNSEEN_USE, unseen / capacity)
+        weight = _weight(now_ms - report.measured_ms)
+        return max(0.0, use * weight + counted * (1.0 - weight))
+
+    def load(self, engine: Engine, model: ModelShape, now_ms: int) -> float:
+        """Returns how full an engine may be, by any of the signs of it.
+
+        Returns:
+            The share of its memory or of its slots that is in use; at least 1
+            if it has waiting requests or rejected one.
+        """
+        use = self.use(engine, model, now_ms)
+        room = self._rooms.get(engine.name)
+        if room is None:
+            return use
+        if self._is_marked(room, now_ms):
+            return max(1.0, use)
+        if now_ms - room.busy_ms < _MARK_MS:
+            return max(room.busy_share, use)
+        return use
+
+    def has_room(
+        self,
+        engine: Engine,
+        model: ModelShape,
+        tokens: int,
+        max_use: float,
+        now_ms: int,
+    ) -> bool:
+        """Returns whether an engine has memory for a request of this gateway.
+
+        Args:
+            engine: The engine.
+            model: The model.
+            tokens: Tokens that the request will hold.
+            max_use: Share of the memory that may be in use with the request.
+            now_ms: Current time.
+        """
+        room = self._rooms.get(engine.name)
+        if room is not None and self._is_marked(room, now_ms):
+            return False
+        capacity = model.token_capacity(engine.kind, len(engine.holds))
+        if capacity <= 0:
+            return False
+        self._begin_round(now_ms)
+        report = self._fresh_report(engine.name, now_ms)
+        if report is None:
+            return self._fits_counts(engine, model, tokens, max_use, now_ms)
+        if report.use is None:
+            return True
+        local = engine.data_centre == self._data_centre
+        free = (max_use - report.use) * capacity
+        own = self._loads.own_change(engine.name, report.measured_ms)
+        if not local:
+            free -= _REMOTE_RESERVE * capacity
+            own = max(0.0, own)
+        if report.measured_ms > self._round_ms:
+            # What this gateway has added in this round was taken from its part
+            # even if the report already includes it.
+            added = self._loads.own_change(engine.name, self._round_ms)
+            own = max(own, added)
+        share = self._shares[local]
+        offered = _ROUND_MS / _SETTLING_MS
+        part = free * share * (offered + (1.0 - offered) * share)
+        return own + tokens <= part + self._rounding * tokens
+
+    def _fits_counts(
+        self,
+        engine: Engine,
+        model: ModelShape,
+        tokens: int,
+        max_use: float,
+        now_ms: int,
+    ) -> bool:
+        """Returns whether there is room by what gateways count themselves."""
+        capacity = _capacity(engine, model)
+        name = engine.name
+        if self._loads.has_peers:
+            unseen = self._loads.own_change(name, now_ms - _MESSAGE_AGE_MS)
+            unseen = max(0.0, unseen) * self._others(engine, now_ms)
+            counted = self._loads.tokens(name) + unseen
+            return counted + tokens <= max_use * capacity
+        # This gateway has just started or is cut off from all others. It uses
+        # an equal part of the memory.
+        share = self._shares[engine.data_centre == self._data_centre]
+        part = max_use * capacity * share
+        own = self._loads.own_tokens_on(name)
+        if self._mean_use is not None:
+            before = own - self._loads.own_change(name, self._round_ms)
+            free = max(0.0, max_use - self._mean_use) * capacity
+            part = min(part, before + free * share)
+        return own + tokens <= part + self._rounding * tokens
+
+    def _others(self, engine: Engine, now_ms: int) -> float:
+        """Returns the tokens of other gateways for each token of this one."""
+        self._begin_round(now_ms)
+        share = self._shares[engine.data_centre == self._data_centre]
+        return 1.0 / share - 1.0
+
+    def _begin_round(self, now_ms: int) -> None:
+        """Determines this gateway's shares once in each round."""
+        if self._round_offset_ms is None:
+            # Gateways that start together use their parts at different times.
+            self._round_offset_ms = self._rng.randrange(_ROUND_MS)
+        number = (now_ms + self._round_offset_ms) // _ROUND_MS
+        if number == self._round:
+            return
+        self._round = number
+        self._round_ms = number * _ROUND_MS - self._round_offset_ms
+        self._rounding = self._rng.random()
+        self._shares = (self._loads.share(False), self._loads.share(True))
+        uses = [
+            room.report.use
+            for room in self._rooms.values()
+            if room.report is not None
+            and room.report.use is not None
+            and now_ms - room.report.measured_ms < _MAX_AGE_MS
+        ]
+        self._mean_use = sum(uses) / len(uses) if uses else None
+
+    def _fresh_report(self, name: str, now_ms: int) -> RoomReport | None:
+        room = self._rooms.get(name)
+        if room is None or room.report is None:
+            return None
+        if now_ms - room.report.measured_ms >= _MAX_AGE_MS:
+            return None
+        return room.report
+
+    def _is_marked(self, room: _Room, now_ms: int) -> bool:
+        return room.marked_ms >= 0 and now_ms - room.marked_ms < _MARK_MS
+
+
+def _capacity(engine: Engine, model: ModelShape) -> float:
+    """Returns the tokens that an engine has memory for, at least 1."""
+    return max(1.0, model.token_capacity(engine.kind, len(engine.holds)))
+
+
+def _weight(age_ms: int) -> float:
+    """Returns how much a report counts compared with gateways' own counts."""
+    late_ms = age_ms - _DECAY_BEGIN_MS
+    return 1.0 - max(0.0, late_ms / (_MAX_AGE_MS - _DECAY_BEGIN_MS))
+
+
+def _is_count(number: int) -> bool:
+    return 0 <= number <= _MAX_COUNT
+
+
+def _is_valid(report: RoomReport, now_ms: int) -> bool:
+    """Returns whether the values of a report are possible."""
+    if report.measured_ms > now_ms:
+        return False
+    if not _is_count(report.running) or not _is_count(report.waiting):
+        return False
+    use = report.use
+    return use is None or (math.isfinite(use) and 0.0 <= use <= _MAX_VALID_USE)
--- a/caroblug/core/placement/_load.py
+++ b/caroblug/core/placement/_load.py
@@ -1,7 +1,9 @@
 """Load of each engine: tokens of running requests and pending prefills."""
 
 import collections
+from collections.abc import Container
 
+from caroblug.core.placement._token_history import TokenHistory
 from caroblug.core.placement._types import Engine, ModelShape
 
 
@@ -27,6 +29,12 @@
         self._local: set[str] = set()
         self._local_sums: dict[str, float] = {}
         self._remote_sums: dict[str, float] = {}
+        self._own_changes: dict[str, TokenHistory] = collections.defaultdict(
+            TokenHistory
+        )
+        self._peer_changes: dict[str, TokenHistory] = collections.defaultdict(
+            TokenHistory
+        )
         self._gateways = 0
         self.local_gateways = 1
 
@@ -41,15 +49,27 @@
     def gateways(self, gateways: int) -> None:
         self._gateways = gateways
 
-    def add_request(self, names: tuple[str, ...], tokens: int) -> None:
-        """Adds a request of `tokens` tokens to the named engines."""
+    def add_request(
+        self, names: tuple[str, ...], tokens: int, now_ms: int = 0
+    ) -> None:
+        """Adds a request of `tokens` tokens to the named engines.
+
+        Args:
+            names: Names of the engines.
+            tokens: Tokens of the request.
+            now_ms: Current time; 0 if the request precedes every report.
+        """
         for name in names:
             self._own[name] += tokens
+            self._own_changes[name].add(tokens, now_ms)
 
-    def remove_request(self, names: tuple[str, ...], tokens: int) -> None:
+    def remove_request(
+        self, names: tuple[str, ...], tokens: int, now_ms: int = 0
+    ) -> None:
         """Removes a request of `tokens` tokens from the named engines."""
         for name in names:
             self._own[name] -= tokens
+            self._own_changes[name].add(-tokens, now_ms)
             if self._own[name] <= 0:
                 del self._own[name]
 
@@ -76,8 +96,65 @@
         """Returns the tokens of this gateway's requests by engine."""
         return dict(self._own)
 
+    def own_tokens_on(self, name: str) -> int:
+        """Returns the tokens of this gateway's requests on an engine."""
+        return self._own.get(name, 0)
+
+    def own_change(self, name: str, since_ms: int) -> float:
+        """Returns the tokens that this gateway has added since a time.
+
+        Args:
+            name: Name of the engine.
+            since_ms: The time.
+
+        Returns:
+            The tokens; negative if more were removed.
+        """
+        changes = self._own_changes.get(name)
+        return changes.since(since_ms) if changes is not None else 0.0
+
+    def peer_change(self, name: str, since_ms: int) -> float:
+        """Returns the tokens that peers told this gateway of since a time."""
+        changes = self._peer_changes.get(name)
+        return changes.since(since_ms) if changes is not None else 0.0
+
+    @property
+    def has_peers(self) -> bool:
+        """Whether any other gateway reports its tokens."""
+        return bool(self._reported)
+
+    def share(self, local: bool) -> float:
+        """Returns this gateway's share of the tokens of several gateways.
+
+        Args:
+            local: Whether it is the share of the gateways of the local data
+                centre, or else of all gateways.
+
+        Returns:
+            The share of all tokens, at least that of a mean gateway.
+        """
+        local_reporting = len(self._local) + 1
+        gateways = max(self.local_gateways, local_reporting)
+        own = sum(self._own.values())
+        total = own + sum(self._local_sums.values())
+        total *= gateways / local_reporting
+        if not local:
+            remote_reporting = len(self._reported) - len(self._local)
+            remote = max(self.gateways - gateways, remote_reporting)
+            if remote_reporting:
+                remote_sum = sum(self._remote_sums.values())
+                total += remote_sum * remote / remote_reporting
+            else:
+                total += total * remote / gateways
+            gateways += remote
+        return max(1.0 / gateways, own / total if total > 0 else 0.0)
+
     def update_peer(
-        self, gateway: str, tokens: dict[str, float], local: bool = True
+        self,
+        gateway: str,
+        tokens: dict[str, float],
+        local: bool = True,
+        now_ms: int = 0,
     ) -> None:
         """Replaces the tokens reported by another gateway.
 
@@ -85,7 +162,14 @@
             gateway: Name of the gateway.
             tokens: Tokens of its requests by engine.
             local: Whether it runs in the local data centre.
+            now_ms: Current time.
         """
+        before = self._reported.get(gateway)
+        if before is not None:
+            for name in before.keys() | tokens.keys():
+                change = tokens.get(name, 0.0) - before.get(name, 0.0)
+                if change:
+                    self._peer_changes[name].add(change, now_ms)
         self._reported[gateway] = tokens
         if local:
             self._local.add(gateway)
@@ -93,6 +177,12 @@
             self._local.discard(gateway)
         self._update_sums()
 
+    def retain(self, names: Container[str]) -> None:
+        """Removes the changes of all engines but the named ones."""
+        for changes in (self._own_changes, self._peer_changes):
+            for name in [n for n in changes if n not in names]:
+                del changes[name]
+
     def remove_peer(self, gateway: str) -> None:
         """Removes a gateway whose reports have ceased."""
         if self._reported.pop(gateway, None) is not None:
--- a/caroblug/core/placement/_paths.py
+++ b/caroblug/core/placement/_paths.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from caroblug.core.placement._engine_rooms import EngineRooms
 from caroblug.core.placement._load import EngineLoads
 from caroblug.core.placement._planner import HOP_MS
 from caroblug.core.placement._types import Engine, LayerRange, ModelShape
@@ -57,8 +58,8 @@
 
     Attributes:
         parts: At least one part; each begins where the previous one ends.
-        use: Memory use of the fullest engine, as a share of its token
-            capacity.
+        use: Estimated memory use of the fullest engine, as a share of its
+            token capacity.
     """
 
     parts: tuple[PathPart, ...]
@@ -133,6 +134,8 @@
     excluded_first: frozenset[str] = frozenset(),
     after: PathPart | None = None,
     need: RoomNeed | None = None,
+    rooms: EngineRooms | None = None,
+    now_ms: int = 0,
 ) -> Path | NoPath | NoRoom:
     """Returns the path with the lowest cost.
 
@@ -151,6 +154,8 @@
         after: Part with which the path has to begin, if the path of a running
             request is changed. It needs no room on that part's engine.
         need: Memory that the request needs; None if any engine will do.
+        rooms: Free memory of the engines; None if only `loads` is known.
+        now_ms: Current time, for `rooms`.
 
     Returns:
         The path, NoPath if the engines leave a coverage gap or the path would
@@ -160,11 +165,18 @@
     ready = [e for e in engines if len(e.holds) and not e.loading]
     if after is not None:
         ready = [e for e in ready if e.name != after.engine.name]
-    use = {e.name: loads.memory_use(e, model) for e in ready}
+    if rooms is None:
+        use = {e.name: loads.memory_use(e, model) for e in ready}
+    else:
+        use = {e.name: rooms.use(e, model, now_ms) for e in ready}
     search = _Search(model, loads, data_centre, rng, excluded_first, after)
     if need is None:
         return search.run(ready, use)
-    with_room = [e for e in ready if _has_room(e, model, use[e.name], need)]
+    with_room = [
+        e
+        for e in ready
+        if _has_room(e, model, need, use[e.name], rooms, now_ms)
+    ]
     path = search.run(with_room, use)
     if isinstance(path, Path) or len(with_room) == len(ready):
         return path
@@ -175,12 +187,17 @@
 
 
 def _has_room(
-    engine: Engine, model: ModelShape, use: float, need: RoomNeed
+    engine: Engine,
+    model: ModelShape,
+    need: RoomNeed,
+    use: float,
+    rooms: EngineRooms | None,
+    now_ms: int,
 ) -> bool:
+    if rooms is not None:
+        return rooms.has_room(engine, model, need.tokens, need.max_use, now_ms)
     capacity = model.token_capacity(engine.kind, len(engine.holds))
-    if capacity <= 0:
-        return False
-    return use + need.tokens / capacity <= need.max_use
+    return capacity > 0 and use + need.tokens / capacity <= need.max_use
 
 
 @attrs.frozen
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -13,6 +13,7 @@
 from caroblug.core.placement import (
     Engine,
     EngineLoads,
+    EngineRooms,
     LayerRange,
     ModelShape,
     NoPath,
@@ -57,6 +58,7 @@
         self._listed_ms = -1
         self._restored = False
         self._loads = EngineLoads()
+        self._rooms = EngineRooms(self._loads, data_centre, rng)
         self._limits = limits
         self._availability = ServerAvailability()
 
@@ -80,6 +82,11 @@
         """Estimated load of each engine, in tokens."""
         return self._loads
 
+    @property
+    def rooms(self) -> EngineRooms:
+        """Free memory of each engine."""
+        return self._rooms
+
     @property
     def limits(self) -> ServerLimits:
         """Request rates that backend servers ask all gateways to keep."""
@@ -125,6 +132,8 @@
             ):
                 del self._states[name]
         self._limits.retain(self._states.keys())
+        self._rooms.retain(self._states.keys())
+        self._loads.retain(self._states.keys())
         return True
 
     def restore_listing(self, listing: Listing, now_ms: int) -> bool:
@@ -356,23 +365,45 @@
             The path, NoPath with the first layer that no usable engine holds,
             or NoRoom if there are paths, but none with the memory needed.
         """
-        engines = [
-            self._with_slowdown(e)
-            for e in self.engines(service, now_ms)
-            if e.name not in excluded
-            and not self._states[e.name].failures
-            and not self.is_excluded(e.name, now_ms)
-        ]
-        return choose_path(
-            engines,
-            service.model,
-            self._loads,
-            self._data_centre,
-            self._rng,
-            excluded_first,
-            after,
-            need,
-        )
+        usable, full = [], []
+        for engine in self.engines(service, now_ms):
+            name = engine.name
+            if name in excluded or self._states[name].failures:
+                continue
+            if not self.is_excluded(name, now_ms):
+                usable.append(self._with_slowdown(engine))
+            elif need is not None and self._is_only_full(name, now_ms):
+                full.append(self._with_slowdown(engine))
+
+        def choose(
+            engines: list[Engine], need: RoomNeed | None
+        ) -> Path | NoPath | NoRoom:
+            return choose_path(
+                engines,
+                service.model,
+                self._loads,
+                self._data_centre,
+                self._rng,
+                excluded_first,
+                after,
+                need,
+                self._rooms,
+                now_ms,
+            )
+
+        path = choose(usable, need)
+        if (
+            full
+            and isinstance(path, NoPath)
+            and isinstance(choose(usable + full, None), Path)
+        ):
+            return NoRoom(path.layer)
+        return path
+
+    def on_full(self, name: str, now_ms: int) -> None:
+        """Records that a backend server rejected a request as it is full."""
+        super().on_full(name, now_ms)
+        self._rooms.on_rejected(name, now_ms)
 
     def engines(self, service: Service, now_ms: int) -> list[Engine]:
         """Returns the engines of a service with the layers they hold.
@@ -443,6 +474,14 @@
             return False
         return self._listed_ms < state.layers_reported_ms + _LISTING_LAG_MS
 
+    def _is_only_full(self, name: str, now_ms: int) -> bool:
+        """Returns whether a backend server is full, but not ejected."""
+        return self._states[
+            name
+        ].ejected_until_ms <= now_ms and not self._availability.is_at_rest(
+            name, now_ms
+        )
+
     def is_excluded(self, name: str, now_ms: int) -> bool:
         """Returns whether a backend server is ejected, full or at rest."""
         state = self._states[name]
--- a/caroblug/gateway/_stream_state.py
+++ b/caroblug/gateway/_stream_state.py
@@ -105,11 +105,13 @@
 
     def _enter_path(self, path: Path) -> None:
         self.path = path
-        self.context.fleet.loads.add_request(path.names, self._mean_tokens())
+        self.context.fleet.loads.add_request(
+            path.names, self._mean_tokens(), self.now_ms
+        )
 
     def _leave_path(self) -> None:
         self.context.fleet.loads.remove_request(
-            self.path.names, self._mean_tokens()
+            self.path.names, self._mean_tokens(), self.now_ms
         )
 
     def _mean_tokens(self) -> int:
