Move the known gateways out of the peer exchange

Cause: _peers.py keeps addresses, data centres and expiry of other gateways beside the exchange, and gateways are to pass members on to each other. Change: PeerMembers keeps them. Behaviour is the same. Test: caroblug/gateway passes.

--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -15,13 +15,13 @@
 from caroblug.gateway._compression import TextCompressor, decompress_text
 from caroblug.gateway._context import Context
 from caroblug.gateway._crash_suspicions import CrashSuspicions
-from caroblug.gateway._http_client import Address
 from caroblug.gateway._interfaces import Member, Registry, Unavailable
 from caroblug.gateway._lease_holder_tracker import (
     UNKNOWN_AGE_MS,
     LeaseHolderTracker,
 )
 from caroblug.gateway._peer_calls import DECODE_ERRORS, PeerCalls
+from caroblug.gateway._peer_members import PeerMembers
 from caroblug.gateway._reader_ranking import ReaderRanking
 from caroblug.gateway._server_state_messages import ServerStateMessages
 
@@ -60,10 +60,6 @@
 _INITIAL_MEMBERS_READS = 4
 """Reads at the shorter interval after a start, while gateways join."""
 
-_MEMBER_RETENTION_MS = 45000
-"""How long a gateway that is missing from the group is still contacted. Its
-membership may have expired only because the store was unavailable."""
-
 _PEER_TIMEOUT_MS = 1500
 """Time without a message after which a gateway's load is discarded. By then its
 streams have been taken over or are lost."""
@@ -98,14 +94,11 @@
         self._context = context
         self._crashes = crashes
         self._registry = registry
-        self._members: dict[str, Address] = {}
-        self._member_seen_ms: dict[str, int] = {}
+        self._members = PeerMembers(context.settings.instance)
         self._received_ms: dict[str, int] = {}
         self._exchanging: set[str] = set()
         self._fetch_from: set[str] = set()
         self._lease_states: dict[str, LeaseState] = {}
-        self._local: set[str] = set()
-        self._remote: set[str] = set()
         self._holder_tracker = LeaseHolderTracker(context.clock.now_ms())
         self._versions: dict[str, int] = {}
         self._reader_ranking = ReaderRanking(
@@ -182,7 +175,7 @@
             The answer, or `Unavailable` if the gateway is unknown or the call
             failed.
         """
-        address = self._members.get(name)
+        address = self._members.address(name)
         if address is None:
             return Unavailable(f"gateway {name} is not known")
         return self._calls.call(address, path, message)
@@ -208,11 +201,11 @@
 
     def _choose_partners(self) -> list[str]:
         now_ms = self._context.clock.now_ms()
-        sources = sorted(self._fetch_from & set(self._members))
+        sources = sorted(self._fetch_from.intersection(self._members.names()))
         self._fetch_from.clear()
         names = [
             name
-            for name in sorted(self._members)
+            for name in self._members.names()
             if now_ms - self._received_ms.get(name, -_RECENT_EXCHANGE_MS)
             >= _RECENT_EXCHANGE_MS
             and name not in sources
@@ -228,7 +221,7 @@
         version = self._version()
         names = [
             name
-            for name in sorted(self._members)
+            for name in self._members.names()
             if self._versions.get(name, -1) < version
         ]
         return self._sample(names, _MAX_PARTNERS)
@@ -238,8 +231,8 @@
         if len(names) <= limit:
             return names
         rng = self._context.rng
-        remote = [name for name in names if name in self._remote]
-        local = [name for name in names if name not in self._remote]
+        remote = [name for name in names if self._members.is_remote(name)]
+        local = [name for name in names if not self._members.is_remote(name)]
         chosen = rng.sample(
             remote, min(len(remote), limit, _MAX_REMOTE_PARTNERS)
         )
@@ -355,14 +348,11 @@
     # State reported by peers.
 
     def _add_member(self, member: Member) -> None:
-        if member.name == self._context.settings.instance:
-            return
-        self._members[member.name] = member.address
-        self._member_seen_ms[member.name] = self._context.clock.now_ms()
+        self._members.add(member, self._context.clock.now_ms())
 
     def _apply_peer_state(self, name: str, message: dict) -> None:
         is_local = message["data_centre"] == self._context.settings.data_centre
-        (self._local if is_local else self._remote).add(name)
+        self._members.set_local(name, is_local)
         self._apply_loads(name, message["loads"])
         self._server_state.apply(message)
         self._apply_list_age(name, message)
@@ -411,11 +401,8 @@
         tokens = {str(key): float(value) for key, value in loads.items()}
         self._received_ms[name] = self._context.clock.now_ms()
         loads = self._context.fleet.loads
-        loads.update_peer(name, tokens, local=name not in self._remote)
-        # A gateway whose data centre is unknown doesn't count as local. That
-        # applies to all gateways for a second after the start.
-        known = self._local & set(self._members)
-        loads.local_gateways = len(known) + 1
+        loads.update_peer(name, tokens, local=not self._members.is_remote(name))
+        loads.local_gateways = self._members.count_local() + 1
 
     def is_first_local_reader(self) -> bool:
         """Returns whether this gateway reads first in its data centre."""
@@ -431,7 +418,9 @@
     def _local_peers(self) -> list[str]:
         """Returns the other active gateways of the data centre."""
         return [
-            name for name in self._active_peers() if name not in self._remote
+            name
+            for name in self._active_peers()
+            if not self._members.is_remote(name)
         ]
 
     def is_acting_standby(self) -> bool:
@@ -471,14 +460,9 @@
 
     def _remove_expired_members(self) -> None:
         now_ms = self._context.clock.now_ms()
-        for name, seen_ms in list(self._member_seen_ms.items()):
-            if now_ms - seen_ms > _MEMBER_RETENTION_MS:
-                del self._member_seen_ms[name]
-                del self._members[name]
-                self._versions.pop(name, None)
-                self._reader_ranking.remove(name)
-                self._local.discard(name)
-                self._remote.discard(name)
+        for name in self._members.remove_expired(now_ms):
+            self._versions.pop(name, None)
+            self._reader_ranking.remove(name)
 
     def _remove_silent_peers(self) -> None:
         now_ms = self._context.clock.now_ms()
