Record the memory and queues that engines report

Cause: KvUsed, KvTotal and Running were not decoded, and the load in responses to streams was dropped. Every report that is read and every response of a first engine, rejections included, goes to EngineRooms. Conclusion: waiting requests and rejections mark engines.

--- a/caroblug/gateway/_interfaces.py
+++ b/caroblug/gateway/_interfaces.py
@@ -130,10 +130,12 @@
     Attributes:
         name: Name of the gateway.
         address: Address that other gateways connect to.
+        data_centre: Data centre that it runs in; empty if unknown.
     """
 
     name: str
     address: Address
+    data_centre: str = ""
 
 
 class Registry(abc.ABC):
@@ -270,6 +272,7 @@
         rest_ms: Time for which a server that rejected the request wants no
             others from this gateway; 0 if it names none.
         leaving: Whether the server says that it is draining.
+        slots: Number of requests that it runs at once; None if not reported.
     """
 
     request_id: str | None
@@ -282,6 +285,7 @@
     rate_limit_per_s: float | None = None
     rest_ms: int = 0
     leaving: bool = False
+    slots: int | None = None
 
 
 @attrs.frozen
@@ -297,7 +301,11 @@
         pace: Slowdown relative to its kind of accelerator; above 1 if slower.
         kind: Kind of accelerator.
         started_ms: When it started; 0 if not reported.
-        waiting: Number of requests that wait for a free slot.
+        waiting: Number of requests that wait for a free slot or for memory.
+        running: Number of requests that run.
+        memory_use: Share of the memory for requests that is in use and can't
+            be reclaimed; None if not reported. It is not checked.
+        age_ms: Age of the report when it was read.
     """
 
     holds: LayerRange | None
@@ -308,6 +316,9 @@
     kind: str
     started_ms: int
     waiting: int = 0
+    running: int = 0
+    memory_use: float | None = None
+    age_ms: int = 0
 
 
 class OrderOutcome(enum.Enum):
--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -19,6 +19,7 @@
     plan_moves,
 )
 from caroblug.gateway._context import Context
+from caroblug.gateway._engine_reports import record_report
 from caroblug.gateway._fleet import require_model
 from caroblug.gateway._interfaces import (
     EngineReport,
@@ -266,7 +267,7 @@
         """Sends the order of a move if current reports still agree with it."""
         context = self._context
         engine = move.engine
-        report = context.dialect.read_report(engine.address)
+        report = self._read_report(engine)
         if isinstance(report, Unavailable):
             context.fleet.eject(engine.name, context.clock.now_ms())
             context.log.write(
@@ -330,7 +331,7 @@
         """
         fleet = self._context.fleet
         for holder in move.remaining_holders:
-            report = self._context.dialect.read_report(holder.address)
+            report = self._read_report(holder)
             now_ms = self._context.clock.now_ms()
             if isinstance(report, Unavailable):
                 self._context.engines_to_probe.add(holder.name)
@@ -352,6 +353,13 @@
             return False
         return True
 
+    def _read_report(self, engine: Engine) -> EngineReport | Unavailable:
+        read_ms = self._context.clock.now_ms()
+        report = self._context.dialect.read_report(engine.address)
+        if not isinstance(report, Unavailable):
+            record_report(self._context, engine.name, report, read_ms)
+        return report
+
     def _follow_load(self, move: Move, deadline_ms: int) -> None:
         """Polls an engine that is loading until it holds its layers.
 
@@ -391,7 +399,7 @@
     def _poll_load(self, engine: Engine) -> EngineReport | Unavailable:
         """Polls an engine that was ordered to load and records its report."""
         fleet = self._context.fleet
-        report = self._context.dialect.read_report(engine.address)
+        report = self._read_report(engine)
         now_ms = self._context.clock.now_ms()
         if isinstance(report, Unavailable):
             return report
--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -3,9 +3,10 @@
 A run sends the request to the first engine of a path and reads the response.
 """
 
-from caroblug.core.placement import Path
+from caroblug.core.placement import Engine, Path
 from caroblug.gateway._connect_attempts import ConnectAttempts
 from caroblug.gateway._crash_suspicions import CrashSuspicions
+from caroblug.gateway._engine_reports import record_load, record_report
 from caroblug.gateway._events import EventPace, OutOfOrderEvent
 from caroblug.gateway._exchange_results import (
     EndOfBody,
@@ -16,6 +17,7 @@
 )
 from caroblug.gateway._interfaces import (
     AnswerMetadata,
+    EngineReport,
     ForwardMetadata,
     RunState,
     Unavailable,
@@ -168,10 +170,14 @@
         if metadata.run is RunState.NOT_RUN:
             pending.ran -= 1
             state.began_on.discard(first)
+            record_load(self._context, first, metadata)
             return self._on_rejected(head, metadata)
         if metadata.request_id != pending.caller.id or not metadata.genuine:
             return RunResult(RunEnd.LOST, f"unproved answer {head.status}")
-        self._context.fleet.on_response(first, None, 0, state.now_ms)
+        self._context.fleet.on_response(
+            first, metadata.running, metadata.waiting, state.now_ms
+        )
+        record_load(self._context, first, metadata)
         self._context.fleet.on_accepted(state.path.names)
         if head.status != 200:
             return self._read_error_response(head, metadata)
@@ -259,13 +265,20 @@
         """
         state = self._state
         first = state.path.first
-        report = self._context.dialect.read_report(first.address)
+        report = self._read_report(first)
         if isinstance(report, Unavailable):
             state.eject_engine(first.name, f"report: {report.message}")
             self._crashes.on_connection_lost(
                 state.pending, first.name, first.address
             )
 
+    def _read_report(self, engine: Engine) -> EngineReport | Unavailable:
+        read_ms = self._state.now_ms
+        report = self._context.dialect.read_report(engine.address)
+        if not isinstance(report, Unavailable):
+            record_report(self._context, engine.name, report, read_ms)
+        return report
+
     def _on_rejected(
         self, head: ResponseHead, metadata: AnswerMetadata
     ) -> RunResult:
@@ -320,7 +333,7 @@
         """
         state = self._state
         first = state.path.first
-        report = self._context.dialect.read_report(first.address)
+        report = self._read_report(first)
         if isinstance(report, Unavailable):
             state.eject_engine(first.name, f"report: {report.message}")
             return RunResult(RunEnd.LOST, "first engine does not answer")
--- a/caroblug/gateway/_suspect_probes.py
+++ b/caroblug/gateway/_suspect_probes.py
@@ -3,6 +3,7 @@
 import gevent
 
 from caroblug.gateway._context import Context
+from caroblug.gateway._engine_reports import record_report
 from caroblug.gateway._interfaces import BackendServer, Unavailable
 from caroblug.gateway._throttle import Throttle
 
@@ -98,6 +99,7 @@
                     backend.name, None, 0, context.clock.now_ms()
                 )
                 return
+            read_ms = context.clock.now_ms()
             report = context.dialect.read_report(backend.address)
         finally:
             self._probing.discard(backend.name)
@@ -108,6 +110,7 @@
             return
         context.fleet.on_response(backend.name, None, 0, now_ms)
         context.fleet.on_report(backend.name, report.holds, now_ms)
+        record_report(context, backend.name, report, read_ms)
         if context.fleet.listing_age_ms(now_ms) > _STALE_LISTING_MS:
             self._check_draining(backend)
         if not was_failing:
