Read loaded engines regularly and share reports and members

Cause: gateways knew neither how full engines were nor, after a start, most of their local peers. Messages between gateways carry the 48 newest reports as rooms and 6 members. Parts of free memory smaller than a request are added up over the engines that hold the same layers.

--- a/caroblug/core/placement/__init__.py
+++ b/caroblug/core/placement/__init__.py
@@ -16,6 +16,7 @@
     covers_model,
     plan_moves,
 )
+from caroblug.core.placement._report_readers import ReportReaders
 from caroblug.core.placement._types import (
     Engine,
     EngineKind,
@@ -35,6 +36,7 @@
     "NoRoom",
     "Path",
     "PathPart",
+    "ReportReaders",
     "RoomNeed",
     "RoomReport",
     "compute_requests_per_chain",
--- a/caroblug/core/placement/_engine_rooms.py
+++ b/caroblug/core/placement/_engine_rooms.py
@@ -51,6 +51,9 @@
 count for in the cost of a path. A larger one would send requests of a busy
 gateway to other data centres although local engines have room."""
 
+_MEAN_WEIGHT = 0.02
+"""Weight of one request in the moving average of the tokens of a request."""
+
 _MESSAGE_AGE_MS = 300
 """Mean age of what this gateway knows of its peers' requests."""
 
@@ -120,6 +123,9 @@
         # Of the gateways of all data centres, and of the local ones.
         self._shares = (1.0, 1.0)
         self._mean_use: float | None = None
+        self._mean_tokens = 0.0
+        self._round_parts: dict[tuple, dict[str, float]] = {}
+        self._parts: dict[str, float] = {}
 
     def on_report(self, name: str, report: RoomReport, now_ms: int) -> bool:
         """Records a report unless it is older than the last one.
@@ -258,6 +264,8 @@
     ) -> bool:
         """Returns whether an engine has memory for a request of this gateway.
 
+        `begin_search` must have been called for the request.
+
         Args:
             engine: The engine.
             model: The model.
@@ -271,28 +279,87 @@
         capacity = model.token_capacity(engine.kind, len(engine.holds))
         if capacity <= 0:
             return False
-        self._begin_round(now_ms)
         report = self._fresh_report(engine.name, now_ms)
         if report is None:
             return self._fits_counts(engine, model, tokens, max_use, now_ms)
         if report.use is None:
             return True
         local = engine.data_centre == self._data_centre
-        free = (max_use - report.use) * capacity
         own = self._loads.own_change(engine.name, report.measured_ms)
         if not local:
-            free -= _REMOTE_RESERVE * capacity
             own = max(0.0, own)
         if report.measured_ms > self._round_ms:
             # What this gateway has added in this round was taken from its part
             # even if the report already includes it.
             added = self._loads.own_change(engine.name, self._round_ms)
             own = max(own, added)
-        share = self._shares[local]
-        offered = _ROUND_MS / _SETTLING_MS
-        part = free * share * (offered + (1.0 - offered) * share)
+        part = self._parts.get(engine.name, 0.0)
+        if report.use >= max_use:
+            part = min(part, 0.0)
         return own + tokens <= part + self._rounding * tokens
 
+    def begin_search(
+        self,
+        engines: list[Engine],
+        model: ModelShape,
+        tokens: int,
+        max_use: float,
+        now_ms: int,
+    ) -> None:
+        """Prepares `has_room` for a request.
+
+        Args:
+            engines: Engines that the request may use.
+            model: The model.
+            tokens: Tokens that the request will hold.
+            max_use: Share of the memory that may be in use with the request.
+            now_ms: Current time.
+        """
+        self._begin_round(now_ms)
+        weight = _MEAN_WEIGHT if self._mean_tokens else 1.0
+        self._mean_tokens += (tokens - self._mean_tokens) * weight
+        key = (id(model), round(max_use, 2))
+        parts = self._round_parts.get(key)
+        if parts is None:
+            parts = self._compute_parts(engines, model, max_use, now_ms)
+            self._round_parts[key] = parts
+        self._parts = parts
+
+    def _compute_parts(
+        self,
+        engines: list[Engine],
+        model: ModelShape,
+        max_use: float,
+        now_ms: int,
+    ) -> dict[str, float]:
+        """Returns this gateway's part of the free memory of each engine.
+
+        A part is a whole number of requests. Parts smaller than that are added
+        up over the engines that hold the same layers, so that one of them gets
+        a whole request, and the engines of all layers at the same time.
+
+        Returns:
+            Tokens by name of the engine; negative where memory is to be freed.
+        """
+        sums: dict[tuple, float] = {}
+        parts = {}
+        for engine in engines:
+            report = self._fresh_report(engine.name, now_ms)
+            if report is None or report.use is None:
+                continue
+            local = engine.data_centre == self._data_centre
+            free = max_use - report.use - (0.0 if local else _REMOTE_RESERVE)
+            share = self._shares[local]
+            offered = _ROUND_MS / _SETTLING_MS
+            free *= share * (offered + (1.0 - offered) * share)
+            requests = free * _capacity(engine, model) / self._mean_tokens
+            group = (engine.data_centre, engine.holds)
+            before = sums.get(group, self._rounding)
+            sums[group] = before + requests
+            whole = math.floor(before + requests) - math.floor(before)
+            parts[engine.name] = whole * self._mean_tokens
+        return parts
+
     def _fits_counts(
         self,
         engine: Engine,
@@ -337,6 +404,7 @@
         self._round = number
         self._round_ms = number * _ROUND_MS - self._round_offset_ms
         self._rounding = self._rng.random()
+        self._round_parts.clear()
         self._shares = (self._loads.share(False), self._loads.share(True))
         uses = [
             room.report.use
--- a/caroblug/core/placement/_paths.py
+++ b/caroblug/core/placement/_paths.py
@@ -172,6 +172,8 @@
     search = _Search(model, loads, data_centre, rng, excluded_first, after)
     if need is None:
         return search.run(ready, use)
+    if rooms is not None:
+        rooms.begin_search(ready, model, need.tokens, need.max_use, now_ms)
     with_room = [
         e
         for e in ready
--- a/caroblug/core/placement/tests/test_engine_rooms.py
+++ b/caroblug/core/placement/tests/test_engine_rooms.py
@@ -39,6 +39,7 @@
     def has_room(self, now_ms, share=0.01, max_use=0.95):
         """Returns whether a request that takes a share of the memory fits."""
         tokens = int(share * _CAPACITY)
+        self.rooms.begin_search([_ENGINE], MODEL, tokens, max_use, now_ms)
         return self.rooms.has_room(_ENGINE, MODEL, tokens, max_use, now_ms)
 
     def add(self, share, now_ms):
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -34,6 +34,7 @@
 )
 from caroblug.gateway._placement import PlacementController
 from caroblug.gateway._plain_calls import PlainCallHandler
+from caroblug.gateway._room_readers import RoomReaders
 from caroblug.gateway._running_streams import RunningStreams
 from caroblug.gateway._settings import GatewaySettings, SettingsProblem
 from caroblug.gateway._shared_retry_budget import LEND_PATH, SharedRetryBudget
@@ -116,6 +117,7 @@
         )
         self._running = RunningStreams(context)
         self._liveness = LivenessMonitor(context, self._running)
+        self._room_readers = RoomReaders(context, self._peers)
         self._slowness = SlownessDetector(context, self._running)
         self._streams = StreamHandler(
             context,
@@ -172,6 +174,7 @@
             self._suspect_probes.run,
             self._liveness.run,
             self._slowness.run,
+            self._room_readers.run,
             self._poll_settings,
         ):
             gevent.spawn(loop)
--- a/caroblug/gateway/_peer_members.py
+++ b/caroblug/gateway/_peer_members.py
@@ -7,20 +7,26 @@
 """How long a gateway that is missing from the group is still contacted. Its
 membership may have expired only because the store was unavailable."""
 
+_LIVE_MS = 5000
+"""Time since a gateway was last seen within which it counts as running. In a
+data centre with a hundred gateways, each one is named to a gateway at least
+every few rounds."""
+
 
 class PeerMembers:
     """The other gateways, and which of them run in the local data centre.
 
     Args:
         own_name: Name of this gateway.
+        data_centre: Data centre of this gateway.
     """
 
-    def __init__(self, own_name: str) -> None:
+    def __init__(self, own_name: str, data_centre: str) -> None:
         self._own_name = own_name
+        self._data_centre = data_centre
         self._addresses: dict[str, Address] = {}
         self._seen_ms: dict[str, int] = {}
-        self._local: set[str] = set()
-        self._remote: set[str] = set()
+        self._data_centres: dict[str, str] = {}
 
     def __len__(self) -> int:
         return len(self._addresses)
@@ -42,21 +48,55 @@
             return
         self._addresses[member.name] = member.address
         self._seen_ms[member.name] = now_ms
+        if member.data_centre:
+            self._data_centres[member.name] = member.data_centre
+
+    def add_reported(self, member: Member, now_ms: int) -> None:
+        """Adds a gateway that another one names.
+
+        A known address isn't replaced: the gateway itself states its own one.
+        """
+        known = self._addresses.get(member.name)
+        if known is None or known == member.address:
+            self.add(member, now_ms)
 
-    def set_local(self, name: str, local: bool) -> None:
-        """Records whether a gateway runs in the local data centre."""
-        (self._local if local else self._remote).add(name)
+    def on_message(self, name: str, data_centre: str, now_ms: int) -> None:
+        """Records that a gateway has sent a message from a data centre."""
+        self._data_centres[name] = data_centre
+        if name in self._addresses:
+            self._seen_ms[name] = now_ms
 
     def is_remote(self, name: str) -> bool:
         """Returns whether a gateway runs in another data centre."""
-        return name in self._remote
+        known = self._data_centres.get(name)
+        return known is not None and known != self._data_centre
 
-    def count_local(self) -> int:
-        """Returns how many gateways are known to be local.
+    def local(self) -> frozenset[str]:
+        """Returns the gateways that are known to be local.
 
         A gateway whose data centre is unknown doesn't count.
         """
-        return len(self._local & self._addresses.keys())
+        return frozenset(
+            name
+            for name in self._addresses
+            if self._data_centres.get(name) == self._data_centre
+        )
+
+    def live_local(self, now_ms: int) -> set[str]:
+        """Returns the local gateways that were seen a short time ago."""
+        return {
+            name
+            for name in self.local()
+            if now_ms - self._seen_ms[name] <= _LIVE_MS
+        }
+
+    def find(self, name: str) -> Member | None:
+        """Returns a gateway whose address and data centre are known."""
+        address = self._addresses.get(name)
+        data_centre = self._data_centres.get(name)
+        if address is None or data_centre is None:
+            return None
+        return Member(name, address, data_centre)
 
     def remove_expired(self, now_ms: int) -> list[str]:
         """Removes gateways not seen for long and returns their names."""
@@ -68,6 +108,5 @@
         for name in expired:
             del self._seen_ms[name]
             del self._addresses[name]
-            self._local.discard(name)
-            self._remote.discard(name)
+            self._data_centres.pop(name, None)
         return expired
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -60,6 +60,10 @@
 _INITIAL_MEMBERS_READS = 4
 """Reads at the shorter interval after a start, while gateways join."""
 
+_MAX_SHARED_MEMBERS = 6
+"""Gateways named in each message. A gateway knows all gateways of a small data
+centre after a few rounds, and messages stay short."""
+
 _PEER_TIMEOUT_MS = 1500
 """Time without a message after which a gateway's load is discarded. By then its
 streams have been taken over or are lost."""
@@ -94,7 +98,9 @@
         self._context = context
         self._crashes = crashes
         self._registry = registry
-        self._members = PeerMembers(context.settings.instance)
+        self._members = PeerMembers(
+            context.settings.instance, context.settings.data_centre
+        )
         self._received_ms: dict[str, int] = {}
         self._exchanging: set[str] = set()
         self._fetch_from: set[str] = set()
@@ -259,6 +265,7 @@
             "name": settings.instance,
             "address": list(settings.peers),
             "data_centre": settings.data_centre,
+            "members": self._choose_members(),
             "loads": context.fleet.loads.own_tokens(),
             **self._server_state.encode(now_ms),
             "version": self._version(),
@@ -273,6 +280,35 @@
             "holder_age_ms": self._holder_age_ms(now_ms),
         }
 
+    def _choose_members(self) -> dict[str, list]:
+        """Returns some gateways to tell a peer of.
+
+        Only gateways that recently sent a message themselves are chosen, so
+        that gateways that have left are not named to each other for ever.
+        """
+        names = [
+            name
+            for name in sorted(self._received_ms)
+            if self._lease_states.get(name) is not LeaseState.LEAVING
+        ]
+        rng = self._context.rng
+        chosen = rng.sample(names, min(len(names), _MAX_SHARED_MEMBERS))
+        members = map(self._members.find, chosen)
+        return {
+            member.name: [*member.address, member.data_centre]
+            for member in members
+            if member is not None
+        }
+
+    def _apply_members(self, members: dict) -> None:
+        """Adds gateways that a peer names."""
+        now_ms = self._context.clock.now_ms()
+        for name, (host, port, data_centre) in members.items():
+            address = (str(host), int(port))
+            self._members.add_reported(
+                Member(str(name), address, str(data_centre)), now_ms
+            )
+
     def _handle_message(self, message: dict) -> dict:
         """Applies another gateway's message and returns the answer to it."""
         name = message["name"]
@@ -351,8 +387,11 @@
         self._members.add(member, self._context.clock.now_ms())
 
     def _apply_peer_state(self, name: str, message: dict) -> None:
-        is_local = message["data_centre"] == self._context.settings.data_centre
-        self._members.set_local(name, is_local)
+        self._members.on_message(
+            name, str(message["data_centre"]), self._context.clock.now_ms()
+        )
+        # Gateways of the previous version don't send members.
+        self._apply_members(message.get("members", {}))
         self._apply_loads(name, message["loads"])
         self._server_state.apply(message)
         self._apply_list_age(name, message)
@@ -401,8 +440,27 @@
         tokens = {str(key): float(value) for key, value in loads.items()}
         self._received_ms[name] = self._context.clock.now_ms()
         loads = self._context.fleet.loads
-        loads.update_peer(name, tokens, local=not self._members.is_remote(name))
-        loads.local_gateways = self._members.count_local() + 1
+        loads.update_peer(
+            name,
+            tokens,
+            local=not self._members.is_remote(name),
+            now_ms=self._received_ms[name],
+        )
+        loads.local_gateways = len(self._members.local()) + 1
+
+    def local_gateways(self) -> frozenset[str]:
+        """Returns the gateways known in this data centre, with this one."""
+        return self._members.local() | {self._context.settings.instance}
+
+    def live_local_gateways(self) -> set[str]:
+        """Returns the running gateways of this data centre, with this one."""
+        live = self._members.live_local(self._context.clock.now_ms())
+        leaving = {
+            name
+            for name, state in self._lease_states.items()
+            if state is LeaseState.LEAVING
+        }
+        return (live - leaving) | {self._context.settings.instance}
 
     def is_first_local_reader(self) -> bool:
         """Returns whether this gateway reads first in its data centre."""
--- a/caroblug/gateway/_server_state_messages.py
+++ b/caroblug/gateway/_server_state_messages.py
@@ -1,9 +1,15 @@
 """JSON form of what gateways tell each other about backend servers."""
 
-from caroblug.core.placement import LayerRange
+from caroblug.core.placement import LayerRange, RoomReport
 from caroblug.gateway._context import Context
 from caroblug.gateway._limit_messages import decode_limit, encode_limits
 
+_MAX_SHARED_ROOMS = 48
+"""Engines whose memory is reported in each message, which bounds its length."""
+
+_USE_UNITS = 1000
+"""Units of an engine's memory in which its use is sent."""
+
 
 class ServerStateMessages:
     """Encodes and applies the fields about backend servers.
@@ -37,6 +43,12 @@
             "exits": fleet.announced_exits(),
             "limits": encode_limits(fleet.limits.reports(now_ms)),
             "unanswered": fleet.unanswered_orders(now_ms),
+            "rooms": {
+                engine: _encode_room(report, now_ms)
+                for engine, report in fleet.rooms.newest(
+                    now_ms, _MAX_SHARED_ROOMS
+                ).items()
+            },
         }
 
     def apply(self, message: dict) -> None:
@@ -49,6 +61,7 @@
         self._apply_exits(message.get("exits", {}))
         self._apply_slowdowns(message.get("paces", {}))
         self._apply_unanswered_orders(message.get("unanswered", {}))
+        self._apply_rooms(message.get("rooms", {}))
 
     def _apply_engine_reports(self, told: dict) -> None:
         """Applies what engines have reported to a peer about their layers."""
@@ -128,3 +141,22 @@
         The report alone is not trusted, as the peer may itself be cut off.
         """
         self._context.engines_to_probe.update(str(name) for name in names)
+
+    def _apply_rooms(self, rooms: dict) -> None:
+        """Applies what engines have reported to a peer about their memory."""
+        context = self._context
+        now_ms = context.clock.now_ms()
+        for name, (use, age_ms, waiting, running) in rooms.items():
+            report = RoomReport(
+                None if use is None else float(use) / _USE_UNITS,
+                int(running),
+                int(waiting),
+                now_ms - int(age_ms),
+            )
+            if not context.fleet.rooms.on_report(str(name), report, now_ms):
+                context.telemetry.count("invalid_loads", source="peer")
+
+
+def _encode_room(report: RoomReport, now_ms: int) -> list:
+    use = None if report.use is None else round(report.use * _USE_UNITS)
+    return [use, now_ms - report.measured_ms, report.waiting, report.running]
