--- a/caroblug/core/placement/_paths.py
+++ b/caroblug/core/placement/_paths.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from caroblug.core.placement._engine_rooms import EngineRooms
 from caroblug.core.placement._load import EngineLoads
 from caroblug.core.placement._planner import HOP_MS
 from caroblug.core.placement._types import Engine, LayerRange, ModelShape
@@ -57,8 +58,8 @@
 
     Attributes:
         parts: At least one part; each begins where the previous one ends.
-        use: Memory use of the fullest engine, as a share of its token
-            capacity.
+        use: Estimated memory use of the fullest engine, as a share of its
+            token capacity.
     """
 
     parts: tuple[PathPart, ...]
@@ -98,6 +99,32 @@
     layer: int
 
 
+@attrs.frozen
+class RoomNeed:
+    """Memory that a request needs on each engine of its path.
+
+    Attributes:
+        tokens: Tokens that the request will hold in the engine's memory.
+        max_use: Share of the engine's memory that may be in use once the
+            request is on it, from 0 to 1.
+    """
+
+    tokens: int
+    max_use: float
+
+
+@attrs.frozen
+class NoRoom:
+    """Result of a search in which engines on every path lack free memory.
+
+    Attributes:
+        layer: First layer for which the longest partial path has no engine
+            with enough free memory.
+    """
+
+    layer: int
+
+
 def choose_path(
     engines: list[Engine],
     model: ModelShape,
@@ -106,7 +133,10 @@
     rng: random.Random,
     excluded_first: frozenset[str] = frozenset(),
     after: PathPart | None = None,
-) -> Path | NoPath:
+    need: RoomNeed | None = None,
+    rooms: EngineRooms | None = None,
+    now_ms: int = 0,
+) -> Path | NoPath | NoRoom:
     """Returns the path with the lowest cost.
 
     The cost is the time of a decode step, network included, and surcharges for
@@ -122,16 +152,91 @@
             choosing the same path.
         excluded_first: Names of engines with which the path must not begin.
         after: Part with which the path has to begin, if the path of a running
-            request is changed.
+            request is changed. It needs no room on that part's engine.
+        need: Memory that the request needs; None if any engine will do.
+        rooms: Free memory of the engines; None if only `loads` is known.
+        now_ms: Current time, for `rooms`.
 
     Returns:
-        The path, or NoPath if the engines leave a coverage gap or the path
-        would have too many parts.
+        The path, NoPath if the engines leave a coverage gap or the path would
+        have too many parts, or NoRoom if there is a path, but none whose
+        engines have the memory that is needed.
     """
     ready = [e for e in engines if len(e.holds) and not e.loading]
     if after is not None:
         ready = [e for e in ready if e.name != after.engine.name]
-    use = {e.name: loads.memory_use(e, model) for e in ready}
+    if rooms is None:
+        use = {e.name: loads.memory_use(e, model) for e in ready}
+    else:
+        use = {e.name: rooms.use(e, model, now_ms) for e in ready}
+    search = _Search(model, loads, data_centre, rng, excluded_first, after)
+    if need is None:
+        return search.run(ready, use)
+    if rooms is not None:
+        rooms.begin_search(ready, model, need.tokens, need.max_use, now_ms)
+    with_room = [
+        e
+        for e in ready
+        if _has_room(e, model, need, use[e.name], rooms, now_ms)
+    ]
+    path = search.run(with_room, use)
+    if isinstance(path, Path) or len(with_room) == len(ready):
+        return path
+    without_need = search.run(ready, use)
+    if isinstance(without_need, NoPath):
+        return without_need
+    return NoRoom(path.layer)
+
+
+def _has_room(
+    engine: Engine,
+    model: ModelShape,
+    need: RoomNeed,
+    use: float,
+    rooms: EngineRooms | None,
+    now_ms: int,
+) -> bool:
+    if rooms is not None:
+        return rooms.has_room(engine, model, need.tokens, need.max_use, now_ms)
+    capacity = model.token_capacity(engine.kind, len(engine.holds))
+    return capacity > 0 and use + need.tokens / capacity <= need.max_use
+
+
+@attrs.frozen
+class _Search:
+    """Arguments of one search that don't depend on the engines."""
+
+    model: ModelShape
+    loads: EngineLoads
+    data_centre: str
+    rng: random.Random
+    excluded_first: frozenset[str]
+    after: PathPart | None
+
+    def run(self, ready: list[Engine], use: dict[str, float]) -> Path | NoPath:
+        """Returns the path with the lowest cost over the given engines."""
+        return _find_path(
+            ready,
+            use,
+            self.model,
+            self.loads,
+            self.data_centre,
+            self.rng,
+            self.excluded_first,
+            self.after,
+        )
+
+
+def _find_path(
+    ready: list[Engine],
+    use: dict[str, float],
+    model: ModelShape,
+    loads: EngineLoads,
+    data_centre: str,
+    rng: random.Random,
+    excluded_first: frozenset[str],
+    after: PathPart | None,
+) -> Path | NoPath:
     cost_ms = {
         e.name: _memory_cost_ms(use[e.name], rng)
         + loads.pending_prefills(e.name)
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -12,19 +12,18 @@
 import gevent
 from gevent import event
 
-from caroblug.core.placement import LayerRange
 from caroblug.gateway._compression import TextCompressor, decompress_text
 from caroblug.gateway._context import Context
 from caroblug.gateway._crash_suspicions import CrashSuspicions
-from caroblug.gateway._http_client import Address
 from caroblug.gateway._interfaces import Member, Registry, Unavailable
 from caroblug.gateway._lease_holder_tracker import (
     UNKNOWN_AGE_MS,
     LeaseHolderTracker,
 )
-from caroblug.gateway._limit_messages import decode_limit, encode_limits
 from caroblug.gateway._peer_calls import DECODE_ERRORS, PeerCalls
+from caroblug.gateway._peer_members import PeerMembers
 from caroblug.gateway._reader_ranking import ReaderRanking
+from caroblug.gateway._server_state_messages import ServerStateMessages
 
 EXCHANGE_PATH = "/tell"
 
@@ -61,9 +60,9 @@
 _INITIAL_MEMBERS_READS = 4
 """Reads at the shorter interval after a start, while gateways join."""
 
-_MEMBER_RETENTION_MS = 45000
-"""How long a gateway that is missing from the group is still contacted. Its
-membership may have expired only because the store was unavailable."""
+_MAX_SHARED_MEMBERS = 6
+"""Gateways named in each message. A gateway knows all gateways of a small data
+centre after a few rounds, and messages stay short."""
 
 _PEER_TIMEOUT_MS = 1500
 """Time without a message after which a gateway's load is discarded. By then its
@@ -99,14 +98,13 @@
         self._context = context
         self._crashes = crashes
         self._registry = registry
-        self._members: dict[str, Address] = {}
-        self._member_seen_ms: dict[str, int] = {}
+        self._members = PeerMembers(
+            context.settings.instance, context.settings.data_centre
+        )
         self._received_ms: dict[str, int] = {}
         self._exchanging: set[str] = set()
         self._fetch_from: set[str] = set()
         self._lease_states: dict[str, LeaseState] = {}
-        self._local: set[str] = set()
-        self._remote: set[str] = set()
         self._holder_tracker = LeaseHolderTracker(context.clock.now_ms())
         self._versions: dict[str, int] = {}
         self._reader_ranking = ReaderRanking(
@@ -117,6 +115,7 @@
         self._new_version = event.Event()
         self._configuration_compressor = TextCompressor()
         self._list_compressor = TextCompressor()
+        self._server_state = ServerStateMessages(context)
         self._calls = PeerCalls(context)
         self._calls.register(EXCHANGE_PATH, self._handle_message)
         self.lease_state = LeaseState.NONE
@@ -182,7 +181,7 @@
             The answer, or `Unavailable` if the gateway is unknown or the call
             failed.
         """
-        address = self._members.get(name)
+        address = self._members.address(name)
         if address is None:
             return Unavailable(f"gateway {name} is not known")
         return self._calls.call(address, path, message)
@@ -208,11 +207,11 @@
 
     def _choose_partners(self) -> list[str]:
         now_ms = self._context.clock.now_ms()
-        sources = sorted(self._fetch_from & set(self._members))
+        sources = sorted(self._fetch_from.intersection(self._members.names()))
         self._fetch_from.clear()
         names = [
             name
-            for name in sorted(self._members)
+            for name in self._members.names()
             if now_ms - self._received_ms.get(name, -_RECENT_EXCHANGE_MS)
             >= _RECENT_EXCHANGE_MS
             and name not in sources
@@ -228,7 +227,7 @@
         version = self._version()
         names = [
             name
-            for name in sorted(self._members)
+            for name in self._members.names()
             if self._versions.get(name, -1) < version
         ]
         return self._sample(names, _MAX_PARTNERS)
@@ -238,8 +237,8 @@
         if len(names) <= limit:
             return names
         rng = self._context.rng
-        remote = [name for name in names if name in self._remote]
-        local = [name for name in names if name not in self._remote]
+        remote = [name for name in names if self._members.is_remote(name)]
+        local = [name for name in names if not self._members.is_remote(name)]
         chosen = rng.sample(
             remote, min(len(remote), limit, _MAX_REMOTE_PARTNERS)
         )
@@ -262,34 +261,54 @@
         context = self._context
         now_ms = context.clock.now_ms()
         settings = context.settings
-        reports = context.fleet.recent_reports(now_ms)
         return {
             "name": settings.instance,
             "address": list(settings.peers),
             "data_centre": settings.data_centre,
+            "members": self._choose_members(),
             "loads": context.fleet.loads.own_tokens(),
+            **self._server_state.encode(now_ms),
             "version": self._version(),
             "version_age_ms": self._reader_ranking.version_age_ms,
             "rank": self._reader_ranking.rank,
             "repeats": self._count_retries_left(now_ms),
-            "list_age_ms": self._list_age_ms(),
+            "list_age_ms": self._server_state.list_age_ms(),
             "list_digest": context.fleet.listing.digest,
             "list_end": context.fleet.listing.end,
-            "suspects": context.fleet.ejected(now_ms),
-            "told": {
-                engine: [layers.first, layers.end, age_ms]
-                for engine, (layers, age_ms) in reports.items()
-            },
-            "paces": context.fleet.recent_slowdowns(now_ms),
-            "leaving": context.fleet.recently_leaving(now_ms),
-            "exits": context.fleet.announced_exits(),
-            "limits": encode_limits(context.fleet.limits.reports(now_ms)),
-            "unanswered": context.fleet.unanswered_orders(now_ms),
             "crashes": self._crashes.export(),
             "tenure": self.lease_state.value,
             "holder_age_ms": self._holder_age_ms(now_ms),
         }
 
+    def _choose_members(self) -> dict[str, list]:
+        """Returns some gateways to tell a peer of.
+
+        Only gateways that recently sent a message themselves are chosen, so
+        that gateways that have left are not named to each other for ever.
+        """
+        names = [
+            name
+            for name in sorted(self._received_ms)
+            if self._lease_states.get(name) is not LeaseState.LEAVING
+        ]
+        rng = self._context.rng
+        chosen = rng.sample(names, min(len(names), _MAX_SHARED_MEMBERS))
+        members = map(self._members.find, chosen)
+        return {
+            member.name: [*member.address, member.data_centre]
+            for member in members
+            if member is not None
+        }
+
+    def _apply_members(self, members: dict) -> None:
+        """Adds gateways that a peer names."""
+        now_ms = self._context.clock.now_ms()
+        for name, (host, port, data_centre) in members.items():
+            address = (str(host), int(port))
+            self._members.add_reported(
+                Member(str(name), address, str(data_centre)), now_ms
+            )
+
     def _handle_message(self, message: dict) -> dict:
         """Applies another gateway's message and returns the answer to it."""
         name = message["name"]
@@ -365,23 +384,16 @@
     # State reported by peers.
 
     def _add_member(self, member: Member) -> None:
-        if member.name == self._context.settings.instance:
-            return
-        self._members[member.name] = member.address
-        self._member_seen_ms[member.name] = self._context.clock.now_ms()
+        self._members.add(member, self._context.clock.now_ms())
 
     def _apply_peer_state(self, name: str, message: dict) -> None:
-        is_local = message["data_centre"] == self._context.settings.data_centre
-        (self._local if is_local else self._remote).add(name)
+        self._members.on_message(
+            name, str(message["data_centre"]), self._context.clock.now_ms()
+        )
+        # Gateways of the previous version don't send members.
+        self._apply_members(message.get("members", {}))
         self._apply_loads(name, message["loads"])
-        self._apply_suspects(message["suspects"])
-        self._apply_engine_reports(message["told"])
-        self._apply_leaving(message["leaving"])
-        # Gateways of the previous version don't send these fields.
-        self._apply_limits(message.get("limits", {}))
-        self._apply_exits(message.get("exits", {}))
-        self._apply_slowdowns(message.get("paces", {}))
-        self._apply_unanswered_orders(message.get("unanswered", {}))
+        self._server_state.apply(message)
         self._apply_list_age(name, message)
         # Gateways of the previous version report neither rank nor age.
         self._reader_ranking.set_rank(name, int(message.get("rank", 0)))
@@ -421,97 +433,34 @@
             self._context.fleet.confirm_listing(
                 message["list_digest"], int(message["list_end"]), listed_ms
             )
-        elif age_ms < self._list_age_ms():
+        elif age_ms < self._server_state.list_age_ms():
             self._fetch_from.add(name)
 
-    def _apply_engine_reports(self, told: dict) -> None:
-        """Applies what engines have reported to a peer about their layers."""
-        now_ms = self._context.clock.now_ms()
-        for engine, (first, end, age_ms) in told.items():
-            layers = LayerRange(int(first), int(end))
-            self._context.fleet.on_report(engine, layers, now_ms - int(age_ms))
-
-    def _apply_leaving(self, leaving: dict) -> None:
-        """Applies which backend servers a peer has found to be draining.
-
-        Guards against an unavailable store, with which each gateway would have
-        to detect each draining backend server by itself, at the cost of a
-        rejected request and a health check.
-        """
-        now_ms = self._context.clock.now_ms()
-        for name, age_ms in leaving.items():
-            self._context.fleet.on_leaving(str(name), now_ms - int(age_ms))
-
-    def _apply_limits(self, reports: dict) -> None:
-        """Applies the limits that servers have named to a peer."""
-        context = self._context
-        now_ms = context.clock.now_ms()
-        for name, fields in reports.items():
-            report = decode_limit(fields)
-            if context.fleet.limits.merge(str(name), report, now_ms):
-                context.log.write(
-                    "backend_server.limit",
-                    backend_server=name,
-                    rate_per_s=report.rate_per_s,
-                    source="peer",
-                )
-
-    def _apply_exits(self, exits: dict) -> None:
-        """Applies that servers have told a peer that they are draining."""
-        context = self._context
-        now_ms = context.clock.now_ms()
-        for name, started_ms in exits.items():
-            if context.fleet.availability.on_exit_announced(
-                str(name), int(started_ms), now_ms
-            ):
-                context.log.write(
-                    "backend_server.leaving",
-                    backend_server=name,
-                    list_age_ms=self._list_age_ms(),
-                    source="peer",
-                )
-
-    def _apply_slowdowns(self, paces: dict) -> None:
-        """Applies the slowdowns that engines have reported to a peer.
-
-        Guards against late detection. Each gateway has few streams on a slow
-        engine and reads the engine's report only once they have lagged.
-        """
-        now_ms = self._context.clock.now_ms()
-        for name, (pace, age_ms) in paces.items():
-            self._context.fleet.on_slowdown(
-                str(name), float(pace), now_ms - int(age_ms)
-            )
-
-    def _apply_unanswered_orders(self, unanswered: dict) -> None:
-        """Records a peer's unanswered orders, which may still take effect.
-
-        Guards against the failure of the gateway that gave them. The next
-        gateway to place layers would rely on engines that release their layers
-        later.
-        """
-        now_ms = self._context.clock.now_ms()
-        for name, age_ms in unanswered.items():
-            self._context.fleet.on_order_unanswered(
-                str(name), now_ms - int(age_ms)
-            )
-
     def _apply_loads(self, name: str, loads: dict) -> None:
         tokens = {str(key): float(value) for key, value in loads.items()}
         self._received_ms[name] = self._context.clock.now_ms()
         loads = self._context.fleet.loads
-        loads.update_peer(name, tokens, local=name not in self._remote)
-        # A gateway whose data centre is unknown doesn't count as local. That
-        # applies to all gateways for a second after the start.
-        known = self._local & set(self._members)
-        loads.local_gateways = len(known) + 1
+        loads.update_peer(
+            name,
+            tokens,
+            local=not self._members.is_remote(name),
+            now_ms=self._received_ms[name],
+        )
+        loads.local_gateways = len(self._members.local()) + 1
 
-    def _apply_suspects(self, names: list) -> None:
-        """Queues probes of the engines that a peer considers failed.
+    def local_gateways(self) -> frozenset[str]:
+        """Returns the gateways known in this data centre, with this one."""
+        return self._members.local() | {self._context.settings.instance}
 
-        The report alone is not trusted, as the peer may itself be cut off.
-        """
-        self._context.engines_to_probe.update(str(name) for name in names)
+    def live_local_gateways(self) -> set[str]:
+        """Returns the running gateways of this data centre, with this one."""
+        live = self._members.live_local(self._context.clock.now_ms())
+        leaving = {
+            name
+            for name, state in self._lease_states.items()
+            if state is LeaseState.LEAVING
+        }
+        return (live - leaving) | {self._context.settings.instance}
 
     def is_first_local_reader(self) -> bool:
         """Returns whether this gateway reads first in its data centre."""
@@ -527,7 +476,9 @@
     def _local_peers(self) -> list[str]:
         """Returns the other active gateways of the data centre."""
         return [
-            name for name in self._active_peers() if name not in self._remote
+            name
+            for name in self._active_peers()
+            if not self._members.is_remote(name)
         ]
 
     def is_acting_standby(self) -> bool:
@@ -567,14 +518,9 @@
 
     def _remove_expired_members(self) -> None:
         now_ms = self._context.clock.now_ms()
-        for name, seen_ms in list(self._member_seen_ms.items()):
-            if now_ms - seen_ms > _MEMBER_RETENTION_MS:
-                del self._member_seen_ms[name]
-                del self._members[name]
-                self._versions.pop(name, None)
-                self._reader_ranking.remove(name)
-                self._local.discard(name)
-                self._remote.discard(name)
+        for name in self._members.remove_expired(now_ms):
+            self._versions.pop(name, None)
+            self._reader_ranking.remove(name)
 
     def _remove_silent_peers(self) -> None:
         now_ms = self._context.clock.now_ms()
@@ -593,9 +539,3 @@
     def _version(self) -> int:
         known = self._context.configuration
         return known.version if known is not None else -1
-
-    def _list_age_ms(self) -> int:
-        fleet = self._context.fleet
-        if not fleet.has_listing:
-            return 1_000_000
-        return fleet.listing_age_ms(self._context.clock.now_ms())
