Keep requests without room off paths between data centres

Cause: when engines of every data centre were full, a path with room led over several of them. The link between data centres carries some 18 prompts a second; its queue delayed every stream on such a path, which held its memory longer. Change: with a need for room, a path leads over several data centres only if none of them serves the whole model; otherwise the result is NoRoom. Conclusion: a stream without room waits or is refused rather than cross.

--- a/caroblug/core/placement/_paths.py
+++ b/caroblug/core/placement/_paths.py
@@ -160,7 +160,8 @@
     Returns:
         The path, NoPath if the engines leave a coverage gap or the path would
         have too many parts, or NoRoom if there is a path, but none whose
-        engines have the memory that is needed.
+        engines have the memory that is needed. With a need, a path leads over
+        several data centres only if none of them serves the whole model.
     """
     ready = [e for e in engines if len(e.holds) and not e.loading]
     if after is not None:
@@ -177,6 +178,14 @@
         for e in ready
         if _has_room(e, model, need, use[e.name], rooms, now_ms)
     ]
+    local = search.run(with_room, use, crossing=False)
+    if isinstance(local, Path):
+        return local
+    if isinstance(search.run(ready, use, crossing=False), Path):
+        # A data centre serves the whole model, but has no room now. Paths
+        # between data centres share a link that carries few prompts a second:
+        # under overload its queue would delay every stream on such a path.
+        return NoRoom(local.layer)
     path = search.run(with_room, use)
     if isinstance(path, Path) or len(with_room) == len(ready):
         return path
@@ -211,8 +220,19 @@
     excluded_first: frozenset[str]
     after: PathPart | None
 
-    def run(self, ready: list[Engine], use: dict[str, float]) -> Path | NoPath:
-        """Returns the path with the lowest cost over the given engines."""
+    def run(
+        self,
+        ready: list[Engine],
+        use: dict[str, float],
+        crossing: bool = True,
+    ) -> Path | NoPath:
+        """Returns the path with the lowest cost over the given engines.
+
+        Args:
+            ready: Engines that may be used.
+            use: Memory use by name of the engine.
+            crossing: Whether the path may lead over several data centres.
+        """
         return _find_path(
             ready,
             use,
@@ -222,6 +242,7 @@
             self.rng,
             self.excluded_first,
             self.after,
+            crossing,
         )
 
 
@@ -234,6 +255,7 @@
     rng: random.Random,
     excluded_first: frozenset[str],
     after: PathPart | None,
+    crossing: bool,
 ) -> Path | NoPath:
     cost_ms = {
         e.name: _memory_cost_ms(use[e.name], rng)
@@ -266,6 +288,8 @@
                 continue
             if last is None and engine.name in excluded_first:
                 continue
+            if last and engine.data_centre != location and not crossing:
+                continue
             end = engine.holds.end
             edge_ms = (end - layer) * layer_ms * engine.kind.step_time_factor
             edge_ms += HOP_MS + cost_ms[engine.name]
--- a/caroblug/core/placement/tests/test_paths.py
+++ b/caroblug/core/placement/tests/test_paths.py
@@ -215,6 +215,48 @@
     assert choose([full, *rest], loads).first == full
 
 
+def make_two_data_centres():
+    return [
+        make_engine(
+            f"{data_centre}-{first}", BIG, data_centre, first, first + 16
+        )
+        for data_centre in "ab"
+        for first in range(0, 80, 16)
+    ]
+
+
+def test_full_data_centre_overflows_to_a_whole_remote_chain():
+    engines = make_two_data_centres()
+    loads = EngineLoads()
+    fill(loads, engines[1], 0.95)
+
+    path = choose(engines, loads, need=RoomNeed(1000, 0.9))
+
+    assert path.names == ("b-0", "b-16", "b-32", "b-48", "b-64")
+
+
+def test_lack_of_memory_leads_to_no_path_between_data_centres():
+    # Guards against an overload that fills the link between data centres: each
+    # data centre has room on other layers, and the queue of the link makes all
+    # streams late.
+    engines = make_two_data_centres()
+    loads = EngineLoads()
+    fill(loads, engines[1], 0.95)
+    fill(loads, engines[7], 0.95)
+
+    for data_centre in "ab":
+        path = choose(engines, loads, data_centre, need=RoomNeed(1000, 0.9))
+        assert isinstance(path, NoRoom)
+
+
+def test_path_between_data_centres_if_none_serves_the_model():
+    engines = make_two_data_centres()
+
+    path = choose(engines[:2] + engines[7:], need=RoomNeed(1000, 0.9))
+
+    assert path.names == ("a-0", "a-16", "b-32", "b-48", "b-64")
+
+
 def test_coverage_gap_is_no_lack_of_memory():
     # Guards against requests that wait for memory on layers that no engine
     # serves.
