Reserve retries by class and let the extra part grow after a start

Cause: rejected newcomers can spend the whole retry budget, after which responses that have begun are cut. Gateways that are killed together start with whole budgets, while what the killed ones spent lies in the same window.

Change: WindowedRetryBudget knows three classes of retries (begun streams, the most urgent rank, others). Each leaves a quarter of the budget for each class before it, also in loans. A loan serves its class and those before it. find_stream_ranks says which ranks a service's streams have, so that a service without streams leaves no reserve. With a start time, the extra part grows with the square of the time, from zero to the whole over one window.

Test: core/limits/tests/test_retry_classes.py, test_retry_ramp.py, core/access/tests/test_stream_ranks.py pass, as do the existing tests. Without the reserves 3 of the class tests fail, without the ramp 3 of the ramp tests; both were seen.

Conclusion: the decisions are in place; the gateway doesn't use them yet.

--- a/caroblug/core/access/__init__.py
+++ b/caroblug/core/access/__init__.py
@@ -8,6 +8,8 @@
     RouteKind,
     Service,
     Share,
+    StreamRanks,
+    find_stream_ranks,
     index_routes,
 )
 from caroblug.core.access._decisions import (
@@ -28,6 +30,8 @@
     "RouteKind",
     "Service",
     "Share",
+    "StreamRanks",
     "admit",
+    "find_stream_ranks",
     "index_routes",
 ]
--- a/caroblug/core/access/_configuration.py
+++ b/caroblug/core/access/_configuration.py
@@ -159,3 +159,63 @@
         host: tuple(sorted(host_routes, key=lambda r: -len(r.prefix)))
         for host, host_routes in by_host.items()
     }
+
+
+@attrs.frozen
+class StreamRanks:
+    """Ranks of the streams that one service receives.
+
+    Attributes:
+        ranks: Priorities that streams can have, the most urgent one first.
+        resumable: Whether a stream can continue on other engines after its
+            response has begun.
+    """
+
+    ranks: tuple[int, ...]
+    resumable: bool
+
+
+def find_stream_ranks(configuration: Configuration) -> dict[str, StreamRanks]:
+    """Returns the ranks of the streams of each service with a model.
+
+    Args:
+        configuration: The configuration.
+
+    Returns:
+        Ranks by service. A service without streams is missing.
+    """
+    overrides = {
+        account.priority for account in (configuration.keys or {}).values()
+    }
+    routes_by_service: dict[str, list[Route]] = {}
+    for routes in configuration.routes.values():
+        for route in routes:
+            if route.kind is not RouteKind.STREAMING:
+                continue
+            for share in route.shares:
+                service = configuration.services.get(share.service)
+                if share.weight <= 0 or service is None:
+                    continue
+                if service.model is not None:
+                    routes_by_service.setdefault(service.name, []).append(route)
+    return {
+        name: _make_ranks(routes, overrides)
+        for name, routes in routes_by_service.items()
+    }
+
+
+def _make_ranks(routes: list[Route], overrides: set[int | None]) -> StreamRanks:
+    """Returns the ranks of a service's streams.
+
+    Args:
+        routes: Routes whose streams the service receives.
+        overrides: Priorities of all client accounts, with None if some account
+            uses those of the routes; empty if there are no accounts.
+    """
+    ranks = set()
+    for route in routes:
+        if route.public or not overrides:
+            ranks.add(route.priority)
+        ranks.update(route.priority if o is None else o for o in overrides)
+    resumable = any(route.resumable for route in routes)
+    return StreamRanks(tuple(sorted(ranks)), resumable)
--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -28,6 +28,7 @@
     "WindowedRetryBudget": "_windowed_retry_budget",
     "RetryAfter": "_retry_after",
     "RetryBudget": "_retry_budget",
+    "RetryClass": "_windowed_retry_budget",
     "RetryRule": "_retry_budget",
     "RunGate": "_run_gate",
     "IsolationQueue": "_isolation_queue",
@@ -36,7 +37,9 @@
     "Ticket": "_run_gate",
     "BatchSource": "_isolation_queue",
     "Verdict": "_suspicions",
+    "classify_retry": "_windowed_retry_budget",
     "estimate_wait_ms": "_overload",
+    "find_retry_classes": "_windowed_retry_budget",
     "make_queue": "_fair_queue",
 }
 
