Take, lend and borrow retries by class, and start with a growing budget

Cause: all retries of a gateway came from one undivided budget, and a restarted gateway had a whole new one. When 22 gateways are killed and start again within 0.6 s, a service gets more arrivals than the bound allows.

Change: SharedRetryBudget takes the class of a retry along, also in loan requests. A denied retry is counted by class and logged, at most 20 lines a second. The setting first_start (Bootstrap on the wire, false if missing) says whether the budget is whole at the start. Plain calls use the class of others, or of the most urgent rank.

--- a/caroblug/gateway/_context.py
+++ b/caroblug/gateway/_context.py
@@ -4,8 +4,17 @@
 
 import attrs
 
-from caroblug.core.access import Configuration, RequestLimits
-from caroblug.core.limits import RetryAfter, WindowedRetryBudget
+from caroblug.core.access import (
+    Configuration,
+    RequestLimits,
+    StreamRanks,
+    find_stream_ranks,
+)
+from caroblug.core.limits import (
+    RetryAfter,
+    WindowedRetryBudget,
+    find_retry_classes,
+)
 from caroblug.gateway._decision_log import DecisionLog
 from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._interfaces import Dialect
@@ -32,6 +41,8 @@
         configuration_ms: When that configuration was applied.
         raw_configuration: Text of that configuration as the operator wrote it.
         engines_to_probe: Names of engines whose reports are to be read soon.
+        stream_ranks: Ranks of the streams of each service, as that
+            configuration gives them.
     """
 
     settings: GatewaySettings
@@ -47,6 +58,7 @@
     configuration_ms: int = 0
     raw_configuration: str = ""
     engines_to_probe: set[str] = attrs.field(factory=set)
+    stream_ranks: dict[str, StreamRanks] = attrs.field(factory=dict)
 
     def limits(self) -> RequestLimits:
         """Returns the limits on requests of callers."""
@@ -54,6 +66,11 @@
             return RequestLimits()
         return self.configuration.limits
 
+    def ranks_of(self, service: str) -> tuple[int, ...]:
+        """Returns the ranks of a service's streams, the most urgent first."""
+        ranks = self.stream_ranks.get(service)
+        return ranks.ranks if ranks is not None else ()
+
     def apply_configuration(
         self, configuration: Configuration, raw: str, source: str
     ) -> bool:
@@ -75,6 +92,13 @@
             return False
         self.configuration = configuration
         self.raw_configuration = raw
+        self.stream_ranks = find_stream_ranks(configuration)
+        self.retry_budget.set_classes(
+            {
+                service: find_retry_classes(ranks.ranks, ranks.resumable)
+                for service, ranks in self.stream_ranks.items()
+            }
+        )
         self.configuration_ms = self.clock.now_ms()
         self.telemetry.gauge("configuration_version", configuration.version)
         self.log.write(
--- a/caroblug/gateway/_decision_log.py
+++ b/caroblug/gateway/_decision_log.py
@@ -21,9 +21,10 @@
 """Limit on the lines buffered while standard output is not read. It amounts to
 0.6 MB at 300 bytes a line."""
 
-_MAX_LINES_PER_S = {"request": 100}
+_MAX_LINES_PER_S = {"request": 100, "retry.denied": 20}
 """Rate limit of the frequent kinds, in lines a second. Failures are limited
-only by the size of the buffer, so that they take precedence over successes."""
+only by the size of the buffer, so that they take precedence over successes. A
+denied retry is counted, and the failed request has its own line."""
 
 _FLUSH_INTERVAL_S = 0.1
 _WRITABLE_TIMEOUT_S = 1.0
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -373,6 +373,7 @@
             settings.retry_ratio,
             settings.retry_extra,
             settings.retry_window_ms,
+            None if settings.first_start else clock.now_ms(),
         ),
         retry_after=RetryAfter(rng),
         log=DecisionLog(settings.instance, clock),
--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from caroblug.core.limits import RetryClass, classify_retry
 from caroblug.gateway._connect_attempts import CONNECT_TIMEOUT_S
 from caroblug.gateway._context import Context
 from caroblug.gateway._crash_suspicions import CrashSuspicions
@@ -104,7 +105,7 @@
             if backend is None:
                 break
             if pending.sends and not self._retry_budget.take(
-                pending.admitted.service.name
+                pending.admitted.service.name, self._retry_class(pending)
             ):
                 break
             result = self._attempt(pending, backend)
@@ -127,6 +128,15 @@
                 break
         self._finish(pending, last)
 
+    def _retry_class(self, pending: PendingRequest) -> RetryClass:
+        """Returns the class of a retry.
+
+        A response is complete before it is forwarded, so that none has begun.
+        """
+        admitted = pending.admitted
+        ranks = self._context.ranks_of(admitted.service.name)
+        return classify_retry(False, admitted.priority, ranks)
+
     def _choose_backend(self, pending: PendingRequest) -> BackendServer | None:
         """Returns a server and counts the request towards its limit."""
         fleet = self._context.fleet
--- a/caroblug/gateway/_settings.py
+++ b/caroblug/gateway/_settings.py
@@ -28,6 +28,8 @@
         retry_window_ms: Time window in which requests and retries are counted.
         lease_least_ms: Shortest lease that the store grants.
         store_partitions: Partitions of each topic of the store.
+        first_start: Whether no gateway of the system has run before. Otherwise
+            retries that earlier processes spent may lie in the current window.
     """
 
     instance: str
@@ -44,6 +46,7 @@
     retry_window_ms: int = 10000
     lease_least_ms: int = 1000
     store_partitions: int = 1
+    first_start: bool = False
 
 
 @attrs.frozen
@@ -98,6 +101,12 @@
                 f"must be HOST:PORT with a port from 0 to {_MAX_PORT}, "
                 f"got {host}:{port}",
             )
+    if not isinstance(settings.first_start, bool):
+        return SettingsProblem(
+            file,
+            "first_start",
+            f"must be true or false, got {settings.first_start!r}",
+        )
     for name, (low, high) in _RANGES.items():
         value = getattr(settings, name)
         if not low <= value <= high:
