Test loans between classes of retries

Cause: a lender that keeps its reserve answers newcomers with no loan. If the borrower took that for a lender without retries, it would no longer call it for a stream that has begun.

Change: two tests in gateway/tests/test_shared_retry_budget.py, for a refused newcomer and for a loan request without a class.

Test: both pass. With every refusal recorded as a lender without retries, the first one fails; this was seen.

Conclusion: loans keep the reserves in both directions.

--- a/caroblug/gateway/tests/test_shared_retry_budget.py
+++ b/caroblug/gateway/tests/test_shared_retry_budget.py
@@ -4,7 +4,7 @@
 the same moment, while each gateway owns a small part of the retry budget.
 """
 
-from caroblug.core.limits import WindowedRetryBudget
+from caroblug.core.limits import RetryClass, WindowedRetryBudget
 from caroblug.gateway._interfaces import Member, Unavailable
 from caroblug.gateway._peers import LeaseState
 from caroblug.gateway._shared_retry_budget import LEND_PATH, SharedRetryBudget
@@ -101,3 +101,38 @@
     site.take("g0", 60)
 
     assert len(calls) <= 3
+
+
+def test_loan_request_without_a_class_leaves_the_reserves():
+    # Guards against gateways of the previous version that borrow what streams
+    # which have begun need.
+    site = Site()
+    window = site.windows["g0"]
+    window.set_classes({"pool": frozenset({RetryClass.BEGUN})})
+    message = {"service": "pool", "wanted": 1}
+    while site.budgets["g0"].handle_loan_request(message)["lent"]:
+        pass
+
+    reserve = 0.25 * 0.8 * EXTRA / GATEWAYS
+    left = window.remaining("pool", GATEWAYS, site.clock.now_ms())
+    assert left >= reserve
+
+
+def test_lender_that_keeps_its_reserve_is_still_called_for_begun_streams():
+    # Guards against a cut response because a newcomer was refused a loan.
+    site = Site()
+    for window in site.windows.values():
+        window.set_classes({"pool": frozenset({RetryClass.BEGUN})})
+    for i in range(GATEWAYS):
+        while site.budgets[f"g{i}"].take("pool", RetryClass.OTHER):
+            pass
+    site.exchange_state()
+    for _ in range(GATEWAYS // 2):
+        site.clock.advance(500)
+        assert not site.budgets["g0"].take("pool", RetryClass.OTHER)
+
+    begun = [
+        site.budgets["g0"].take("pool", RetryClass.BEGUN) for _ in range(4)
+    ]
+
+    assert all(begun)
