Send rejected streams only where there is room, and refuse them as not run

Cause: a stream that was rejected for lack of room was sent to the next full engine until the retry budget was spent. A stream counted as possibly run although its connection had been reset before the first byte, and was then answered 502 in place of 503.

Change: after a rejection with status 503, a stream asks the fleet for a path with room for its tokens, up to a use of 0.95, until an engine accepts it. Retries are taken in the class of the stream. Exchange.send counts a request as sent only after the first successful write, and the run of a request that was not sent is taken back, as is a rejected one.

Conclusion: a rejected stream spends a retry only on a path with room. A stream that was never sent is refused with 503.

--- a/caroblug/gateway/_http_client.py
+++ b/caroblug/gateway/_http_client.py
@@ -95,10 +95,13 @@
             The failure, or None if the response can be read.
         """
         self._without_body = bodiless
-        self._sent = True
         self._socket.settimeout(max(0.001, timeout_s))
         try:
-            self._socket.sendall(data)
+            # If the first call fails, no byte has left. That shows that the
+            # peer can't have run the request.
+            count = self._socket.send(data)
+            self._sent = True
+            self._socket.sendall(memoryview(data)[count:])
         except OSError:
             # The peer may have responded and closed the connection before it
             # read the whole body. That response can still be read.
--- a/caroblug/gateway/_run_results.py
+++ b/caroblug/gateway/_run_results.py
@@ -14,6 +14,7 @@
     COMPLETE = "whole"
     NOT_SENT = "not_sent"
     NO_PATH = "no_path"
+    NO_ROOM = "no_room"
     LIMITED = "limited"
     REJECTED = "turned_away"
     ERROR_RESPONSE = "answered"
--- a/caroblug/gateway/_server_advice.py
+++ b/caroblug/gateway/_server_advice.py
@@ -1,11 +1,27 @@
 """What backend servers say in their responses about the load they accept."""
 
 from caroblug.gateway._context import Context
+from caroblug.gateway._exchange_results import ResponseHead
 from caroblug.gateway._interfaces import AnswerMetadata
 
 AT_REST_REASON = "the backend server wants no requests"
 """Why a request was not sent to a server that had been chosen."""
 
+_STATUS_UNAVAILABLE = 503
+
+
+def lacked_room(head: ResponseHead, metadata: AnswerMetadata) -> bool:
+    """Returns whether a server rejected a request for lack of room.
+
+    A draining server, and one that another process has replaced, reject
+    requests however much room they have.
+
+    Args:
+        head: Head of the rejection.
+        metadata: What it decodes to.
+    """
+    return head.status == _STATUS_UNAVAILABLE and not metadata.leaving
+
 
 def apply_server_advice(
     context: Context, name: str, metadata: AnswerMetadata, sent_ms: int
--- a/caroblug/gateway/_stream_retry_policy.py
+++ b/caroblug/gateway/_stream_retry_policy.py
@@ -3,7 +3,8 @@
 import attrs
 import gevent
 
-from caroblug.core.placement import NoPath, Path
+from caroblug.core.limits import RetryClass, classify_retry
+from caroblug.core.placement import NoPath, NoRoom, Path, RoomNeed
 from caroblug.gateway._crash_suspicions import CrashSuspicions
 from caroblug.gateway._limit_permits import LimitPermits
 from caroblug.gateway._run_results import RunEnd, RunResult
@@ -24,6 +25,10 @@
 """Use of the fullest engine of a path below which the path can take a stream
 moved from another one."""
 
+_MAX_USE_AFTER_REJECTION = 0.95
+"""Use of an engine's memory up to which a rejected stream may fill it. Above
+it, engines preempt streams or reject them again."""
+
 
 @attrs.frozen
 class LimitsReached:
@@ -53,17 +58,11 @@
         self._permits = permits
         self._holds_retry = False
 
-    def choose_path(self) -> Path | NoPath:
-        """Returns a path for a new run, or which layer has no engine."""
-        state = self._state
-        return state.context.fleet.choose_engines(
-            state.pending.admitted.service,
-            state.now_ms,
-            frozenset(state.excluded_engines),
-            frozenset(state.began_on),
-        )
+    def choose_path(self) -> Path | NoPath | NoRoom:
+        """Returns a path for a new run, or why there is none."""
+        return self._choose_path(frozenset(self._state.began_on))
 
-    def choose_first_path(self) -> Path | NoPath | LimitsReached:
+    def choose_first_path(self) -> Path | NoPath | NoRoom | LimitsReached:
         """Returns a path whose first engine accepts a request now.
 
         Requests permits from the owners of limits if there is no path over
@@ -75,24 +74,19 @@
             state.now_ms,
             frozenset(state.excluded_engines),
             frozenset(state.began_on),
+            self._room_need(),
         )
         if isinstance(path, Path):
             return path
         return self._choose_limited_path()
 
-    def _choose_limited_path(self) -> Path | NoPath | LimitsReached:
+    def _choose_limited_path(self) -> Path | NoPath | NoRoom | LimitsReached:
         """Returns a path for which the owner of a limit grants a permit."""
-        state = self._state
-        excluded_first = set(state.began_on)
+        excluded_first = set(self._state.began_on)
         limited = False
         for _ in range(_MAX_PERMIT_REQUESTS):
-            path = state.context.fleet.choose_engines(
-                state.pending.admitted.service,
-                state.now_ms,
-                frozenset(state.excluded_engines),
-                frozenset(excluded_first),
-            )
-            if isinstance(path, NoPath):
+            path = self._choose_path(frozenset(excluded_first))
+            if not isinstance(path, Path):
                 return LimitsReached() if limited else path
             if self._permits.acquire(path.first.name):
                 return path
@@ -100,6 +94,29 @@
             limited = True
         return LimitsReached()
 
+    def _choose_path(
+        self, excluded_first: frozenset[str]
+    ) -> Path | NoPath | NoRoom:
+        state = self._state
+        return state.context.fleet.choose_engines(
+            state.pending.admitted.service,
+            state.now_ms,
+            frozenset(state.excluded_engines),
+            excluded_first,
+            need=self._room_need(),
+        )
+
+    def _room_need(self) -> RoomNeed | None:
+        """Returns the room that a path must have for the stream.
+
+        A stream that was rejected for lack of room isn't sent to another full
+        engine, which would reject it too. Every send counts as a retry.
+        """
+        state = self._state
+        if not state.lacked_room:
+            return None
+        return RoomNeed(state.mean_tokens, _MAX_USE_AFTER_REJECTION)
+
     def take_permit(self, path: Path) -> bool:
         """Counts a run towards the limit of its path's first engine.
 
@@ -160,7 +177,9 @@
         """
         if not self._holds_retry:
             service = self._state.pending.admitted.service.name
-            self._holds_retry = self._retry_budget.take(service)
+            self._holds_retry = self._retry_budget.take(
+                service, self._retry_class()
+            )
         return self._holds_retry
 
     def on_run_started(self) -> None:
@@ -180,7 +199,7 @@
         """
         if not self._can_rerun():
             return False
-        if isinstance(self.choose_path(), NoPath):
+        if not isinstance(self.choose_path(), Path):
             return False
         return self.acquire_retry()
 
@@ -194,6 +213,14 @@
         path = self.choose_path()
         return isinstance(path, Path) and path.use < _MAX_RERUN_PATH_USE
 
+    def _retry_class(self) -> RetryClass:
+        pending = self._state.pending
+        return classify_retry(
+            pending.reply.begun,
+            pending.admitted.priority,
+            self._state.context.ranks_of(pending.admitted.service.name),
+        )
+
     def _can_rerun(self) -> bool:
         """Returns whether one more run is allowed for this request."""
         pending = self._state.pending
--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -25,6 +25,7 @@
 from caroblug.gateway._server_advice import (
     AT_REST_REASON,
     apply_server_advice,
+    lacked_room,
 )
 from caroblug.gateway._stream_path_repair import StreamPathRepair
 from caroblug.gateway._stream_retry_policy import (
@@ -141,8 +142,7 @@
         pending.tried.add(first)
         # Once the first byte is sent, the request may run even if no response
         # arrives.
-        pending.ran += 1
-        state.began_on.add(first)
+        state.count_run()
         problem = state.exchange.send(self._encode(), left_s)
         return self._on_exchange_failure(problem) if problem else None
 
@@ -166,13 +166,13 @@
         metadata = self._context.dialect.decode_answer(head)
         apply_server_advice(self._context, first, metadata, self._sent_ms)
         if metadata.run is RunState.NOT_RUN:
-            pending.ran -= 1
-            state.began_on.discard(first)
+            state.discount_run()
             return self._on_rejected(head, metadata)
         if metadata.request_id != pending.caller.id or not metadata.genuine:
             return RunResult(RunEnd.LOST, f"unproved answer {head.status}")
         self._context.fleet.on_response(first, None, 0, state.now_ms)
         self._context.fleet.on_accepted(state.path.names)
+        state.lacked_room = False
         if head.status != 200:
             return self._read_error_response(head, metadata)
         return self._read_events(head, metadata)
@@ -238,6 +238,8 @@
     def _on_exchange_failure(self, problem: ExchangeFailure) -> RunResult:
         state = self._state
         first = state.path.first
+        if not problem.sent:
+            state.discount_run()
         if self._abort_reason:
             return RunResult(RunEnd.LOST, self._abort_reason)
         if not problem.sent:
@@ -278,6 +280,8 @@
         if name in state.path.names:
             state.excluded_engines.add(name)
         fleet.on_full(name, state.now_ms)
+        if lacked_room(head, metadata):
+            state.lacked_room = True
         if at_fault is not None:
             self._context.engines_to_probe.add(at_fault.name)
         return RunResult(RunEnd.REJECTED, f"{reason} by {name}")
--- a/caroblug/gateway/_stream_state.py
+++ b/caroblug/gateway/_stream_state.py
@@ -27,6 +27,8 @@
         last_event_ms: Time of the latest event, of the start of the run or of
             the latest path change, whichever is last.
         lost: Engine that interrupted the latest run, for the log.
+        lacked_room: Whether an engine rejected the stream for lack of room
+            since it was last accepted.
     """
 
     context: Context
@@ -40,7 +42,9 @@
     pace: EventPace = attrs.field(factory=EventPace)
     last_event_ms: int = 0
     lost: str = ""
+    lacked_room: bool = False
     _prefilling_engines: tuple[str, ...] = ()
+    _run_counted: bool = False
 
     @property
     def now_ms(self) -> int:
@@ -60,15 +64,43 @@
             return str(last_id)
         return self.pending.caller.resume_after
 
+    @property
+    def mean_tokens(self) -> int:
+        """Mean number of tokens in memory over the stream's time.
+
+        The response grows from nothing to at most the length that the caller
+        allows, so that half of this length is counted.
+        """
+        caller = self.pending.caller
+        return max(1, caller.prompt_tokens + caller.answer_tokens // 2)
+
     def begin_run(self, path: Path) -> None:
         """Sets up a run over a path and counts its load."""
         self.lost = ""
+        self._run_counted = False
         self._enter_path(path)
         self._prefilling_engines = path.names
         self.context.fleet.loads.begin_prefill(self._prefilling_engines)
         self.exchange = Exchange(path.first.address)
         self.context.fleet.begin_request(path.first.name)
 
+    def count_run(self) -> None:
+        """Counts the current run as one that may execute the request."""
+        self.pending.ran += 1
+        self.began_on.add(self.path.first.name)
+        self._run_counted = True
+
+    def discount_run(self) -> None:
+        """Takes back the count of a run that did not execute the request.
+
+        A request that no engine has run must be refused, so that its caller may
+        retry, and must not be reported as failed.
+        """
+        if self._run_counted:
+            self.pending.ran -= 1
+            self.began_on.discard(self.path.first.name)
+            self._run_counted = False
+
     def end_run(self) -> None:
         """Closes the run's exchange and releases its load."""
         self.exchange.close()
@@ -105,22 +137,13 @@
 
     def _enter_path(self, path: Path) -> None:
         self.path = path
-        self.context.fleet.loads.add_request(path.names, self._mean_tokens())
+        self.context.fleet.loads.add_request(path.names, self.mean_tokens)
 
     def _leave_path(self) -> None:
         self.context.fleet.loads.remove_request(
-            self.path.names, self._mean_tokens()
+            self.path.names, self.mean_tokens
         )
 
-    def _mean_tokens(self) -> int:
-        """Returns the mean number of tokens in memory over the stream's time.
-
-        The response grows from nothing to at most the length that the caller
-        allows, so that half of this length is counted.
-        """
-        caller = self.pending.caller
-        return max(1, caller.prompt_tokens + caller.answer_tokens // 2)
-
 
 def make_stream_state(context: Context, pending: PendingRequest) -> StreamState:
     """Returns the state of a stream that hasn't run yet."""
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from caroblug.core.placement import NoPath, Path
+from caroblug.core.placement import NoPath, NoRoom, Path
 from caroblug.gateway._context import Context
 from caroblug.gateway._crash_suspicions import CrashSuspicions
 from caroblug.gateway._limit_permits import LimitPermits
@@ -124,7 +124,7 @@
                 break
             path = self._policy.choose_first_path()
             if not isinstance(path, Path):
-                result = _no_run(path)
+                result = _no_run(path, self._state.lacked_room)
                 if self._policy.wait_before_retry():
                     continue
                 break
@@ -219,10 +219,23 @@
         )
 
 
-def _no_run(problem: NoPath | LimitsReached) -> RunResult:
-    """Returns the result of a search that found no path for a run."""
+def _no_run(
+    problem: NoPath | NoRoom | LimitsReached, lacked_room: bool
+) -> RunResult:
+    """Returns the result of a search that found no path for a run.
+
+    Args:
+        problem: Why there is no path.
+        lacked_room: Whether an engine has rejected the stream for lack of room.
+            It is left out of the search, and with it perhaps the last one that
+            holds a layer.
+    """
     if isinstance(problem, LimitsReached):
         return RunResult(
             RunEnd.LIMITED, "engines accept no more requests a second"
         )
+    if isinstance(problem, NoRoom) or lacked_room:
+        return RunResult(
+            RunEnd.NO_ROOM, f"no room on engines for layer {problem.layer}"
+        )
     return RunResult(RunEnd.NO_PATH, f"no engine for layer {problem.layer}")
--- a/caroblug/gateway/tests/test_http_client.py
+++ b/caroblug/gateway/tests/test_http_client.py
@@ -1,10 +1,13 @@
 """Tests of the HTTP client."""
 
+import struct
+
 import gevent
-from gevent import server
+from gevent import event, server, socket
 
 from caroblug.gateway import ExchangeFailure, fetch, format_request
 from caroblug.gateway._exchange_results import FailureKind
+from caroblug.gateway._http_client import Exchange
 
 
 def test_response_that_trickles_in_without_end_times_out():
@@ -24,3 +27,27 @@
 
     assert response == ExchangeFailure(FailureKind.SILENT, sent=True)
     listener.stop(timeout=0)
+
+
+def test_request_on_a_closed_connection_counts_as_not_sent():
+    # Guards against a request that counts as possibly run although the peer
+    # had reset the connection before the first byte.
+    accepted = event.Event()
+
+    def reset(sock, peer):
+        no_linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+        sock.close()
+        accepted.set()
+
+    listener = server.StreamServer(("127.0.0.1", 0), reset)
+    listener.start()
+    exchange = Exchange(listener.address)
+    assert exchange.connect(5) is None
+    accepted.wait()
+    gevent.sleep(0.05)
+
+    problem = exchange.send(b"request", 5)
+
+    assert problem == ExchangeFailure(FailureKind.RESET, sent=False)
+    listener.stop(timeout=0)
