--- a/caroblug/gateway/_decision_log.py
+++ b/caroblug/gateway/_decision_log.py
@@ -26,9 +26,11 @@
     "admission.admitted": 20,
     "admission.refused": 20,
     "admission.waits": 20,
+    "retry.denied": 20,
 }
 """Rate limit of the frequent kinds, in lines a second. Failures are limited
-only by the size of the buffer, so that they take precedence over successes."""
+only by the size of the buffer, so that they take precedence over successes. A
+denied retry is counted, and the failed request has its own line."""
 
 _FLUSH_INTERVAL_S = 0.1
 _WRITABLE_TIMEOUT_S = 1.0
