--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -365,40 +365,33 @@
             The path, NoPath with the first layer that no usable engine holds,
             or NoRoom if there are paths, but none with the memory needed.
         """
-        usable, full = [], []
-        for engine in self.engines(service, now_ms):
-            name = engine.name
-            if name in excluded or self._states[name].failures:
-                continue
-            if not self.is_excluded(name, now_ms):
-                usable.append(self._with_slowdown(engine))
-            elif need is not None and self._is_only_full(name, now_ms):
-                full.append(self._with_slowdown(engine))
-
-        def choose(
-            engines: list[Engine], need: RoomNeed | None
-        ) -> Path | NoPath | NoRoom:
-            return choose_path(
-                engines,
-                service.model,
-                self._loads,
-                self._data_centre,
-                self._rng,
-                excluded_first,
-                after,
-                need,
-                self._rooms,
-                now_ms,
+        # Engines that rejected a request for lack of room take part in a search
+        # for room, which they don't have, so that the result is NoRoom instead
+        # of a path around them.
+        engines = [
+            self._with_slowdown(engine)
+            for engine in self.engines(service, now_ms)
+            if engine.name not in excluded
+            and not self._states[engine.name].failures
+            and (
+                not self.is_excluded(engine.name, now_ms)
+                or (
+                    need is not None and self._is_only_full(engine.name, now_ms)
+                )
             )
-
-        path = choose(usable, need)
-        if (
-            full
-            and isinstance(path, NoPath)
-            and isinstance(choose(usable + full, None), Path)
-        ):
-            return NoRoom(path.layer)
-        return path
+        ]
+        return choose_path(
+            engines,
+            service.model,
+            self._loads,
+            self._data_centre,
+            self._rng,
+            excluded_first,
+            after,
+            need,
+            self._rooms,
+            now_ms,
+        )
 
     def on_full(self, name: str, now_ms: int) -> None:
         """Records that a backend server rejected a request as it is full."""
