Keep a connection to each backend server for idempotent requests

KeptConnections keeps at most one idle connection to an address, for the gateway's own idempotent requests. It is kept only after a response that is complete, alone and followed by nothing. Bytes on an idle connection, a late response, one for something else, and an announced close end it.

--- a/caroblug/gateway/__init__.py
+++ b/caroblug/gateway/__init__.py
@@ -28,6 +28,10 @@
     Unavailable,
     make_listing,
 )
+from caroblug.gateway._kept_connections import (
+    KeptConnections,
+    make_kept_connections,
+)
 from caroblug.gateway._settings import (
     GatewaySettings,
     SettingsProblem,
@@ -47,6 +51,7 @@
     "Gateway",
     "GatewaySettings",
     "HttpResponse",
+    "KeptConnections",
     "Listing",
     "Member",
     "NoChange",
@@ -64,6 +69,7 @@
     "fetch",
     "format_request",
     "make_gateway",
+    "make_kept_connections",
     "make_listing",
     "read_initial_settings",
 ]
--- a/caroblug/gateway/_http_client.py
+++ b/caroblug/gateway/_http_client.py
@@ -1,10 +1,11 @@
 """HTTP client that opens a new connection for each request.
 
-Connections are never reused. The peer may have closed an idle connection
-unnoticed, or a late second response to an earlier request may arrive on it.
-Each case would need its own check, and a request that isn't idempotent
-couldn't be retried. A new connection costs one round trip inside the data
-centre.
+Requests of callers and orders never reuse a connection. The peer may have
+closed an idle connection unnoticed, and a request that isn't idempotent can't
+be sent again, because a failure before the first byte of the response doesn't
+show whether it ran. A new connection costs one round trip inside the data
+centre. `KeptConnections` reuses connections for idempotent requests of the
+gateway itself.
 """
 
 import collections
@@ -22,11 +23,14 @@
     ReadTimeout,
     ResponseHead,
 )
+from caroblug.gateway._response_extent import ResponseExtent
 
 Address = tuple[str, int]
 
 _RECEIVE_BYTES = 65536
-_MAX_WAITS = 12
+MAX_WAITS = 12
+"""Bound on a whole exchange, as a multiple of the timeout of each wait."""
+
 _TCP_USER_TIMEOUT_MS = 4000
 """Time without acknowledgement after which the kernel ends a connection.
 
@@ -45,7 +49,14 @@
     def __init__(self, address: Address) -> None:
         self._address = address
         self._socket: socket.socket | None = None
+        self.begin_next()
+
+    def begin_next(self) -> None:
+        """Prepares for the next request, on the same connection if any."""
         self._sent = False
+        self._keep_alive = False
+        self._messages = 0
+        self._extent = ResponseExtent()
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[str, str]] = []
         self._chunks: collections.deque[bytes] = collections.deque()
@@ -59,6 +70,28 @@
         """Whether any byte of the request may have been sent."""
         return self._sent
 
+    @property
+    def received(self) -> bool:
+        """Whether any byte of a response has arrived."""
+        return self._extent.received > 0
+
+    @property
+    def is_exact(self) -> bool:
+        """Whether exactly one complete response has arrived, and no more."""
+        return (
+            self._done
+            and self._messages == 1
+            and self._extent.is_one_response(self._headers)
+        )
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection may carry another request.
+
+        The peer must not have announced that it closes the connection.
+        """
+        return self.is_exact and self._keep_alive
+
     def connect(self, timeout_s: float) -> ExchangeFailure | None:
         """Opens the connection.
 
@@ -157,6 +190,17 @@
             return False
         return False
 
+    def is_quiet(self) -> bool:
+        """Returns whether an idle connection is open and has no bytes."""
+        self._socket.settimeout(0.0)
+        try:
+            self._socket.recv(1, stdlib_socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def close(self) -> None:
         """Closes the connection, which makes the peer abort the request."""
         if self._socket is not None:
@@ -164,6 +208,10 @@
 
     # Callbacks of httptools.
 
+    def on_message_begin(self) -> None:
+        """Counts the responses on the connection."""
+        self._messages += 1
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds one header."""
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
@@ -190,6 +238,7 @@
             self._headers.clear()
             return
         self._done = True
+        self._keep_alive = self._parser.should_keep_alive()
 
     def _receive(
         self, timeout_s: float
@@ -203,6 +252,7 @@
             return self._fail(FailureKind.RESET)
         if not data:
             return self._on_closed()
+        self._extent.add(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -256,7 +306,7 @@
         address: Host and port.
         request: Head and body.
         timeout_s: Timeout for each wait. The whole exchange is bounded by
-            `_MAX_WAITS` times this value, so that a response that trickles in
+            `MAX_WAITS` times this value, so that a response that trickles in
             byte by byte can't last forever.
         connect_s: Connect timeout; `timeout_s` if it is None.
 
@@ -265,7 +315,7 @@
     """
     exchange = Exchange(address)
     try:
-        with gevent.Timeout(timeout_s * _MAX_WAITS, False):
+        with gevent.Timeout(timeout_s * MAX_WAITS, False):
             return _fetch(exchange, request, timeout_s, connect_s or timeout_s)
         return ExchangeFailure(FailureKind.SILENT, exchange.sent)
     finally:
@@ -276,16 +326,34 @@
     exchange: Exchange, request: bytes, timeout_s: float, connect_s: float
 ) -> HttpResponse | ExchangeFailure:
     problem = exchange.connect(connect_s)
-    if problem is None:
-        problem = exchange.send(request, timeout_s)
     if problem is not None:
         return problem
-    head = exchange.read_head(timeout_s)
+    return send_and_read(exchange, request, timeout_s, timeout_s)
+
+
+def send_and_read(
+    exchange: Exchange, request: bytes, head_s: float, chunk_s: float
+) -> HttpResponse | ExchangeFailure:
+    """Sends a request on an open connection and reads the whole response.
+
+    Args:
+        exchange: Owner of the connection.
+        request: Head and body.
+        head_s: Timeout of each wait until the head is complete, in s.
+        chunk_s: Timeout of each wait for a chunk of the body, in s.
+
+    Returns:
+        The response, or why there is none.
+    """
+    problem = exchange.send(request, head_s)
+    if problem is not None:
+        return problem
+    head = exchange.read_head(head_s)
     if isinstance(head, ReadTimeout):
         return ExchangeFailure(FailureKind.SILENT, sent=True)
     if isinstance(head, ExchangeFailure):
         return head
-    body = exchange.read_body(timeout_s)
+    body = exchange.read_body(chunk_s)
     if isinstance(body, ReadTimeout):
         return ExchangeFailure(FailureKind.SILENT, sent=True)
     if isinstance(body, ExchangeFailure):
