Read reports and health checks over kept connections

The adapter's reports and health checks use KeptConnections and don't send Connection: close. Orders aren't idempotent and keep opening their own.

--- a/caroblug/gateway/_context.py
+++ b/caroblug/gateway/_context.py
@@ -9,6 +9,10 @@
 from caroblug.gateway._decision_log import DecisionLog
 from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._interfaces import Dialect
+from caroblug.gateway._kept_connections import (
+    KeptConnections,
+    make_kept_connections,
+)
 from caroblug.gateway._settings import GatewaySettings
 from caroblug.gateway._telemetry import Telemetry
 from caroblug.utils import Clock
@@ -32,6 +36,7 @@
         configuration_ms: When that configuration was applied.
         raw_configuration: Text of that configuration as the operator wrote it.
         engines_to_probe: Names of engines whose reports are to be read soon.
+        connections: Kept connections, which the dialect uses as well.
     """
 
     settings: GatewaySettings
@@ -47,6 +52,7 @@
     configuration_ms: int = 0
     raw_configuration: str = ""
     engines_to_probe: set[str] = attrs.field(factory=set)
+    connections: KeptConnections = attrs.field(factory=make_kept_connections)
 
     def limits(self) -> RequestLimits:
         """Returns the limits on requests of callers."""
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -21,6 +21,7 @@
 from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._http_server import HttpServer, Reply
 from caroblug.gateway._interfaces import CallerRequest, Dialect, Registry
+from caroblug.gateway._kept_connections import KeptConnections
 from caroblug.gateway._limit_permits import PERMIT_PATH, LimitPermits
 from caroblug.gateway._listing_backup import ListingBackup
 from caroblug.gateway._liveness import LivenessMonitor
@@ -348,6 +349,7 @@
     dialect: Dialect,
     registry: Registry,
     reload: Callable[[], GatewaySettings | SettingsProblem],
+    connections: KeptConnections,
 ) -> Gateway:
     """Returns a new gateway, which is not running yet.
 
@@ -356,6 +358,7 @@
         dialect: Wire protocol for requests, answers, reports and orders.
         registry: Access to the platform's list, configuration and group.
         reload: Reads the settings again.
+        connections: Kept connections, which the dialect uses as well.
     """
     clock = BoottimeClock()
     rng = random.Random()
@@ -377,5 +380,6 @@
         retry_after=RetryAfter(rng),
         log=DecisionLog(settings.instance, clock),
         telemetry=Telemetry(),
+        connections=connections,
     )
     return Gateway(context, registry, reload)
--- a/caroblug/gateway/tests/fakes.py
+++ b/caroblug/gateway/tests/fakes.py
@@ -22,6 +22,7 @@
     PlacementLease,
     Registry,
     Unavailable,
+    make_kept_connections,
 )
 from caroblug.gateway._context import Context
 from caroblug.gateway._decision_log import DecisionLog
@@ -134,6 +135,7 @@
         retry_after=RetryAfter(rng),
         log=DecisionLog(name, clock),
         telemetry=Telemetry(),
+        connections=make_kept_connections(clock),
     )
     pool = Service("pool", "/health", 10, MODEL)
     context.configuration = Configuration(5, {}, {"pool": pool})
