--- a/caroblug/gateway/_running_streams.py
+++ b/caroblug/gateway/_running_streams.py
@@ -22,6 +22,11 @@
     def event_ms(self) -> int:
         """Time of the latest event, or when the first one was due."""
 
+    @property
+    def arrived_ms(self) -> int:
+        """Time of the latest event that has arrived; 0 if none has."""
+        return self.event_ms
+
     @property
     @abc.abstractmethod
     def gap_ms(self) -> float:
@@ -44,7 +49,10 @@
     Attributes:
         engine: The engine.
         streams: Number of streams whose path includes the engine.
-        event_ms: Time of the latest event of any of these streams.
+        event_ms: Time of the latest event of any of these streams, or when the
+            first one was due.
+        arrived_ms: Time of the latest event that has arrived on any of them; 0
+            if none has.
         gap_ms: Shortest mean time between events of these streams; 0 if none
             is known.
     """
@@ -52,6 +60,7 @@
     engine: Engine
     streams: int = 0
     event_ms: int = 0
+    arrived_ms: int = 0
     gap_ms: float = 0.0
 
 
@@ -79,6 +88,7 @@
         uses: dict[str, EngineUse] = {}
         for stream in self._streams:
             event_ms = stream.event_ms
+            arrived_ms = stream.arrived_ms
             gap_ms = stream.gap_ms
             for part in stream.path.parts:
                 name = part.engine.name
@@ -87,6 +97,7 @@
                     use = uses[name] = EngineUse(part.engine)
                 use.streams += 1
                 use.event_ms = max(use.event_ms, event_ms)
+                use.arrived_ms = max(use.arrived_ms, arrived_ms)
                 if gap_ms and (not use.gap_ms or gap_ms < use.gap_ms):
                     use.gap_ms = gap_ms
         return list(uses.values())
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -109,6 +109,11 @@
             return self._state.last_event_ms
         return self._state.last_event_ms + _EXPECTED_FIRST_EVENT_MS
 
+    @property
+    def arrived_ms(self) -> int:
+        """Time of the latest event that has arrived; 0 if none has."""
+        return self._state.last_event_ms if self._state.pace.events else 0
+
     @property
     def gap_ms(self) -> float:
         """Mean time between recent events; 0 until it is known."""
