Test guards of kept connections that no test had covered

With one guard at a time removed on a scratch copy, four of 44 changes passed all tests: no check for bytes that have just arrived, a connection kept after something else, no time left after a silent connection, and no count of the responses on a chunked connection.

--- a/caroblug/gateway/tests/test_kept_connections.py
+++ b/caroblug/gateway/tests/test_kept_connections.py
@@ -214,6 +214,36 @@
     assert bed.server.requests == {1: 1, 2: 1}
 
 
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    "extra",
+    [CHUNKED, b"\r\n0\r\n\r\n", b"HTTP/1.1 200 OK\r\n0\r\n\r\n"],
+)
+def test_bytes_that_end_like_a_chunked_response_are_noticed(make_bed, extra):
+    # Guards against bytes that are read as the next response.
+    def respond(sock, connection, request):
+        sock.sendall(CHUNKED + extra)
+
+    bed = make_bed(respond)
+    bed.fetch()
+    bed.fetch()
+
+    assert bed.server.requests == {1: 1, 2: 1}
+
+
+def test_bytes_that_have_just_arrived_end_the_connection(make_bed):
+    # Guards against a late response that arrives right before a request.
+    bed = make_bed()
+    assert bed.body() == b"1.1"
+    bed.server.sockets[0].sendall(make_response(b"other"))
+
+    assert bed.body() == b"2.1"
+
+
 @pytest.mark.parametrize("pause_s", [0, 0.01])
 def test_bytes_that_follow_later_end_the_connection(make_bed, pause_s):
     # Guards against a second response to one request.
@@ -267,6 +297,7 @@
     bodies = [bed.body(is_expected=lambda response: False) for _ in range(3)]
 
     assert bodies == [b"1.1", b"2.1", b"3.1"]
+    assert bed.server.requests == {1: 1, 2: 1, 3: 1}
 
 
 def test_announced_close_ends_the_connection(make_bed):
@@ -355,6 +386,23 @@
     silent.set()
 
 
+def test_new_connection_has_time_left_after_a_silent_one(make_bed):
+    # Guards against a kept connection to a live engine that was cut unnoticed.
+    silent = event.Event()
+
+    def respond(sock, connection, request):
+        if (connection, request) == (1, 2):
+            silent.wait()
+        gevent.sleep(0.02)
+        bed.server.send_number(sock, connection, request)
+
+    bed = make_bed(respond)
+    assert bed.body() == b"1.1"
+
+    assert bed.body() == b"2.1"
+    silent.set()
+
+
 def test_request_does_not_wait_long_for_a_silent_one(make_bed):
     # Guards against reports held up by a request that isn't answered.
     silent = event.Event()
