--- a/caroblug/gateway/_context.py
+++ b/caroblug/gateway/_context.py
@@ -18,6 +18,10 @@
 from caroblug.gateway._decision_log import DecisionLog
 from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._interfaces import Dialect
+from caroblug.gateway._kept_connections import (
+    KeptConnections,
+    make_kept_connections,
+)
 from caroblug.gateway._settings import GatewaySettings
 from caroblug.gateway._telemetry import Telemetry
 from caroblug.utils import Clock
@@ -43,6 +47,7 @@
         engines_to_probe: Names of engines whose reports are to be read soon.
         stream_ranks: Ranks of the streams of each service, as that
             configuration gives them.
+        connections: Kept connections, which the dialect uses as well.
     """
 
     settings: GatewaySettings
@@ -59,6 +64,7 @@
     raw_configuration: str = ""
     engines_to_probe: set[str] = attrs.field(factory=set)
     stream_ranks: dict[str, StreamRanks] = attrs.field(factory=dict)
+    connections: KeptConnections = attrs.field(factory=make_kept_connections)
 
     def limits(self) -> RequestLimits:
         """Returns the limits on requests of callers."""
