Let accounts above their share yield to others while room is short

Cause: within a rank, an account with most of the requests gets most of the room, and the others are late or refused.

Change: AccountShares counts the tokens in use by rank and account, at this gateway and, from the gossip field `accounts`, at its peers (16 largest, sent only while room is short). In the second after a stream waited or was refused, an account that uses more than an equal, weighted share of what its rank uses keeps room for what accounts below theirs received recently, as less urgent ranks do for more urgent ones: a lower max_use, behind the others in the queue, displaced first. It never yields so much that less urgent ranks are ahead of it. Nothing is kept for accounts without arrivals in the last second. The measure of arrivals, with its mean over 8 s, is one module for ranks and accounts now. Room is short as well where a peer reports so. Lost runs no longer count as released memory.

core/limits has no mechanism for this: _shares.py grants parts of configured limits for a term, _fair_queue.py orders by tokens served, not in use.

Test: 15 in test_account_shares.py, 8 in test_account_messages.py. Seen to fail without their guard: shares as a whole, reports of peers, the lower limit, the bound on yielding, the expiry of dead gateways, the rule for accounts alone.

--- a/caroblug/core/admission/__init__.py
+++ b/caroblug/core/admission/__init__.py
@@ -8,6 +8,7 @@
 _MODULES = {
     "HIGH_USE": "_reservations",
     "NO_ROOM_REASON": "_types",
+    "AccountShares": "_account_shares",
     "Admission": "_admission",
     "Refuse": "_types",
     "StreamRequest": "_types",
--- a/caroblug/core/admission/_admission.py
+++ b/caroblug/core/admission/_admission.py
@@ -7,10 +7,11 @@
 
 import functools
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import TypeVar
 
-from caroblug.core.admission._queue import AdmissionQueue, order_key
+from caroblug.core.admission._account_shares import AccountShares
+from caroblug.core.admission._queue import AdmissionQueue, OrderKey
 from caroblug.core.admission._refused_needs import RefusedNeeds
 from caroblug.core.admission._release_rate import ReleaseRate
 from caroblug.core.admission._reservations import Reservations
@@ -50,6 +51,7 @@
         releases: Rate at which memory becomes free.
         queue: Streams that wait.
         returns: Retry delays.
+        shares: Shares of the client accounts.
     """
 
     def __init__(
@@ -58,11 +60,13 @@
         releases: ReleaseRate,
         queue: AdmissionQueue,
         returns: ReturnSchedule,
+        shares: AccountShares,
     ) -> None:
         self._reservations = reservations
         self._releases = releases
         self._queue = queue
         self._returns = returns
+        self._shares = shares
         self._refused = RefusedNeeds()
         self._admitted = WindowedTokens(_ADMITTED_WINDOW_MS)
 
@@ -71,30 +75,55 @@
         """Number of streams that wait."""
         return len(self._queue)
 
-    def set_fleet(self, ranked: bool, capacity: float) -> None:
+    @property
+    def shares(self) -> AccountShares:
+        """Shares of the client accounts."""
+        return self._shares
+
+    def set_fleet(
+        self, ranked: bool, capacity: float, gateways: int = 0
+    ) -> None:
         """Sets what is known about the service.
 
         Args:
             ranked: Whether streams of the service differ in rank.
             capacity: This gateway's equal part of the memory of the service's
                 engines, in tokens of whole paths; 0 if it is unknown.
+            gateways: Number of gateways, this one included; 0 if unknown.
         """
         self._reservations.ranked = ranked
         self._reservations.capacity = capacity
         self._releases.capacity = capacity
         self._queue.capacity = capacity
+        self._shares.gateways = gateways
 
     # Events.
 
-    def on_arrival(self, rank: int, tokens: int, now_ms: int) -> None:
+    def on_arrival(
+        self, rank: int, tokens: int, now_ms: int, account: str = ""
+    ) -> None:
         """Counts a stream that has arrived, whether it is admitted or not."""
         self._reservations.on_arrival(rank, tokens, now_ms)
+        self._shares.on_arrival(rank, account, tokens, now_ms)
 
     def on_admitted(self, request: StreamRequest, now_ms: int) -> None:
         """Counts a stream that is going to run."""
         self._queue.remove(request)
         key = (request.rank, request.late)
         self._admitted.add(key, request.tokens, now_ms)
+        self._shares.on_admitted(request.rank, request.account, request.tokens)
+
+    def on_ended(self, request: StreamRequest, ran: bool, now_ms: int) -> None:
+        """Records that an admitted stream has ended.
+
+        Args:
+            request: The stream.
+            ran: Whether it has run, so that its memory is released.
+            now_ms: Current time.
+        """
+        self._shares.on_ended(request.rank, request.account, request.tokens)
+        if ran:
+            self.on_released(request.tokens, now_ms)
 
     def on_released(self, tokens: int, now_ms: int) -> None:
         """Counts tokens that an ended stream has released."""
@@ -107,9 +136,19 @@
 
     # Decisions.
 
-    def max_use(self, rank: int, now_ms: int) -> float:
-        """Returns the use up to which a rank may fill an engine."""
-        return self._reservations.max_use(rank, now_ms)
+    def max_use(self, rank: int, now_ms: int, account: str = "") -> float:
+        """Returns the use up to which a rank may fill an engine.
+
+        Args:
+            rank: The rank.
+            now_ms: Current time.
+            account: Client account; one above its share keeps room free for
+                the others of its rank.
+        """
+        lighter_rate = 0.0
+        if self._shares.is_above(rank, account, now_ms):
+            lighter_rate = self._shares.lighter_rate(rank, now_ms)
+        return self._reservations.max_use(rank, now_ms, lighter_rate)
 
     def reserved(self, rank: int, now_ms: int) -> float:
         """Returns the share of memory reserved for the arrivals of a rank."""
@@ -125,18 +164,14 @@
         if request.begun:
             return RoomNeed(request.tokens, _BEGUN_MAX_USE)
         lacked = self._refused.max_tokens(request.rank, now_ms)
-        return RoomNeed(
-            max(request.tokens, lacked), self.max_use(request.rank, now_ms)
-        )
+        max_use = self.max_use(request.rank, now_ms, request.account)
+        return RoomNeed(max(request.tokens, lacked), max_use)
 
     def is_next(self, request: StreamRequest, now_ms: int) -> bool:
         """Returns whether no waiting stream is ahead of one that arrived."""
-        late_first = self._late_first(now_ms)
-        own = order_key(request, late_first(request.rank))
-        return all(
-            own < order_key(other, late_first(other.rank))
-            for other in self._queue
-        )
+        key = self._order_key(now_ms)
+        own = key(request)
+        return all(own < key(other) for other in self._queue)
 
     def decide(self, request: StreamRequest, now_ms: int) -> Wait | Refuse:
         """Returns whether a stream that found no room waits or is refused.
@@ -145,11 +180,12 @@
             request: The stream. It is added to the queue if it waits.
             now_ms: Current time.
         """
+        self._shares.on_short(now_ms)
         until_ms = request.wait_until_ms(now_ms)
         expected_ms = self.expected_wait_ms(request, now_ms)
         if until_ms <= now_ms or now_ms + expected_ms > until_ms:
             return self._refuse(request, "in time", now_ms)
-        displaced = self._queue.make_place(request, self._late_first(now_ms))
+        displaced = self._queue.make_place(request, self._order_key(now_ms))
         if displaced is None:
             return self._refuse(request, "in a full queue", now_ms)
         refused = []
@@ -177,7 +213,7 @@
         """Yields the waiting streams that have room now, in their order.
 
         A stream passes one ahead of it that found no room only if both are of
-        one rank and the one ahead isn't late, or if it finds room for the one
+        one class and the one ahead isn't late, or if it finds room for the one
         ahead as well.
 
         Args:
@@ -190,10 +226,16 @@
         """
         failed: list[RoomNeed] = []
         passed: list[StreamRequest] = []
-        for request in self._queue.ordered(self._late_first(now_ms)):
+        key = self._order_key(now_ms)
+        for request in self._queue.ordered(key):
             if request not in self._queue:
                 continue
-            need = _include_passed(self.need(request, now_ms), request, passed)
+            first = [
+                other
+                for other in passed
+                if other.late or key(other)[0] < key(request)[0]
+            ]
+            need = _include(self.need(request, now_ms), first)
             if any(_covers(known, need) for known in failed):
                 passed.append(request)
                 continue
@@ -209,20 +251,17 @@
 
     def expected_wait_ms(self, request: StreamRequest, now_ms: int) -> float:
         """Returns how long the queue ahead of a stream takes to get room."""
-        late_first = self._late_first(now_ms)
-        own = order_key(request, late_first(request.rank))
+        key = self._order_key(now_ms)
+        own_class, own_order = key(request)
         ahead = 0
         late_waits = False
         for other in self._queue:
-            if other.begun or other.rank < request.rank:
+            other_class, other_order = key(other)
+            if other_class < own_class:
                 ahead += other.tokens
-            elif other.rank == request.rank:
+            elif other_class == own_class:
                 late_waits = late_waits or other.late
-                same_group = other.late == request.late
-                if (
-                    same_group
-                    and order_key(other, late_first(other.rank)) <= own
-                ):
+                if other.late == request.late and other_order <= own_order:
                     ahead += other.tokens
         if not ahead:
             return 0.0
@@ -242,22 +281,46 @@
         if request.begun:
             return self._releases.tokens_per_ms(now_ms)
         if request.late:
-            return self._late_rate(request.rank, now_ms)
-        rate = self._net_rate(request.rank, now_ms)
+            return self._late_rate(request, now_ms)
+        rate = self._net_rate(request, now_ms)
         return rate * (1 - _LATE_SHARE) if late_waits else rate
 
-    def _net_rate(self, rank: int, now_ms: int) -> float:
-        """Returns the tokens per ms that more urgent ranks leave to a rank."""
+    def _net_rate(self, request: StreamRequest, now_ms: int) -> float:
+        """Returns the tokens per ms that streams ahead leave to one."""
+        rank = request.rank
         rate = self._releases.tokens_per_ms(now_ms)
-        more_urgent = self._reservations.more_urgent_rate(rank, now_ms)
-        return max(0.0, rate - more_urgent)
-
-    def _late_rate(self, rank: int, now_ms: int) -> float:
-        """Returns the tokens per ms that late streams of a rank can get."""
-        rate = self._net_rate(rank, now_ms)
-        arrivals = self._reservations.arrival_rate(rank, now_ms)
+        rate -= self._reservations.more_urgent_rate(rank, now_ms)
+        if self._shares.is_above(rank, request.account, now_ms):
+            rate -= self._shares.lighter_rate(rank, now_ms)
+        return max(0.0, rate)
+
+    def _late_rate(self, request: StreamRequest, now_ms: int) -> float:
+        """Returns the tokens per ms that late streams like one can get."""
+        rate = self._net_rate(request, now_ms)
+        arrivals = self._reservations.arrival_rate(request.rank, now_ms)
         return max(rate * _LATE_SHARE, rate - arrivals)
 
+    def _order_key(self, now_ms: int) -> OrderKey:
+        """Returns the key by which streams are ordered.
+
+        The classes are begun streams, ranks, and accounts above their share.
+        Within a class, the order is by remaining time. Callers that retry have
+        less time left and are therefore ahead of newcomers, until late streams
+        have had their share.
+        """
+        late_first = self._late_first(now_ms)
+
+        def key(request: StreamRequest) -> tuple[tuple, tuple]:
+            rank = request.rank
+            yields = self._shares.is_above(rank, request.account, now_ms)
+            group = request.late != late_first(rank)
+            return (
+                (not request.begun, rank, yields),
+                (group, request.end_ms),
+            )
+
+        return key
+
     def _late_first(self, now_ms: int) -> Callable[[int], bool]:
         """Returns which ranks serve their late streams first.
 
@@ -282,33 +345,34 @@
         delay_ms = self._returns.delay_ms(
             request.tokens,
             ahead,
-            self._late_rate(request.rank, now_ms),
+            self._late_rate(request, now_ms),
             request.end_ms - now_ms,
             now_ms,
         )
         return Refuse(f"{NO_ROOM_REASON} {when}", delay_ms)
 
 
-def make_admission(rng: random.Random) -> Admission:
+def make_admission(
+    rng: random.Random, weights: Mapping[str, float] | None = None
+) -> Admission:
     """Returns the admission control of one service.
 
     Args:
         rng: Random number generator for retry delays.
+        weights: Weight of client accounts relative to others; 1 if missing.
     """
     return Admission(
-        Reservations(), ReleaseRate(), AdmissionQueue(), ReturnSchedule(rng)
+        Reservations(),
+        ReleaseRate(),
+        AdmissionQueue(),
+        ReturnSchedule(rng),
+        AccountShares(weights or {}),
     )
 
 
-def _include_passed(
-    need: RoomNeed, request: StreamRequest, passed: list[StreamRequest]
-) -> RoomNeed:
-    """Returns a need that includes those of streams that may not be passed."""
-    tokens = [
-        other.tokens
-        for other in passed
-        if other.begun or other.rank < request.rank or other.late
-    ]
+def _include(need: RoomNeed, others: list[StreamRequest]) -> RoomNeed:
+    """Returns a need that includes the tokens of each of some streams."""
+    tokens = [other.tokens for other in others]
     return RoomNeed(max([need.tokens, *tokens]), need.max_use)
 
 
--- a/caroblug/core/admission/_queue.py
+++ b/caroblug/core/admission/_queue.py
@@ -4,6 +4,9 @@
 
 from caroblug.core.admission._types import StreamRequest
 
+OrderKey = Callable[[StreamRequest], tuple[tuple, tuple]]
+"""Returns the class of a stream, and its order within the class."""
+
 _MAX_LENGTH = 256
 
 _MAX_SHARE = 0.5
@@ -17,9 +20,8 @@
 class AdmissionQueue:
     """Streams that wait, bounded in length and in tokens.
 
-    The order is by rank, then by remaining time. Callers that retry have less
-    time left and are therefore ahead of newcomers of their rank, unless the
-    caller of `ordered` reverses the two groups.
+    Streams are ordered by a key whose first part is their class, such as the
+    rank. A stream may displace those of a later class.
 
     Attributes:
         capacity: This gateway's equal part of the fleet's memory, in tokens; 0
@@ -57,40 +59,35 @@
         """Returns the streams that have waited too long."""
         return [r for r, until in self._until_ms.items() if until <= now_ms]
 
-    def ordered(self, late_first: Callable[[int], bool]) -> list[StreamRequest]:
+    def ordered(self, key: OrderKey) -> list[StreamRequest]:
         """Returns the streams in the order in which they get room.
 
         Args:
-            late_first: Returns whether the late streams of a rank are ahead of
-                the other ones of this rank.
+            key: Returns the class of a stream and its order within the class.
         """
-        return sorted(
-            self._until_ms, key=lambda r: order_key(r, late_first(r.rank))
-        )
+        return sorted(self._until_ms, key=key)
 
     def make_place(
-        self,
-        request: StreamRequest,
-        late_first: Callable[[int], bool],
+        self, request: StreamRequest, key: OrderKey
     ) -> list[StreamRequest] | None:
-        """Returns the less urgent streams that one has to displace.
+        """Returns the streams of later classes that one has to displace.
 
         Args:
             request: The stream that needs a place.
-            late_first: Returns whether the late streams of a rank are ahead of
-                the other ones of this rank.
+            key: Returns the class of a stream and its order within the class.
 
         Returns:
             The streams, last first; empty if there is a free place, or None
-            if there are too few less urgent streams.
+            if there are too few of later classes.
         """
         if self._fits(request, list(self._until_ms)):
             return []
-        staying = self.ordered(late_first)
+        own_class, _ = key(request)
+        staying = self.ordered(key)
         displaced = []
         while not self._fits(request, staying):
             last = staying.pop()
-            if last.begun or last.rank <= request.rank:
+            if key(last)[0] <= own_class:
                 return None
             displaced.append(last)
         return displaced
@@ -115,18 +112,3 @@
         if not request.late or not late:
             return True
         return late + request.tokens <= self.capacity * _MAX_LATE_SHARE
-
-
-def order_key(request: StreamRequest, late_first: bool) -> tuple:
-    """Returns the key by which streams are ordered.
-
-    Args:
-        request: The stream.
-        late_first: Whether late streams of its rank are ahead of others.
-    """
-    return (
-        not request.begun,
-        request.rank,
-        request.late != late_first,
-        request.end_ms,
-    )
--- a/caroblug/core/admission/tests/models.py
+++ b/caroblug/core/admission/tests/models.py
@@ -20,6 +20,8 @@
 STEP_MS = 10
 FIRST_EVENT_MS = 150
 TIMEOUT_MS = 20_000
+EXCHANGE_MS = 500
+MAX_ACCOUNTS = 16
 
 
 @attrs.frozen
@@ -60,6 +62,7 @@
         refused_ms: Times of the refusals.
         admitted_ms: When it was admitted; None if it was not.
         engine: Index of its engine.
+        request: Its admitted request.
     """
 
     kind: Kind
@@ -71,6 +74,7 @@
     refused_ms: list[int] = attrs.field(factory=list)
     admitted_ms: int | None = None
     engine: int = -1
+    request: StreamRequest | None = None
 
     @property
     def on_time(self) -> bool:
@@ -133,6 +137,8 @@
         """Advances the time."""
         for _ in range(ms // STEP_MS):
             self.now_ms += STEP_MS
+            if self.now_ms % EXCHANGE_MS == 0:
+                self._exchange()
             self._end_streams()
             for number in range(len(self.gateways)):
                 self._serve_waiting(number)
@@ -147,6 +153,9 @@
         self.capacities[number] = self.used[number] = 0
         self._update_fleet()
         for stream in lost:
+            self.gateways[stream.gateway].on_ended(
+                stream.request, False, self.now_ms
+            )
             stream.admitted_ms = None
             self.ask(stream, begun=True)
         return lost
@@ -167,7 +176,9 @@
             begun=begun,
         )
         self._requests[request] = stream
-        self._on_arrival(admission, request)
+        admission.on_arrival(
+            request.rank, request.tokens, self.now_ms, request.account
+        )
         if admission.is_next(request, self.now_ms):
             need = admission.need(request, self.now_ms)
             engine = self.find_engine(request, need)
@@ -205,10 +216,17 @@
     def _update_fleet(self) -> None:
         part = sum(self.capacities) / len(self.gateways)
         for admission in self.gateways:
-            admission.set_fleet(self.ranked, part)
-
-    def _on_arrival(self, admission: Admission, request: StreamRequest) -> None:
-        admission.on_arrival(request.rank, request.tokens, self.now_ms)
+            admission.set_fleet(self.ranked, part, len(self.gateways))
+
+    def _exchange(self) -> None:
+        """Exchanges what the accounts use between all gateways."""
+        for number, admission in enumerate(self.gateways):
+            used = {}
+            if admission.shares.is_short_here(self.now_ms):
+                used = admission.shares.largest(MAX_ACCOUNTS)
+            for other in self.gateways:
+                if other is not admission:
+                    other.shares.update_peer(f"g{number}", used, self.now_ms)
 
     def _arrive(self) -> None:
         for (gateway, kind), per_s in list(self.rates.items()):
@@ -233,6 +251,7 @@
         stream = self._requests.pop(request)
         stream.admitted_ms = self.now_ms
         stream.engine = engine
+        stream.request = request
         self.used[engine] += stream.tokens
         self._running.append((self.now_ms + stream.holds_ms, stream))
 
@@ -241,10 +260,9 @@
         self._running = [x for x in self._running if x[0] > self.now_ms]
         for stream in ended:
             self.used[stream.engine] -= stream.tokens
-            self._on_released(self.gateways[stream.gateway], stream)
-
-    def _on_released(self, admission: Admission, stream: Stream) -> None:
-        admission.on_released(stream.tokens, self.now_ms)
+            self.gateways[stream.gateway].on_ended(
+                stream.request, True, self.now_ms
+            )
 
     def _serve_waiting(self, number: int) -> None:
         admission = self.gateways[number]
--- a/caroblug/gateway/_context.py
+++ b/caroblug/gateway/_context.py
@@ -5,6 +5,7 @@
 import attrs
 
 from caroblug.core.access import Configuration, RequestLimits
+from caroblug.core.admission import Admission
 from caroblug.core.limits import RetryAfter, WindowedRetryBudget
 from caroblug.gateway._decision_log import DecisionLog
 from caroblug.gateway._fleet import Fleet
@@ -32,6 +33,7 @@
         configuration_ms: When that configuration was applied.
         raw_configuration: Text of that configuration as the operator wrote it.
         engines_to_probe: Names of engines whose reports are to be read soon.
+        admissions: Admission control by service, from its first stream on.
     """
 
     settings: GatewaySettings
@@ -47,6 +49,7 @@
     configuration_ms: int = 0
     raw_configuration: str = ""
     engines_to_probe: set[str] = attrs.field(factory=set)
+    admissions: dict[str, Admission] = attrs.field(factory=dict)
 
     def limits(self) -> RequestLimits:
         """Returns the limits on requests of callers."""
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -12,6 +12,7 @@
 import gevent
 from gevent import event
 
+from caroblug.gateway._account_messages import apply_accounts, encode_accounts
 from caroblug.gateway._compression import TextCompressor, decompress_text
 from caroblug.gateway._context import Context
 from caroblug.gateway._crash_suspicions import CrashSuspicions
@@ -268,6 +269,7 @@
             "list_age_ms": self._server_state.list_age_ms(),
             "list_digest": context.fleet.listing.digest,
             "list_end": context.fleet.listing.end,
+            "accounts": encode_accounts(context.admissions, now_ms),
             "crashes": self._crashes.export(),
             "tenure": self.lease_state.value,
             "holder_age_ms": self._holder_age_ms(now_ms),
@@ -370,6 +372,8 @@
         }
         self._crashes.merge(message["crashes"])
         now_ms = self._context.clock.now_ms()
+        accounts = message.get("accounts", {})
+        apply_accounts(self._context.admissions, name, accounts, now_ms)
         before = self._lease_states.get(name)
         self._lease_states[name] = LeaseState(message["tenure"])
         holder_age_ms = int(message["holder_age_ms"])
--- a/caroblug/gateway/_stream_admission.py
+++ b/caroblug/gateway/_stream_admission.py
@@ -11,7 +11,7 @@
 import gevent
 from gevent import event
 
-from caroblug.core.access import Configuration, RouteKind, Service
+from caroblug.core.access import Service
 from caroblug.core.admission import (
     Admission,
     Refuse,
@@ -26,6 +26,10 @@
     Path,
     RoomNeed,
 )
+from caroblug.gateway._admission_inputs import (
+    count_path_tokens,
+    find_ranks,
+)
 from caroblug.gateway._admission_log import AdmissionLog
 from caroblug.gateway._context import Context
 from caroblug.gateway._run_results import RunEnd, RunResult
@@ -46,7 +50,9 @@
 _UPDATE_INTERVAL_MS = 500
 """Interval at which the memory of the fleet and the ranks are determined."""
 
-_NOT_RUN = (RunEnd.REJECTED, RunEnd.NOT_SENT)
+_NOT_RELEASED = (RunEnd.REJECTED, RunEnd.NOT_SENT, RunEnd.LOST)
+"""Ends of runs after which no memory becomes free. An engine that is lost takes
+its memory along."""
 
 
 class StreamAdmission:
@@ -135,16 +141,12 @@
         self._updated_ms = now_ms
         fleet = self._context.fleet
         engines = fleet.engines(service, now_ms)
-        model = service.model
         self._engines = [e for e in engines if not e.loading]
-        tokens = sum(
-            model.token_capacity(e.kind, len(e.holds)) * len(e.holds)
-            for e in engines
-        )
         gateways = fleet.loads.gateways
-        part = tokens / model.layers / gateways if gateways else 0.0
+        tokens = count_path_tokens(engines, service.model)
+        part = tokens / gateways if gateways else 0.0
         ranks = find_ranks(self._context.configuration, service.name)
-        self._admission.set_fleet(len(ranks) > 1, part)
+        self._admission.set_fleet(len(ranks) > 1, part, gateways)
         self._interval_s = _SERVE_INTERVAL_S * max(
             1.0, len(engines) / _ENGINES_PER_INTERVAL
         )
@@ -168,11 +170,17 @@
         if self._tickets.pop(request, None) is not None:
             self._admission.on_left(request)
 
-    def on_released(self, request: StreamRequest) -> None:
-        """Wakes the queue, as a stream has released its memory."""
+    def on_ended(self, request: StreamRequest, released: bool) -> None:
+        """Records that an admitted stream has ended.
+
+        Args:
+            request: The stream.
+            released: Whether memory has become free, which wakes the queue.
+        """
         now_ms = self._context.clock.now_ms()
-        self._admission.on_released(request.tokens, now_ms)
-        self._wake.set()
+        self._admission.on_ended(request, released, now_ms)
+        if released:
+            self._wake.set()
 
     def resolve(
         self, request: StreamRequest, outcome: Path | NoPath | Refuse
@@ -256,13 +264,16 @@
     def choose_path(self) -> Path | NoPath | LimitsReached | Refuse:
         """Returns a path with room for the stream, waiting for it if needed."""
         gate = self._gate
-        self._withdraw()
+        self._end(released=False)
         gate.update(self._state.pending.admitted.service)
         request = self._make_request()
         if not self._arrived:
             self._arrived = True
             gate.admission.on_arrival(
-                request.rank, request.tokens, self._state.now_ms
+                request.rank,
+                request.tokens,
+                self._state.now_ms,
+                request.account,
             )
         path = self._choose(request)
         if isinstance(path, Refuse) and (request.begun or request.ran):
@@ -288,28 +299,25 @@
         Returns:
             How the run ended.
         """
-        ran = True
+        released = True
         try:
             result = runner.run(stream, path)
-            ran = result.end not in _NOT_RUN
+            released = result.end not in _NOT_RELEASED
             return result
         finally:
-            if ran and self._held is not None:
-                self._gate.on_released(self._held)
-                self._held = None
-            self._withdraw()
+            self._end(released)
 
     def resolve(
         self, request: StreamRequest, outcome: Path | NoPath | Refuse
     ) -> None:
         """Ends the wait for room."""
-        if isinstance(outcome, Path):
+        if not isinstance(outcome, Refuse):
             self._held = request
         self._outcome.set(outcome)
 
     def close(self) -> None:
         """Gives up room that no run has used."""
-        self._withdraw()
+        self._end(released=False)
 
     def _choose(
         self, request: StreamRequest
@@ -330,6 +338,7 @@
             path = self._wait(request, decision)
             if isinstance(path, NoPath):
                 # It waits for a permit of a limited engine, not for memory.
+                self._end(released=False)
                 path = self._choose_with_room(request)
             if not isinstance(path, NoRoom):
                 return path
@@ -363,8 +372,11 @@
             self._held = request
             self._gate.admission.on_admitted(request, self._state.now_ms)
 
-    def _withdraw(self) -> None:
-        self._held = None
+    def _end(self, released: bool) -> None:
+        """Gives up the room that the stream was admitted to, if any."""
+        request, self._held = self._held, None
+        if request is not None:
+            self._gate.on_ended(request, released)
 
     def _make_request(self) -> StreamRequest:
         state = self._state
@@ -382,19 +394,3 @@
             ran=pending.ran > 0,
             constrained=bool(state.excluded_engines or state.began_on),
         )
-
-
-def find_ranks(configuration: Configuration | None, service: str) -> list[int]:
-    """Returns the priorities that streams of a service may have, sorted."""
-    if configuration is None:
-        return []
-    ranks = {
-        route.priority
-        for routes in configuration.routes.values()
-        for route in routes
-        if route.kind is RouteKind.STREAMING
-        and any(share.service == service for share in route.shares)
-    }
-    accounts = (configuration.keys or {}).values()
-    ranks.update(a.priority for a in accounts if a.priority is not None)
-    return sorted(ranks)
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -49,6 +49,7 @@
     repeats=None,
     version=-1,
     version_age_ms=1_000_000,
+    **newer_fields,
 ):
     """Delivers the state of another gateway to a peer exchange."""
     message = {
@@ -65,6 +66,7 @@
         "list_digest": "",
         "list_end": 0,
         "tenure": lease_state.value,
+        **newer_fields,
         "holder_age_ms": holder_age_ms,
     }
     peers._apply_peer_state(name, message)
--- a/caroblug/gateway/tests/test_stream_admission.py
+++ b/caroblug/gateway/tests/test_stream_admission.py
@@ -13,6 +13,7 @@
 )
 from caroblug.core.admission import Refuse
 from caroblug.core.placement import NoPath, Path, RoomReport
+from caroblug.gateway._admission_inputs import find_ranks
 from caroblug.gateway._caller_requests import RawRequest
 from caroblug.gateway._crash_suspicions import CrashSuspicions
 from caroblug.gateway._interfaces import CallerRequest
@@ -20,7 +21,7 @@
 from caroblug.gateway._pending_request import PendingRequest
 from caroblug.gateway._run_results import RunEnd, RunResult
 from caroblug.gateway._running_streams import RunningStreams
-from caroblug.gateway._stream_admission import StreamAdmission, find_ranks
+from caroblug.gateway._stream_admission import StreamAdmission
 from caroblug.gateway._stream_retry_policy import StreamRetryPolicy
 from caroblug.gateway._stream_state import make_stream_state
 from caroblug.gateway._streams import StreamHandler
@@ -304,7 +305,7 @@
 def test_rejected_run_releases_no_room():
     # Guards against a rate of released memory that grows with rejections.
     site = Site(use=0.5)
-    for n, end in enumerate((RunEnd.REJECTED, RunEnd.COMPLETE)):
+    for n, end in enumerate((RunEnd.REJECTED, RunEnd.LOST, RunEnd.COMPLETE)):
         _, runner = site.ask(site.make_state(name=f"r{n}"), end)
         runner.ended.set()
         gevent.sleep(0)
