Check the room of layers as searches for a path do now

Cause: EngineRooms gives a gateway whole requests of the free memory, once in a round, and has to be told of each search. The check before a search in the admission queue called has_room alone. Change: the check is a module of its own. It begins a search with the mean of the streams that arrived, since the stream that waits is checked 20 times a second and would outweigh all others in the mean that a part is rounded to.

--- a/caroblug/gateway/_stream_admission.py
+++ b/caroblug/gateway/_stream_admission.py
@@ -20,7 +20,6 @@
     make_admission,
 )
 from caroblug.core.placement import (
-    Engine,
     NoPath,
     NoRoom,
     Path,
@@ -32,6 +31,7 @@
 )
 from caroblug.gateway._admission_log import AdmissionLog
 from caroblug.gateway._context import Context
+from caroblug.gateway._room_check import RoomCheck
 from caroblug.gateway._run_results import RunEnd, RunResult
 from caroblug.gateway._running_streams import RunningStream
 from caroblug.gateway._stream_retry_policy import (
@@ -112,7 +112,7 @@
         self._interval_s = _SERVE_INTERVAL_S
         self._updated_ms: int | None = None
         self._engines_report = False
-        self._engines: list[Engine] = []
+        self._check = RoomCheck(context.fleet.rooms)
 
     @property
     def admission(self) -> Admission:
@@ -141,7 +141,7 @@
         self._updated_ms = now_ms
         fleet = self._context.fleet
         engines = fleet.engines(service, now_ms)
-        self._engines = [e for e in engines if not e.loading]
+        self._check.set_engines(engines, service.model)
         gateways = fleet.loads.gateways
         tokens = count_path_tokens(engines, service.model)
         part = tokens / gateways if gateways else 0.0
@@ -159,6 +159,16 @@
         if any(report.use is not None for report in reports.values()):
             self._engines_report = True
 
+    def on_arrival(self, request: StreamRequest) -> None:
+        """Counts a stream that has arrived."""
+        self._check.on_arrival(request.tokens)
+        self._admission.on_arrival(
+            request.rank,
+            request.tokens,
+            self._context.clock.now_ms(),
+            request.account,
+        )
+
     def add_waiting(self, request: StreamRequest, ticket: "AdmissionTicket"):
         """Lets a stream wait until its ticket is resolved."""
         self._tickets[request] = ticket
@@ -209,29 +219,11 @@
             self._wake.clear()
             self.serve_once()
 
-    def _may_have_room(self, need: RoomNeed) -> bool:
-        """Returns whether each layer has an engine with the room needed.
-
-        This takes a fraction of the time of a search for a path. The engines
-        are those of the last update; a layer without any is left to the search.
-        """
-        rooms = self._context.fleet.rooms
-        now_ms = self._context.clock.now_ms()
-        covered: set[int] = set()
-        with_room: set[int] = set()
-        for engine in self._engines:
-            covered.update(engine.holds)
-            if not with_room.issuperset(engine.holds) and rooms.has_room(
-                engine, self._service.model, need.tokens, need.max_use, now_ms
-            ):
-                with_room.update(engine.holds)
-        return with_room == covered
-
     def _find_room(
         self, request: StreamRequest, need: RoomNeed
     ) -> Path | NoPath | None:
         """Returns a path, or NoPath if the stream doesn't wait for memory."""
-        if not self._may_have_room(need):
+        if not self._check.may_have_room(need, self._context.clock.now_ms()):
             return None
         path = self._tickets[request].policy.choose_unlimited_path(need)
         return None if isinstance(path, NoRoom) else path
@@ -269,12 +261,7 @@
         request = self._make_request()
         if not self._arrived:
             self._arrived = True
-            gate.admission.on_arrival(
-                request.rank,
-                request.tokens,
-                self._state.now_ms,
-                request.account,
-            )
+            gate.on_arrival(request)
         path = self._choose(request)
         if isinstance(path, Refuse) and (request.begun or request.ran):
             # A refusal would cut the response, or fail a request that may have
