Give no room above max_use in place of a gateway's own ended requests

Cause: found in a trial of core/admission with EngineRooms: a gateway may replace each of its own requests that has ended, whatever max_use is. While engines are full, digests take what was reserved for alerts whenever any stream of their gateway ends. Change: has_room also requires that the reported use, corrected by what this gateway has added or removed since, stays within max_use with the request.

--- a/caroblug/core/placement/_engine_rooms.py
+++ b/caroblug/core/placement/_engine_rooms.py
@@ -286,6 +286,10 @@
             return True
         local = engine.data_centre == self._data_centre
         own = self._loads.own_change(engine.name, report.measured_ms)
+        if report.use + (own + tokens) / capacity > max_use:
+            # Requests that have ended make room for others of their own rank,
+            # not for less urgent ones, whose `max_use` is lower.
+            return False
         if not local:
             own = max(0.0, own)
         if report.measured_ms > self._round_ms:
--- a/caroblug/core/placement/tests/test_engine_rooms.py
+++ b/caroblug/core/placement/tests/test_engine_rooms.py
@@ -195,6 +195,18 @@
     assert not site.has_room(1170)
 
 
+def test_ended_request_makes_no_room_below_a_lower_limit():
+    # Guards against memory reserved for urgent requests that is taken by less
+    # urgent ones whenever a request of their gateway ends.
+    site = Site(gateways=100)
+    site.add(0.01, 900)
+    site.report(0.95, measured_ms=1000)
+    site.remove(0.01, 1150)
+
+    assert not site.has_room(1160, max_use=0.9)
+    assert site.has_room(1160, max_use=0.95)
+
+
 def test_request_is_counted_in_its_round_although_a_report_includes_it():
     # Guards against one part that is used with each of several reports.
     site = Site(gateways=10)
