--- a/caroblug/gateway/_context.py
+++ b/caroblug/gateway/_context.py
@@ -10,6 +10,7 @@
     StreamRanks,
     find_stream_ranks,
 )
+from caroblug.core.admission import Admission
 from caroblug.core.limits import (
     RetryAfter,
     WindowedRetryBudget,
@@ -48,6 +49,7 @@
         stream_ranks: Ranks of the streams of each service, as that
             configuration gives them.
         connections: Kept connections, which the dialect uses as well.
+        admissions: Admission control by service, from its first stream on.
     """
 
     settings: GatewaySettings
@@ -65,6 +67,7 @@
     engines_to_probe: set[str] = attrs.field(factory=set)
     stream_ranks: dict[str, StreamRanks] = attrs.field(factory=dict)
     connections: KeptConnections = attrs.field(factory=make_kept_connections)
+    admissions: dict[str, Admission] = attrs.field(factory=dict)
 
     def limits(self) -> RequestLimits:
         """Returns the limits on requests of callers."""
--- a/caroblug/gateway/tests/test_stream_admission.py
+++ b/caroblug/gateway/tests/test_stream_admission.py
@@ -13,6 +13,7 @@
 )
 from caroblug.core.admission import Refuse
 from caroblug.core.placement import NoPath, Path, RoomReport
+from caroblug.gateway._admission_inputs import find_ranks
 from caroblug.gateway._caller_requests import RawRequest
 from caroblug.gateway._crash_suspicions import CrashSuspicions
 from caroblug.gateway._interfaces import CallerRequest
@@ -20,7 +21,7 @@
 from caroblug.gateway._pending_request import PendingRequest
 from caroblug.gateway._run_results import RunEnd, RunResult
 from caroblug.gateway._running_streams import RunningStreams
-from caroblug.gateway._stream_admission import StreamAdmission, find_ranks
+from caroblug.gateway._stream_admission import StreamAdmission
 from caroblug.gateway._stream_retry_policy import StreamRetryPolicy
 from caroblug.gateway._stream_state import make_stream_state
 from caroblug.gateway._streams import StreamHandler
@@ -222,7 +223,7 @@
     assert not site.results
 
     site.report(0.934)
-    site.serve_waiting()
+    site.serve_waiting(advance_ms=500)
 
     assert len(site.results) == 1
 
@@ -230,7 +231,7 @@
 def test_no_path_is_searched_for_while_a_layer_has_no_room():
     # Guards against a search over all engines every 50 ms for each queue.
     site = Site(use=0.95)
-    site.ask(site.make_state())
+    site.ask(site.make_state(deadline_ms=9000))
     searches = []
     site.fleet.choose_first_path = lambda *args: searches.append(args)
 
@@ -238,17 +239,21 @@
     assert not searches
 
     site.report(0.5)
-    site.serve_waiting()
+    site.serve_waiting(advance_ms=500)
     assert len(searches) == 1
 
 
 def test_more_urgent_stream_gets_room_first():
     site = Site(use=0.94)
     for rank in (2, 1, 0):
-        site.ask(site.make_state(name=str(rank), priority=rank, tokens=1500))
+        site.ask(
+            site.make_state(
+                name=str(rank), priority=rank, tokens=1500, deadline_ms=9000
+            )
+        )
 
     site.report(0.91)
-    site.serve_waiting()
+    site.serve_waiting(advance_ms=500)
 
     assert list(site.results) == ["0"]
 
@@ -304,7 +309,7 @@
 def test_rejected_run_releases_no_room():
     # Guards against a rate of released memory that grows with rejections.
     site = Site(use=0.5)
-    for n, end in enumerate((RunEnd.REJECTED, RunEnd.COMPLETE)):
+    for n, end in enumerate((RunEnd.REJECTED, RunEnd.LOST, RunEnd.COMPLETE)):
         _, runner = site.ask(site.make_state(name=f"r{n}"), end)
         runner.ended.set()
         gevent.sleep(0)
