Give layers with a single holder a second one where memory allows

Cause: a plan moves engines only to close gaps. When two engines of a chain are lost for good, the layers that they held keep a single holder while other layers of the data centre have three, and the next loss leaves them without any.

Change: engines whose layers at least two others hold are assigned to layers with a single holder (_second_holders.py). No layer drops below two holders, and an engine that serves is reassigned only if others serve all its layers meanwhile. An engine without layers may be assigned again in the same plan. A data centre in which no layer has a single holder keeps its plan. Move states whether it adds a second holder. Move and Assignment have modules of their own.

First plans of customer A and of 20 equal engines are as before, and pinned by tests.

Tests: the new tests fail without the new step (4 tests), without the check of serving engines, and without the rule for engines without layers. With layers allowed to drop below two holders the planner doesn't terminate. Tests of core/placement and gateway pass.

Conclusion: a permanent loss no longer leaves single holders while memory allows a second one. Layers whose two holders may fail together are not treated yet.

--- a/caroblug/core/placement/__init__.py
+++ b/caroblug/core/placement/__init__.py
@@ -1,9 +1,9 @@
 """Placement of model layers on engines, and paths of requests over engines."""
 
 from caroblug.core.placement._load import EngineLoads
+from caroblug.core.placement._move import Move
 from caroblug.core.placement._paths import NoPath, Path, PathPart, choose_path
 from caroblug.core.placement._planner import (
-    Move,
     compute_requests_per_chain,
     covers_model,
     plan_moves,
--- a/caroblug/core/placement/_planner.py
+++ b/caroblug/core/placement/_planner.py
@@ -11,8 +11,14 @@
     2023: idle engines are assigned to the layers with the fewest holders.
 """
 
-import attrs
-
+import collections
+
+from caroblug.core.placement._assignment import Assignment
+from caroblug.core.placement._move import Move
+from caroblug.core.placement._second_holders import (
+    add_second_holders,
+    holder_value,
+)
 from caroblug.core.placement._serving_engines import ServingEngines
 from caroblug.core.placement._types import Engine, LayerRange, ModelShape
 
@@ -44,58 +50,6 @@
 closed otherwise."""
 
 
-@attrs.frozen
-class Move:
-    """Assignment of an engine to other layers than it holds.
-
-    Attributes:
-        engine: The engine in its state when the plan was computed.
-        target: Layers that it is to hold.
-        urgent: Whether the move adds a layer that no engine of its data centre
-            serves, so that all requests there go to other data centres. An
-            urgent move does not wait for requests that run through the layers
-            given up: the wait takes seconds, in which the other data centres
-            run out of memory.
-        remaining_holders: Engines that continue to serve the layers given up.
-    """
-
-    engine: Engine
-    target: LayerRange
-    urgent: bool = False
-    remaining_holders: tuple[Engine, ...] = ()
-
-
-@attrs.define
-class _Assignment:
-    """An engine and the layers that the plan assigns to it.
-
-    Attributes:
-        engine: The engine.
-        target: Layers assigned to it; at first those that it holds.
-        used: Whether the plan already uses the engine.
-    """
-
-    engine: Engine
-    target: LayerRange
-    used: bool = False
-
-    @property
-    def changed(self) -> bool:
-        return self.target != self.engine.holds
-
-    @property
-    def available(self) -> bool:
-        return not self.used and not self.engine.loading
-
-    @property
-    def unassigned(self) -> bool:
-        return self.available and len(self.target) == 0
-
-    def max_layers(self, model: ModelShape, requests: int) -> int:
-        """Returns how many layers fit beside the KV cache of `requests`."""
-        return model.max_layers(self.engine.kind, requests)
-
-
 def compute_requests_per_chain(gateways: int, data_centres: int) -> int:
     """Returns for how many requests of mean length a chain reserves KV cache.
 
@@ -123,12 +77,14 @@
             KV cache.
     """
     engines = sorted(engines, key=lambda e: _layer_time_key(e, model))
-    assignments = [_Assignment(e, e.holds) for e in engines]
+    assignments = [Assignment(e, e.holds) for e in engines]
     missing = {}
+    single = {}
     serving = {}
     for data_centre in sorted({e.data_centre for e in engines}):
         local = [a for a in assignments if a.engine.data_centre == data_centre]
         missing[data_centre] = _missing_layers(engines, data_centre, model)
+        single[data_centre] = _single_holder_layers(local, model)
         serving[data_centre] = _plan_data_centre(
             local, model, requests_per_chain
         )
@@ -136,6 +92,7 @@
         _make_move(
             assignment,
             missing[assignment.engine.data_centre],
+            single[assignment.engine.data_centre],
             serving[assignment.engine.data_centre],
         )
         for assignment in assignments
@@ -144,11 +101,18 @@
 
 
 def _make_move(
-    assignment: _Assignment, missing: set[int], serving: ServingEngines
+    assignment: Assignment,
+    missing: set[int],
+    single: set[int],
+    serving: ServingEngines,
 ) -> Move:
-    urgent = any(layer in assignment.target for layer in missing)
-    holders = serving.remaining_holders(assignment.engine, assignment.target)
-    return Move(assignment.engine, assignment.target, urgent, holders)
+    engine, target = assignment.engine, assignment.target
+    urgent = any(layer in target for layer in missing)
+    adds_second_holder = any(
+        layer in target and layer not in engine.holds for layer in single
+    )
+    holders = serving.remaining_holders(engine, target)
+    return Move(engine, target, urgent, adds_second_holder, holders)
 
 
 def covers_model(engines: list[Engine], model: ModelShape) -> bool:
@@ -170,6 +134,16 @@
     }
 
 
+def _single_holder_layers(
+    assignments: list[Assignment], model: ModelShape
+) -> set[int]:
+    """Returns the layers that one engine of a data centre holds or loads."""
+    counts = collections.Counter(
+        layer for a in assignments for layer in a.engine.holds
+    )
+    return {layer for layer in range(model.layers) if counts[layer] == 1}
+
+
 def _layer_time_key(engine: Engine, model: ModelShape) -> tuple[float, str]:
     """Returns a sort key by the time of one layer, with its part of a hop."""
     width = model.max_layers(engine.kind, DEFAULT_REQUESTS_PER_CHAIN)
@@ -178,7 +152,7 @@
 
 
 def _plan_data_centre(
-    assignments: list[_Assignment], model: ModelShape, requests_per_chain: int
+    assignments: list[Assignment], model: ModelShape, requests_per_chain: int
 ) -> ServingEngines:
     """Assigns layers to the engines of a data centre.
 
@@ -200,11 +174,12 @@
         gaps = _select_chain(assignments, model.layers)
         _fill_gaps(_unassigned(assignments), gaps, model, requests, serving)
     _assign_replicas(assignments, model, requests)
+    add_second_holders(assignments, model, requests, serving)
     return serving
 
 
 def _size_chains(
-    assignments: list[_Assignment], model: ModelShape, requests_per_chain: int
+    assignments: list[Assignment], model: ModelShape, requests_per_chain: int
 ) -> tuple[int, int]:
     """Returns how many whole chains fit, and how many requests each can run.
 
@@ -225,7 +200,7 @@
 
 
 def _total_layers(
-    assignments: list[_Assignment], model: ModelShape, requests: int
+    assignments: list[Assignment], model: ModelShape, requests: int
 ) -> int:
     return sum(
         assignment.max_layers(model, requests) for assignment in assignments
@@ -233,7 +208,7 @@
 
 
 def _select_chain(
-    assignments: list[_Assignment], layers: int
+    assignments: list[Assignment], layers: int
 ) -> list[LayerRange]:
     """Marks as used the fewest engines that together cover the layers.
 
@@ -256,7 +231,7 @@
     return gaps
 
 
-def _starts_after(assignment: _Assignment, layer: int) -> bool:
+def _starts_after(assignment: Assignment, layer: int) -> bool:
     return (
         not assignment.used
         and len(assignment.target) > 0
@@ -265,7 +240,7 @@
 
 
 def _fill_gaps(
-    candidates: list[_Assignment],
+    candidates: list[Assignment],
     gaps: list[LayerRange],
     model: ModelShape,
     requests: int,
@@ -302,7 +277,7 @@
 
 
 def _assign_start(
-    assignment: _Assignment, gap: LayerRange, model: ModelShape, requests: int
+    assignment: Assignment, gap: LayerRange, model: ModelShape, requests: int
 ) -> int:
     """Assigns an engine to as many layers at the start of a gap as fit.
 
@@ -317,7 +292,7 @@
 
 
 def _extend_neighbours(
-    assignments: list[_Assignment],
+    assignments: list[Assignment],
     gaps: list[LayerRange],
     model: ModelShape,
     requests: int,
@@ -366,11 +341,11 @@
 
 
 def _choose_neighbour(
-    adjoining: list[_Assignment],
+    adjoining: list[Assignment],
     model: ModelShape,
     requests: int,
     serving: ServingEngines,
-) -> _Assignment | None:
+) -> Assignment | None:
     """Chooses the adjoining engine with memory for the most further layers.
 
     The chosen engine no longer counts as serving, because it will load.
@@ -397,20 +372,20 @@
 
 
 def _free_layers(
-    assignment: _Assignment, model: ModelShape, requests: int
+    assignment: Assignment, model: ModelShape, requests: int
 ) -> int:
     return max(
         0, assignment.max_layers(model, requests) - len(assignment.target)
     )
 
 
-def _unassigned(assignments: list[_Assignment]) -> list[_Assignment]:
+def _unassigned(assignments: list[Assignment]) -> list[Assignment]:
     """Returns engines that neither hold layers nor have any assigned."""
     return [assignment for assignment in assignments if assignment.unassigned]
 
 
 def _assign_replicas(
-    assignments: list[_Assignment], model: ModelShape, requests: int
+    assignments: list[Assignment], model: ModelShape, requests: int
 ) -> None:
     """Assigns unassigned engines as replicas to the layers that gain most.
 
@@ -428,8 +403,8 @@
 
 
 def _choose_first_layer(
-    assignments: list[_Assignment],
-    assignment: _Assignment,
+    assignments: list[Assignment],
+    assignment: Assignment,
     width: int,
     model: ModelShape,
 ) -> int:
@@ -441,34 +416,13 @@
         width: Number of layers in the range.
         model: The model.
     """
-    values = [
-        _replica_value(assignments, assignment, layer, model)
-        for layer in range(model.layers)
-    ]
+    factors: list[list[float]] = [[] for _ in range(model.layers)]
+    for other in assignments:
+        for layer in other.target:
+            factors[layer].append(other.engine.kind.step_time_factor)
+    values = [holder_value(held, assignment.engine.kind) for held in factors]
     sums = [
         (-sum(values[first : first + width]), first)
         for first in range(len(values) - width + 1)
     ]
     return min(sums)[1]
-
-
-def _replica_value(
-    assignments: list[_Assignment],
-    assignment: _Assignment,
-    layer: int,
-    model: ModelShape,
-) -> float:
-    """Returns what a layer gains from one more holder.
-
-    The first holder is worth 2, the second one 1 and each further one half of
-    the one before. To this is added the share of the fastest holder's time
-    that the engine saves.
-    """
-    holders = [a.engine for a in assignments if layer in a.target]
-    if not holders:
-        return 2.0
-    fastest = min(e.kind.step_time_factor for e in holders)
-    saved = (
-        max(0.0, fastest - assignment.engine.kind.step_time_factor) / fastest
-    )
-    return 2.0 ** (1 - len(holders)) + saved
--- a/caroblug/core/placement/tests/fleets.py
+++ b/caroblug/core/placement/tests/fleets.py
@@ -32,6 +32,39 @@
 4.2 copies of the model.
 """
 
+A100 = EngineKind("a100", 72000.0, 2.4, 2.4)
+L40S = EngineKind("l40s", 43200.0, 5.6, 5.6)
+L4 = EngineKind("l4", 21600.0, 16.0, 16.0)
+V100 = EngineKind("v100", 14400.0, 5.3, 5.3)
+
+CUSTOMER_MODEL = ModelShape(
+    layers=80,
+    layer_mb=1750.0,
+    kv_mb=0.0098,
+    step_ms=0.85,
+    mean_request_tokens=991,
+    kinds={kind.name: kind for kind in (A100, L40S, L4, V100)},
+    load_s=14.0,
+)
+
+CUSTOMER_A = {
+    "a": ((A100, 1), (L40S, 9), (L4, 7)),
+    "b": ((A100, 3), (L40S, 4), (L4, 9)),
+    "c": ((A100, 1), (L40S, 5), (L4, 13)),
+}
+"""Memory for 2.9 to 3.2 copies of the model in each data centre, with KV cache
+reserved for `CUSTOMER_A_REQUESTS` requests per chain."""
+CUSTOMER_A_REQUESTS = 60
+
+CUSTOMER_B = {
+    "a": ((A100, 2), (V100, 9), (L4, 10)),
+    "b": ((A100, 1), (V100, 14), (L4, 5)),
+    "c": ((A100, 2), (V100, 6), (L4, 7)),
+}
+"""Memory for 2.1 to 2.8 copies of the model in each data centre, with KV cache
+reserved for `CUSTOMER_B_REQUESTS` requests per chain."""
+CUSTOMER_B_REQUESTS = 40
+
 
 def make_engine(
     name: str,
@@ -65,6 +98,18 @@
     return engines
 
 
+def make_customer_fleet(
+    counts: dict[str, tuple[tuple[EngineKind, int], ...]],
+) -> list[Engine]:
+    """Returns the engines of a customer, none of which holds layers."""
+    return [
+        make_engine(f"{data_centre}-{kind.name}-{index}", kind, data_centre)
+        for data_centre, kinds in counts.items()
+        for kind, count in kinds
+        for index in range(count)
+    ]
+
+
 def apply_moves(engines: list[Engine], moves) -> list[Engine]:
     """Returns the engines after moves have been carried out."""
     targets = {move.engine.name: move.target for move in moves}
