Order loads for layers with a single holder before others

Cause: all moves of a plan are ordered at once. Loads share the bandwidth when more than 8 run, so that further replicas delay the load that gives a range its second holder.

Change: select_moves orders moves for layers that no engine serves first, then moves that add a second holder. While such a load is planned or runs, others are ordered only up to 8 loads in all; the rest is left to the next plan, 400 ms later. Plans without such moves are ordered as before, also a first start, where every move adds a layer that no engine serves.

Tests of core/placement and gateway pass.

A load that hangs delays other moves only if 8 engines are loading.

--- a/caroblug/core/placement/__init__.py
+++ b/caroblug/core/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from caroblug.core.placement._load import EngineLoads
 from caroblug.core.placement._move import Move
+from caroblug.core.placement._move_order import select_moves
 from caroblug.core.placement._paths import NoPath, Path, PathPart, choose_path
 from caroblug.core.placement._planner import (
     compute_requests_per_chain,
@@ -29,4 +30,5 @@
     "choose_path",
     "covers_model",
     "plan_moves",
+    "select_moves",
 ]
--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -17,6 +17,7 @@
     compute_requests_per_chain,
     covers_model,
     plan_moves,
+    select_moves,
 )
 from caroblug.gateway._context import Context
 from caroblug.gateway._fleet import require_model
@@ -206,6 +207,7 @@
         moves = plan_moves(
             engines, require_model(service), self._requests_per_chain(engines)
         )
+        moves = select_moves(moves, engines)
         for start in range(0, len(moves), _MAX_PARALLEL_ORDERS):
             batch = moves[start : start + _MAX_PARALLEL_ORDERS]
             jobs = [
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -452,3 +452,24 @@
     assert [e.name for e in engines if e.loading] == [engine.name]
     later = context.fleet.engines(service, now_ms + 2000)
     assert not any(e.loading for e in later)
+
+
+def test_range_with_a_single_holder_is_ordered_before_other_moves():
+    # Guards against a load for a range with a single holder that shares the
+    # bandwidth with loads of further replicas.
+    context, _, _, placement = make_placement()
+    engines = [
+        make_engine(f"{copy}{i}", i * 16, i * 16 + 16)
+        for copy in "xyz"
+        for i in range(5)
+    ]
+    engines = [e for e in engines if e.name not in ("y4", "z4")]
+    empty = [make_engine(f"empty{i}", 0, 0) for i in range(12)]
+    list_engines(context, *empty, *engines)
+    placement.renew_lease()
+
+    placement.plan_once()
+
+    orders = [layers for _, layers, _, _ in context.dialect.orders]
+    assert len(orders) == 8
+    assert set(range(64, 80)) <= set(layers_of(orders[0]))
