Import the planner on first use

Cause: with the planner's new modules a gateway imports 323 modules at its start; test_start_imports_only_required_modules allows 320 and failed. Only the gateway that places layers needs the planner.

Change: core/placement exports its names lazily, as core/limits does, and the gateway's placement controller calls the planner through the package.

No test is changed except for an import.

Conclusion: further planner modules don't lengthen a gateway's start.

--- a/caroblug/core/placement/__init__.py
+++ b/caroblug/core/placement/__init__.py
@@ -1,34 +1,26 @@
-"""Placement of model layers on engines, and paths of requests over engines."""
+"""Placement of model layers on engines, and paths of requests over engines.
 
-from caroblug.core.placement._load import EngineLoads
-from caroblug.core.placement._move import Move
-from caroblug.core.placement._move_order import select_moves
-from caroblug.core.placement._paths import NoPath, Path, PathPart, choose_path
-from caroblug.core.placement._planner import (
-    compute_requests_per_chain,
-    covers_model,
-    plan_moves,
-)
-from caroblug.core.placement._types import (
-    Engine,
-    EngineKind,
-    LayerRange,
-    ModelShape,
-)
+Modules are imported on first use: only the gateway that places layers needs the
+planner.
+"""
 
-__all__ = [
-    "Engine",
-    "EngineKind",
-    "EngineLoads",
-    "LayerRange",
-    "ModelShape",
-    "Move",
-    "NoPath",
-    "Path",
-    "PathPart",
-    "compute_requests_per_chain",
-    "choose_path",
-    "covers_model",
-    "plan_moves",
-    "select_moves",
-]
+from caroblug.lazy import make_lazy_exports
+
+_MODULES = {
+    "Engine": "_types",
+    "EngineKind": "_types",
+    "EngineLoads": "_load",
+    "LayerRange": "_types",
+    "ModelShape": "_types",
+    "Move": "_move",
+    "NoPath": "_paths",
+    "Path": "_paths",
+    "PathPart": "_paths",
+    "choose_path": "_paths",
+    "compute_requests_per_chain": "_chain_size",
+    "covers_model": "_planner",
+    "plan_moves": "_planner",
+    "select_moves": "_move_order",
+}
+
+__getattr__, __dir__, __all__ = make_lazy_exports(__name__, _MODULES)
--- a/caroblug/core/placement/_paths.py
+++ b/caroblug/core/placement/_paths.py
@@ -6,8 +6,12 @@
 import attrs
 
 from caroblug.core.placement._load import EngineLoads
-from caroblug.core.placement._planner import HOP_MS
-from caroblug.core.placement._types import Engine, LayerRange, ModelShape
+from caroblug.core.placement._types import (
+    HOP_MS,
+    Engine,
+    LayerRange,
+    ModelShape,
+)
 
 _LINK_QUEUE_FACTOR = 2.0
 """Cost of a transfer between data centres inside a path, as a multiple of
--- a/caroblug/core/placement/_planner.py
+++ b/caroblug/core/placement/_planner.py
@@ -14,53 +14,28 @@
 import collections
 
 from caroblug.core.placement._assignment import Assignment
+from caroblug.core.placement._chain_size import (
+    DEFAULT_REQUESTS_PER_CHAIN,
+    MIN_REQUESTS,
+    size_chains,
+)
 from caroblug.core.placement._move import Move
 from caroblug.core.placement._second_holders import (
     add_second_holders,
     holder_value,
 )
 from caroblug.core.placement._serving_engines import ServingEngines
-from caroblug.core.placement._types import Engine, LayerRange, ModelShape
-
-DEFAULT_REQUESTS_PER_CHAIN = 40
-"""Requests of mean length for which a chain reserves KV cache by default.
-
-A chain consists of the fastest engines, each with as many layers as this
-reserve allows. The other engines hold the same layers as replicas. A larger
-reserve makes chains longer and slower and leaves fewer replicas; a smaller one
-runs out when a data centre takes over the streams of another.
-"""
-
-_MAX_REQUESTS_PER_CHAIN = 60
-_REQUESTS_PER_GATEWAY = 7
-"""Requests to reserve for per gateway of a data centre, between the default
-and the maximum. The number of gateways follows the traffic, and at a first
-start nothing else is known about the traffic."""
-
-HOP_MS = 0.5
-"""Time that each further engine on a path adds to a token: the network delay
-and the wait for the engine's next forward pass."""
+from caroblug.core.placement._types import (
+    HOP_MS,
+    Engine,
+    LayerRange,
+    ModelShape,
+)
 
 _EXTENDED_REQUESTS = 40
 """Requests for which an engine reserves KV cache when it is extended into a
 coverage gap: all paths then lead through it."""
 
-_MIN_REQUESTS = 6
-"""Requests for which an engine reserves KV cache when a coverage gap can't be
-closed otherwise."""
-
-
-def compute_requests_per_chain(gateways: int, data_centres: int) -> int:
-    """Returns for how many requests of mean length a chain reserves KV cache.
-
-    Args:
-        gateways: Number of gateways that send to the engines; 0 if unknown.
-        data_centres: Number of data centres with engines.
-    """
-    per_data_centre = gateways / max(1, data_centres)
-    wanted = int(per_data_centre * _REQUESTS_PER_GATEWAY)
-    return min(_MAX_REQUESTS_PER_CHAIN, max(DEFAULT_REQUESTS_PER_CHAIN, wanted))
-
 
 def plan_moves(
     engines: list[Engine],
@@ -160,7 +135,7 @@
         The engines that serve their layers while the plan is carried out.
     """
     serving = ServingEngines([assignment.engine for assignment in assignments])
-    chains, requests = _size_chains(assignments, model, requests_per_chain)
+    chains, requests = size_chains(assignments, model, requests_per_chain)
     extended_requests = min(requests, _EXTENDED_REQUESTS)
     gaps = _select_chain(assignments, model.layers)
     gaps = _fill_gaps(_unassigned(assignments), gaps, model, requests, serving)
@@ -168,8 +143,8 @@
         assignments, gaps, model, extended_requests, serving
     )
     gaps = _fill_gaps(assignments, gaps, model, requests, serving)
-    gaps = _extend_neighbours(assignments, gaps, model, _MIN_REQUESTS, serving)
-    _fill_gaps(assignments, gaps, model, _MIN_REQUESTS, serving)
+    gaps = _extend_neighbours(assignments, gaps, model, MIN_REQUESTS, serving)
+    _fill_gaps(assignments, gaps, model, MIN_REQUESTS, serving)
     for _ in range(1, chains):
         gaps = _select_chain(assignments, model.layers)
         _fill_gaps(_unassigned(assignments), gaps, model, requests, serving)
@@ -178,35 +153,6 @@
     return serving
 
 
-def _size_chains(
-    assignments: list[Assignment], model: ModelShape, requests_per_chain: int
-) -> tuple[int, int]:
-    """Returns how many whole chains fit, and how many requests each can run.
-
-    Returns:
-        Number of chains, at least one, and the largest number of requests of
-        mean length, up to `requests_per_chain`, with which they fit.
-    """
-    held = _total_layers(assignments, model, requests_per_chain)
-    chains = max(1, held // model.layers)
-    low, high = _MIN_REQUESTS, requests_per_chain
-    while low < high:
-        middle = (low + high + 1) // 2
-        if _total_layers(assignments, model, middle) >= chains * model.layers:
-            low = middle
-        else:
-            high = middle - 1
-    return chains, low
-
-
-def _total_layers(
-    assignments: list[Assignment], model: ModelShape, requests: int
-) -> int:
-    return sum(
-        assignment.max_layers(model, requests) for assignment in assignments
-    )
-
-
 def _select_chain(
     assignments: list[Assignment], layers: int
 ) -> list[LayerRange]:
--- a/caroblug/core/placement/_types.py
+++ b/caroblug/core/placement/_types.py
@@ -4,6 +4,10 @@
 
 import attrs
 
+HOP_MS = 0.5
+"""Time that each further engine on a path adds to a token: the network delay
+and the wait for the engine's next forward pass."""
+
 
 @attrs.frozen
 class LayerRange:
--- a/caroblug/core/placement/tests/test_planner.py
+++ b/caroblug/core/placement/tests/test_planner.py
@@ -16,7 +16,7 @@
     compute_requests_per_chain,
     plan_moves,
 )
-from caroblug.core.placement._planner import DEFAULT_REQUESTS_PER_CHAIN
+from caroblug.core.placement._chain_size import DEFAULT_REQUESTS_PER_CHAIN
 from caroblug.core.placement.tests.fleets import (
     BIG,
     MIDDLE,
--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -10,15 +10,9 @@
 
 import gevent
 
+from caroblug.core import placement
 from caroblug.core.access import Service
-from caroblug.core.placement import (
-    Engine,
-    Move,
-    compute_requests_per_chain,
-    covers_model,
-    plan_moves,
-    select_moves,
-)
+from caroblug.core.placement import Engine, Move
 from caroblug.gateway._context import Context
 from caroblug.gateway._fleet import require_model
 from caroblug.gateway._interfaces import (
@@ -204,10 +198,10 @@
         engines = self._reliable_engines(service, now_ms)
         if self._is_settling(engines, now_ms):
             return
-        moves = plan_moves(
+        moves = placement.plan_moves(
             engines, require_model(service), self._requests_per_chain(engines)
         )
-        moves = select_moves(moves, engines)
+        moves = placement.select_moves(moves, engines)
         for start in range(0, len(moves), _MAX_PARALLEL_ORDERS):
             batch = moves[start : start + _MAX_PARALLEL_ORDERS]
             jobs = [
@@ -236,7 +230,7 @@
         healthy = [e for e in engines if not fleet.is_failing(e.name)]
         return (
             engines
-            if covers_model(healthy, require_model(service))
+            if placement.covers_model(healthy, require_model(service))
             else healthy
         )
 
@@ -249,7 +243,9 @@
         gateways = self._context.fleet.loads.gateways
         self._max_gateways = max(self._max_gateways, gateways)
         data_centres = {e.data_centre for e in engines}
-        return compute_requests_per_chain(self._max_gateways, len(data_centres))
+        return placement.compute_requests_per_chain(
+            self._max_gateways, len(data_centres)
+        )
 
     def _is_settling(self, engines: list[Engine], now_ms: int) -> bool:
         """Returns whether the first engines of a new fleet are still starting.
