Place empty engines so that a pair's loss leaves each layer a holder

Cause: engines fail in pairs of neighbours on a path. On customer B's engines, the ranges of a second chain overlap those of the first at different ends, so that engines which hold all copies of some layers may be neighbours: such a pair loses up to 8 layers, and all streams of the data centre need another one until a load is done.

Change: _pair_losses.py states which engines may be neighbours, and measures a plan by its layers without a holder, with one, and with two that may fail together. Where a plan has any, engines without layers outside the first chain are placed anew, in two ways, and the least exposed of the three plans is taken. Engines that hold layers, and the first chain, keep them. It costs no further loads.

--- a/caroblug/core/placement/_planner.py
+++ b/caroblug/core/placement/_planner.py
@@ -13,6 +13,8 @@
 
 import collections
 
+import attrs
+
 from caroblug.core.placement._assignment import Assignment
 from caroblug.core.placement._chain_size import (
     DEFAULT_REQUESTS_PER_CHAIN,
@@ -20,6 +22,7 @@
     size_chains,
 )
 from caroblug.core.placement._move import Move
+from caroblug.core.placement._pair_losses import reduce_exposure
 from caroblug.core.placement._second_holders import (
     add_second_holders,
     holder_value,
@@ -145,10 +148,12 @@
     gaps = _fill_gaps(assignments, gaps, model, requests, serving)
     gaps = _extend_neighbours(assignments, gaps, model, MIN_REQUESTS, serving)
     _fill_gaps(assignments, gaps, model, MIN_REQUESTS, serving)
+    chain = [attrs.evolve(a) for a in assignments if len(a.target)]
     for _ in range(1, chains):
         gaps = _select_chain(assignments, model.layers)
         _fill_gaps(_unassigned(assignments), gaps, model, requests, serving)
     _assign_replicas(assignments, model, requests)
+    reduce_exposure(assignments, chain, model, requests)
     add_second_holders(assignments, model, requests, serving)
     return serving
 
--- a/caroblug/core/placement/_second_holders.py
+++ b/caroblug/core/placement/_second_holders.py
@@ -94,9 +94,18 @@
     """
     if not factors:
         return 2.0
+    return 2.0 ** (1 - len(factors)) + time_saved(factors, kind)
+
+
+def time_saved(factors: list[float], kind: EngineKind) -> float:
+    """Returns the share of the fastest holder's time that an engine saves.
+
+    Args:
+        factors: Time factors of the engines that hold the layer, at least one.
+        kind: Kind of the further engine.
+    """
     fastest = min(factors)
-    saved = max(0.0, fastest - kind.step_time_factor) / fastest
-    return 2.0 ** (1 - len(factors)) + saved
+    return max(0.0, fastest - kind.step_time_factor) / fastest
 
 
 def add_second_holders(
