--- a/caroblug/core/placement/__init__.py
+++ b/caroblug/core/placement/__init__.py
@@ -1,46 +1,31 @@
-"""Placement of model layers on engines, and paths of requests over engines."""
+"""Placement of model layers on engines, and paths of requests over engines.
 
-from caroblug.core.placement._engine_rooms import EngineRooms, RoomReport
-from caroblug.core.placement._load import EngineLoads
-from caroblug.core.placement._paths import (
-    NoPath,
-    NoRoom,
-    Path,
-    PathPart,
-    RoomNeed,
-    choose_path,
-)
-from caroblug.core.placement._planner import (
-    Move,
-    compute_requests_per_chain,
-    covers_model,
-    plan_moves,
-)
-from caroblug.core.placement._report_readers import ReportReaders
-from caroblug.core.placement._types import (
-    Engine,
-    EngineKind,
-    LayerRange,
-    ModelShape,
-)
+Modules are imported on first use: only the gateway that places layers needs the
+planner.
+"""
 
-__all__ = [
-    "Engine",
-    "EngineKind",
-    "EngineLoads",
-    "EngineRooms",
-    "LayerRange",
-    "ModelShape",
-    "Move",
-    "NoPath",
-    "NoRoom",
-    "Path",
-    "PathPart",
-    "ReportReaders",
-    "RoomNeed",
-    "RoomReport",
-    "compute_requests_per_chain",
-    "choose_path",
-    "covers_model",
-    "plan_moves",
-]
+from caroblug.lazy import make_lazy_exports
+
+_MODULES = {
+    "Engine": "_types",
+    "EngineKind": "_types",
+    "EngineLoads": "_load",
+    "EngineRooms": "_engine_rooms",
+    "LayerRange": "_types",
+    "ModelShape": "_types",
+    "Move": "_move",
+    "NoPath": "_paths",
+    "NoRoom": "_paths",
+    "Path": "_paths",
+    "PathPart": "_paths",
+    "ReportReaders": "_report_readers",
+    "RoomNeed": "_paths",
+    "RoomReport": "_engine_rooms",
+    "choose_path": "_paths",
+    "compute_requests_per_chain": "_chain_size",
+    "covers_model": "_planner",
+    "plan_moves": "_planner",
+    "select_moves": "_move_order",
+}
+
+__getattr__, __dir__, __all__ = make_lazy_exports(__name__, _MODULES)
