Read reports of engines in their own data centre only

Each loaded engine had a reader in each of three data centres. Reports reach the others with the peer exchange, and each read has a price. Gateways of other data centres take over while the engine's own one is silent.

--- a/caroblug/gateway/_room_readers.py
+++ b/caroblug/gateway/_room_readers.py
@@ -2,8 +2,9 @@
 
 Reports are also read for other reasons, and gateways tell each other what they
 have read. Where an engine's memory is more than half in use, that isn't enough:
-one gateway of each data centre reads its report in every interval. The others
-receive it with the peer exchange.
+one gateway of its data centre reads its report in every interval. The others
+receive it with the peer exchange. Gateways of other data centres take over
+where that one is silent.
 """
 
 import attrs
@@ -97,7 +98,8 @@
             for engine in loaded
             if self._is_reader(
                 engine.name,
-                self._readers.rank(engine.name, gateways, live),
+                self._readers.rank(engine.name, gateways, live)
+                + (engine.data_centre != context.settings.data_centre),
                 now_ms,
             )
         ]
