--- a/caroblug/core/placement/_engine_rooms.py
+++ b/caroblug/core/placement/_engine_rooms.py
@@ -8,6 +8,7 @@
 import attrs
 
 from caroblug.core.placement._load import EngineLoads
+from caroblug.core.placement._room_parts import RoomParts
 from caroblug.core.placement._types import Engine, ModelShape
 
 _DECAY_BEGIN_MS = 1500
@@ -32,27 +33,26 @@
 _MAX_COUNT = 1_000_000
 """Reported number of requests above which a report can't be right."""
 
-_ROUND_MS = 500
-"""Period in which a gateway uses its part of an engine's free memory once; the
-interval of reports and of exchanges between gateways."""
-
-_SETTLING_MS = 1000
-"""Time until all gateways know the effect of what they sent on reports of an
-engine. Only the part `_ROUND_MS / _SETTLING_MS` of its free memory is offered
-in each round, as the same free memory is offered again until then."""
-
-_REMOTE_RESERVE = 0.05
-"""Share of an engine's memory that is left to the gateways of its own data
-centre. Otherwise, while all engines are full, most requests would run in
-other data centres, and be sent over slow links."""
-
 _MAX_UNSEEN_USE = 0.1
 """Largest share of an engine's memory that unseen requests of other gateways
 count for in the cost of a path. A larger one would send requests of a busy
 gateway to other data centres although local engines have room."""
 
-_MEAN_WEIGHT = 0.02
-"""Weight of one request in the moving average of the tokens of a request."""
+_MARGIN = 0.025
+"""Share of an engine's memory that is left free below the maximum use.
+Requests grow after they are admitted, by an amount that isn't known."""
+
+_BAND = 0.08
+"""Share of the memory above that limit over which fewer and fewer requests that
+end are replaced, from all down to none."""
+
+_COMPLETENESS = 0.5
+"""Share of a request for which there may be no room in a gateway's part.
+Without it, the rest of each part would remain unused."""
+
+_MIN_COUNTED_USE = 0.5
+"""Share of an engine's memory, as gateways count it, up to which the memory of
+an engine without a report is used without regard to other gateways."""
 
 _MESSAGE_AGE_MS = 300
 """Mean age of what this gateway knows of its peers' requests."""
@@ -113,19 +113,9 @@
         self, loads: EngineLoads, data_centre: str, rng: random.Random
     ) -> None:
         self._loads = loads
-        self._data_centre = data_centre
-        self._rng = rng
+        self._parts = RoomParts(loads, data_centre, rng)
         self._rooms: dict[str, _Room] = {}
-        self._round_offset_ms: int | None = None
-        self._round = -1
-        self._round_ms = 0
-        self._rounding = 0.0
-        # Of the gateways of all data centres, and of the local ones.
-        self._shares = (1.0, 1.0)
         self._mean_use: float | None = None
-        self._mean_tokens = 0.0
-        self._round_parts: dict[tuple, dict[str, float]] = {}
-        self._parts: dict[str, float] = {}
 
     def on_report(self, name: str, report: RoomReport, now_ms: int) -> bool:
         """Records a report unless it is older than the last one.
@@ -238,13 +228,17 @@
         return max(0.0, use * weight + counted * (1.0 - weight))
 
     def load(self, engine: Engine, model: ModelShape, now_ms: int) -> float:
-        """Returns how full an engine may be, by any of the signs of it.
+        """Returns how full an engine is at least, by any of the signs of it.
 
         Returns:
             The share of its memory or of its slots that is in use; at least 1
             if it has waiting requests or rejected one.
         """
-        use = self.use(engine, model, now_ms)
+        if self._fresh_report(engine.name, now_ms) is not None:
+            use = self.use(engine, model, now_ms)
+        else:
+            use = self._loads.reported_tokens(engine.name)
+            use /= _capacity(engine, model)
         room = self._rooms.get(engine.name)
         if room is None:
             return use
@@ -273,30 +267,34 @@
             max_use: Share of the memory that may be in use with the request.
             now_ms: Current time.
         """
-        room = self._rooms.get(engine.name)
+        name = engine.name
+        room = self._rooms.get(name)
         if room is not None and self._is_marked(room, now_ms):
             return False
         capacity = model.token_capacity(engine.kind, len(engine.holds))
         if capacity <= 0:
             return False
-        report = self._fresh_report(engine.name, now_ms)
+        report = self._fresh_report(name, now_ms)
         if report is None:
             return self._fits_counts(engine, model, tokens, max_use, now_ms)
         if report.use is None:
             return True
-        local = engine.data_centre == self._data_centre
-        own = self._loads.own_change(engine.name, report.measured_ms)
-        if not local:
+        changed = own = self._loads.own_change(name, report.measured_ms)
+        changed += self._loads.peer_change(name, report.measured_ms)
+        part = self._parts.part(engine)
+        excess = report.use + changed / capacity - (max_use - _MARGIN)
+        if excess >= 0.0:
+            if excess / _BAND > self._parts.rounding:
+                return False
+            part = 0.0
+        if not self._parts.is_local(engine):
             own = max(0.0, own)
-        if report.measured_ms > self._round_ms:
+        if report.measured_ms > self._parts.round_ms:
             # What this gateway has added in this round was taken from its part
             # even if the report already includes it.
-            added = self._loads.own_change(engine.name, self._round_ms)
+            added = self._loads.own_change(name, self._parts.round_ms)
             own = max(own, added)
-        part = self._parts.get(engine.name, 0.0)
-        if report.use >= max_use:
-            part = min(part, 0.0)
-        return own + tokens <= part + self._rounding * tokens
+        return own + tokens <= part + _COMPLETENESS * tokens
 
     def begin_search(
         self,
@@ -315,50 +313,21 @@
             max_use: Share of the memory that may be in use with the request.
             now_ms: Current time.
         """
-        self._begin_round(now_ms)
-        weight = _MEAN_WEIGHT if self._mean_tokens else 1.0
-        self._mean_tokens += (tokens - self._mean_tokens) * weight
-        key = (id(model), round(max_use, 2))
-        parts = self._round_parts.get(key)
-        if parts is None:
-            parts = self._compute_parts(engines, model, max_use, now_ms)
-            self._round_parts[key] = parts
-        self._parts = parts
-
-    def _compute_parts(
-        self,
-        engines: list[Engine],
-        model: ModelShape,
-        max_use: float,
-        now_ms: int,
-    ) -> dict[str, float]:
-        """Returns this gateway's part of the free memory of each engine.
-
-        A part is a whole number of requests. Parts smaller than that are added
-        up over the engines that hold the same layers, so that one of them gets
-        a whole request, and the engines of all layers at the same time.
+        self._parts.begin_round(now_ms)
+        if not self._loads.has_peers:
+            self._mean_use = self._compute_mean_use(now_ms)
 
-        Returns:
-            Tokens by name of the engine; negative where memory is to be freed.
-        """
-        sums: dict[tuple, float] = {}
-        parts = {}
-        for engine in engines:
+        def find_use(engine: Engine) -> float | None:
             report = self._fresh_report(engine.name, now_ms)
-            if report is None or report.use is None:
-                continue
-            local = engine.data_centre == self._data_centre
-            free = max_use - report.use - (0.0 if local else _REMOTE_RESERVE)
-            share = self._shares[local]
-            offered = _ROUND_MS / _SETTLING_MS
-            free *= share * (offered + (1.0 - offered) * share)
-            requests = free * _capacity(engine, model) / self._mean_tokens
-            group = (engine.data_centre, engine.holds)
-            before = sums.get(group, self._rounding)
-            sums[group] = before + requests
-            whole = math.floor(before + requests) - math.floor(before)
-            parts[engine.name] = whole * self._mean_tokens
-        return parts
+            if report is not None:
+                return report.use
+            if self._loads.has_peers:
+                return self._loads.memory_use(engine, model)
+            return None
+
+        self._parts.begin_search(
+            engines, model, tokens, max_use - _MARGIN, find_use
+        )
 
     def _fits_counts(
         self,
@@ -371,41 +340,37 @@
         """Returns whether there is room by what gateways count themselves."""
         capacity = _capacity(engine, model)
         name = engine.name
+        rounding = self._parts.rounding * tokens
         if self._loads.has_peers:
-            unseen = self._loads.own_change(name, now_ms - _MESSAGE_AGE_MS)
-            unseen = max(0.0, unseen) * self._others(engine, now_ms)
+            recent = self._loads.own_change(name, now_ms - _MESSAGE_AGE_MS)
+            unseen = max(0.0, recent) * self._others(engine, now_ms)
             counted = self._loads.tokens(name) + unseen
-            return counted + tokens <= max_use * capacity
+            if counted + tokens > max_use * capacity:
+                return False
+            if counted <= _MIN_COUNTED_USE * capacity:
+                return True
+            added = self._loads.own_change(name, self._parts.round_ms)
+            part = self._parts.part(engine)
+            return max(recent, added) + tokens <= part + rounding
         # This gateway has just started or is cut off from all others. It uses
         # an equal part of the memory.
-        share = self._shares[engine.data_centre == self._data_centre]
+        share = self._parts.share(engine)
         part = max_use * capacity * share
         own = self._loads.own_tokens_on(name)
-        if self._mean_use is not None:
-            before = own - self._loads.own_change(name, self._round_ms)
-            free = max(0.0, max_use - self._mean_use) * capacity
-            part = min(part, before + free * share)
-        return own + tokens <= part + self._rounding * tokens
+        mean_use = self._mean_use
+        if mean_use is not None:
+            added = self._loads.own_change(name, self._parts.round_ms)
+            free = max(0.0, max_use - mean_use) * capacity
+            part = min(part, own - added + free * share)
+        return own + tokens <= part + rounding
 
     def _others(self, engine: Engine, now_ms: int) -> float:
         """Returns the tokens of other gateways for each token of this one."""
-        self._begin_round(now_ms)
-        share = self._shares[engine.data_centre == self._data_centre]
-        return 1.0 / share - 1.0
-
-    def _begin_round(self, now_ms: int) -> None:
-        """Determines this gateway's shares once in each round."""
-        if self._round_offset_ms is None:
-            # Gateways that start together use their parts at different times.
-            self._round_offset_ms = self._rng.randrange(_ROUND_MS)
-        number = (now_ms + self._round_offset_ms) // _ROUND_MS
-        if number == self._round:
-            return
-        self._round = number
-        self._round_ms = number * _ROUND_MS - self._round_offset_ms
-        self._rounding = self._rng.random()
-        self._round_parts.clear()
-        self._shares = (self._loads.share(False), self._loads.share(True))
+        self._parts.begin_round(now_ms)
+        return 1.0 / self._parts.share(engine) - 1.0
+
+    def _compute_mean_use(self, now_ms: int) -> float | None:
+        """Returns the mean reported use; None if no engine has reported."""
         uses = [
             room.report.use
             for room in self._rooms.values()
@@ -413,7 +378,7 @@
             and room.report.use is not None
             and now_ms - room.report.measured_ms < _MAX_AGE_MS
         ]
-        self._mean_use = sum(uses) / len(uses) if uses else None
+        return sum(uses) / len(uses) if uses else None
 
     def _fresh_report(self, name: str, now_ms: int) -> RoomReport | None:
         room = self._rooms.get(name)
--- a/caroblug/core/placement/_load.py
+++ b/caroblug/core/placement/_load.py
@@ -206,6 +206,18 @@
             + remote * remote_gateways / remote_reporting
         )
 
+    def reported_tokens(self, name: str) -> float:
+        """Returns the tokens on an engine, without unknown remote gateways.
+
+        The few remote gateways that report may be the only ones that use the
+        engine, so that `tokens` is often several times too high.
+        """
+        local = self._own.get(name, 0) + self._local_sums.get(name, 0.0)
+        reporting = len(self._local) + 1
+        gateways = max(self.local_gateways, reporting)
+        remote = self._remote_sums.get(name, 0.0)
+        return local * gateways / reporting + remote
+
     def memory_use(self, engine: Engine, model: ModelShape) -> float:
         """Returns the share of an engine's token capacity that is taken."""
         capacity = model.token_capacity(engine.kind, len(engine.holds))
--- a/caroblug/gateway/_room_readers.py
+++ b/caroblug/gateway/_room_readers.py
@@ -24,6 +24,11 @@
 well, times its rank. It exceeds the time in which a report reaches all gateways
 of a large data centre."""
 
+_START_MS = 1500
+"""Time from the start within which nothing is read. Until peers of all data
+centres have sent their counts, a few requests of this gateway seem to fill an
+engine. Peers that run already pass on what they read."""
+
 _MAX_RANK = 3
 """Highest rank of a gateway that takes over. Without a limit, an engine that
 answers nobody would be read by all gateways."""
@@ -55,6 +60,7 @@
         self._peers = peers
         self._readers = ReportReaders(context.settings.instance)
         self._watches: dict[str, _Watch] = {}
+        self._started_ms = context.clock.now_ms()
 
     def run(self) -> None:
         """Reads reports until the process ends."""
@@ -73,6 +79,8 @@
         if known is None:
             return []
         now_ms = context.clock.now_ms()
+        if now_ms - self._started_ms < _START_MS:
+            return []
         loaded = [
             engine
             for service in known.services.values()
