Divide free memory only among many gateways

Cause: parts of the free memory, given out in rounds, left a third of it unused while callers were refused, as callers are spread unevenly over gateways. Change: where one request of each other gateway takes at most a fifth of an engine's memory, each uses the free memory up to a margin of 5 %; more gateways divide it as before.

--- a/caroblug/core/placement/_engine_rooms.py
+++ b/caroblug/core/placement/_engine_rooms.py
@@ -42,9 +42,13 @@
 """Share of an engine's memory that is left free below the maximum use.
 Requests grow after they are admitted, by an amount that isn't known."""
 
-_OVERLAP_MARGIN = 0.05
-"""Share of an engine's memory that is left free for requests that several
-gateways send at once, where they don't divide its free memory."""
+_MAX_OVERLAP_USE = 0.2
+"""Share of an engine's memory that one request of each other gateway may take
+for gateways to use its free memory without dividing it."""
+
+_MAX_OVERLAP_MARGIN = 0.05
+"""Share of an engine's memory that is left free where it isn't divided, for
+requests that several gateways send at once."""
 
 _BAND = 0.08
 """Share of the memory above that limit over which fewer and fewer requests that
@@ -223,7 +227,8 @@
         if report is None or report.use is None:
             return counted
         capacity = _capacity(engine, model)
-        own = self._loads.own_change(engine.name, report.measured_ms)
+        # A request that was sent in the same ms isn't in the report.
+        own = self._loads.own_change(engine.name, report.measured_ms - 1)
         peers = self._loads.peer_change(engine.name, report.measured_ms)
         unseen = max(0.0, own) * self._others(engine, now_ms)
         use = report.use + (own + peers) / capacity
@@ -283,10 +288,13 @@
             return self._fits_counts(engine, model, tokens, max_use, now_ms)
         if report.use is None:
             return True
-        if self._parts.is_overlap_small(engine, capacity):
-            limit = (
-                max_use - _OVERLAP_MARGIN - self._parts.remote_reserve(engine)
-            )
+        overlap = self._parts.overlap_use(engine, capacity)
+        if overlap <= _MAX_OVERLAP_USE:
+            # Parts would leave memory unused, as callers are spread unevenly
+            # over gateways. Few gateways rarely send to the same engine
+            # between two reports, so that a margin is enough.
+            limit = max_use - min(_MAX_OVERLAP_MARGIN, overlap)
+            limit -= self._parts.remote_reserve(engine)
             return self.use(engine, model, now_ms) + tokens / capacity <= limit
         changed = own = self._loads.own_change(name, report.measured_ms)
         changed += self._loads.peer_change(name, report.measured_ms)
--- a/caroblug/core/placement/_room_parts.py
+++ b/caroblug/core/placement/_room_parts.py
@@ -21,10 +21,6 @@
 centre. Otherwise, while all engines are full, most requests would run in
 other data centres, and be sent over slow links."""
 
-_MAX_OVERLAP_USE = 0.2
-"""Share of an engine's memory that one request of each other gateway may take
-for gateways to use its free memory without dividing it."""
-
 _MEAN_WEIGHT = 0.02
 """Weight of one request in the moving average of the tokens of a request."""
 
@@ -83,18 +79,18 @@
         """Returns the share of memory that is left to other data centres."""
         return 0.0 if self.is_local(engine) else _REMOTE_RESERVE
 
-    def is_overlap_small(self, engine: Engine, capacity: float) -> bool:
-        """Returns whether gateways use an engine's memory without dividing it.
-
-        Few gateways rarely send to the same engine between two reports. Parts
-        would leave memory unused, as callers are spread unevenly over gateways.
+    def overlap_use(self, engine: Engine, capacity: float) -> float:
+        """Returns the memory that a request of each other gateway takes.
 
         Args:
             engine: The engine.
             capacity: Tokens that it has memory for.
+
+        Returns:
+            The share of the engine's memory.
         """
         others = 1.0 / self.share(engine) - 1.0
-        return others * self._mean_tokens <= _MAX_OVERLAP_USE * capacity
+        return others * self._mean_tokens / capacity
 
     def part(self, engine: Engine) -> float:
         """Returns the tokens that may be added to an engine in this round."""
