Refuse streams for lack of room only where routes differ in priority

Change: admission waits and refusals are in force where the streaming routes of a service differ in priority. A late stream waits for its bounded time instead of being refused by the expected wait.

--- a/caroblug/core/admission/_admission.py
+++ b/caroblug/core/admission/_admission.py
@@ -183,7 +183,10 @@
         self._shares.on_short(now_ms)
         until_ms = request.wait_until_ms(now_ms)
         expected_ms = self.expected_wait_ms(request, now_ms)
-        if until_ms <= now_ms or now_ms + expected_ms > until_ms:
+        # A late stream has nothing to gain from an early refusal: its caller
+        # might not retry again.
+        can_be_served = request.late or now_ms + expected_ms <= until_ms
+        if until_ms <= now_ms or not can_be_served:
             return self._refuse(request, "in time", now_ms)
         displaced = self._queue.make_place(request, self._order_key(now_ms))
         if displaced is None:
--- a/caroblug/gateway/_admission_inputs.py
+++ b/caroblug/gateway/_admission_inputs.py
@@ -10,16 +10,31 @@
     """Returns the priorities that streams of a service may have, sorted."""
     if configuration is None:
         return []
-    ranks = {
+    ranks = _find_route_priorities(configuration, service)
+    accounts = (configuration.keys or {}).values()
+    ranks.update(a.priority for a in accounts if a.priority is not None)
+    return sorted(ranks)
+
+
+def has_ranked_routes(
+    configuration: Configuration | None, service: str
+) -> bool:
+    """Returns whether the streaming routes of a service differ in priority."""
+    if configuration is None:
+        return False
+    return len(_find_route_priorities(configuration, service)) > 1
+
+
+def _find_route_priorities(
+    configuration: Configuration, service: str
+) -> set[int]:
+    return {
         route.priority
         for routes in configuration.routes.values()
         for route in routes
         if route.kind is RouteKind.STREAMING
         and any(share.service == service for share in route.shares)
     }
-    accounts = (configuration.keys or {}).values()
-    ranks.update(a.priority for a in accounts if a.priority is not None)
-    return sorted(ranks)
 
 
 def count_path_tokens(engines: Iterable[Engine], model: ModelShape) -> float:
--- a/caroblug/gateway/_stream_admission.py
+++ b/caroblug/gateway/_stream_admission.py
@@ -28,6 +28,7 @@
 from caroblug.gateway._admission_inputs import (
     count_path_tokens,
     find_ranks,
+    has_ranked_routes,
 )
 from caroblug.gateway._admission_log import AdmissionLog
 from caroblug.gateway._context import Context
@@ -112,6 +113,7 @@
         self._interval_s = _SERVE_INTERVAL_S
         self._updated_ms: int | None = None
         self._engines_report = False
+        self._has_ranked_routes = False
         self._check = RoomCheck(context.fleet.rooms)
 
     @property
@@ -126,8 +128,12 @@
 
     @property
     def is_enforced(self) -> bool:
-        """Whether streams may be refused; not before engines report memory."""
-        return self._engines_report
+        """Whether streams may wait or be refused for lack of room.
+
+        Where all routes have one priority, refusing some streams for others of
+        the same urgency served fewer callers than engines that queue.
+        """
+        return self._has_ranked_routes and self._engines_report
 
     def update(self, service: Service) -> None:
         """Updates what is known about the service, at intervals."""
@@ -147,6 +153,9 @@
         part = tokens / gateways if gateways else 0.0
         ranks = find_ranks(self._context.configuration, service.name)
         self._admission.set_fleet(len(ranks) > 1, part, gateways)
+        self._has_ranked_routes = has_ranked_routes(
+            self._context.configuration, service.name
+        )
         self._interval_s = _SERVE_INTERVAL_S * max(
             1.0, len(engines) / _ENGINES_PER_INTERVAL
         )
--- a/caroblug/gateway/tests/test_stream_admission.py
+++ b/caroblug/gateway/tests/test_stream_admission.py
@@ -13,7 +13,7 @@
 )
 from caroblug.core.admission import Refuse
 from caroblug.core.placement import NoPath, Path, RoomReport
-from caroblug.gateway._admission_inputs import find_ranks
+from caroblug.gateway._admission_inputs import find_ranks, has_ranked_routes
 from caroblug.gateway._caller_requests import RawRequest
 from caroblug.gateway._crash_suspicions import CrashSuspicions
 from caroblug.gateway._interfaces import CallerRequest
@@ -359,6 +359,8 @@
 
     assert find_ranks(configuration, "pool") == [0, 2]
     assert find_ranks(None, "pool") == []
+    assert has_ranked_routes(configuration, "pool")
+    assert not has_ranked_routes(None, "pool")
     keys = {"k1": Account("a1"), "k2": Account("a2", 4)}
     with_accounts = attrs.evolve(configuration, keys=keys)
     assert find_ranks(with_accounts, "pool") == [0, 2, 4]
@@ -375,3 +377,15 @@
         site.ask(site.make_state(name=f"r{n}", priority=0))
 
     assert site.gate.admission.max_use(1, site.clock.now_ms()) == 0.95
+
+
+def test_streams_of_one_priority_are_not_refused_for_lack_of_room():
+    # Guards against refusals in fleets whose callers are all equally urgent.
+    site = Site(use=0.99)
+    site.context.configuration = Configuration(
+        6, {"host": (ROUTES[0],)}, {"pool": POOL}
+    )
+    site.clock.advance(600)
+    site.ask(site.make_state(name="first"))
+
+    assert isinstance(site.results["first"], Path)
