--- a/caroblug/core/admission/tests/test_account_shares.py
+++ b/caroblug/core/admission/tests/test_account_shares.py
@@ -113,8 +113,7 @@
 
 
 def test_account_above_its_share_stays_ahead_of_less_urgent_ranks():
-    # Guards against digests admitted while alerts of a large account are
-    # refused.
+    # Guards against digests admitted while alerts of an account are refused.
     admission = make_admission(None)
     admission.set_fleet(True, 100_000)
     admission.shares.on_admitted(0, "a", 6000)
@@ -148,8 +147,7 @@
 
 @pytest.mark.parametrize("gateways", [1, 9])
 def test_account_with_most_requests_does_not_crowd_out_the_others(gateways):
-    # Guards against an account with 60 % of all requests, at 1.5 times the
-    # demand that fits: all others together would fit beside it.
+    # Guards against an account with 60 % of 1.5 times the demand that fits.
     model = make_model(gateways, 0.6, 1.5)
     model.run(15_000)
 
--- a/caroblug/core/admission/tests/test_admission.py
+++ b/caroblug/core/admission/tests/test_admission.py
@@ -147,8 +147,7 @@
 
 
 def test_late_streams_get_a_bounded_share_ahead_of_newcomers():
-    # Guards against an overload in which callers that retry take all room, so
-    # that each newcomer becomes late as well.
+    # Guards against newcomers made late by callers that retry.
     admission = make_busy(rate_per_s=100_000)
     for _ in range(8):
         admission.decide(make_request(left_ms=9000, tokens=500), NOW_MS)
@@ -172,8 +171,7 @@
 
 
 def test_less_urgent_streams_wait_behind_urgent_arrivals():
-    # Guards against digests held until they are late, while alerts take all
-    # the room that becomes free.
+    # Guards against digests held until they are late behind alerts.
     admission = make_busy(rate_per_s=10_000)
     assert isinstance(admission.decide(make_request(rank=2), NOW_MS), Wait)
     for step in reversed(range(20)):
--- a/caroblug/core/placement/tests/test_pair_losses.py
+++ b/caroblug/core/placement/tests/test_pair_losses.py
@@ -83,11 +83,7 @@
     ("data_centre", "losing"), [("a", 0), ("b", 1), ("c", 1)]
 )
 def test_customer_b_loses_layers_with_one_pair_at_most(data_centre, losing):
-    # Guards against refused streams between the loss of two engines and the
-    # end of a load. With two whole chains, 3, 13 and 5 pairs held all copies of
-    # 12, 46 and 24 layers. Memory for 2.1 copies in b and c allows no second
-    # holder within the first one's range where widths of 6, 10 and 33 layers
-    # leave a remainder.
+    # Guards against more exposed pairs than memory for 2.1 copies requires.
     losses = count_losses(place("B", data_centre))
 
     assert sum(loss > 0 for loss in losses) <= losing
--- a/caroblug/core/placement/tests/test_paths.py
+++ b/caroblug/core/placement/tests/test_paths.py
@@ -236,9 +236,7 @@
 
 
 def test_lack_of_memory_leads_to_no_path_between_data_centres():
-    # Guards against an overload that fills the link between data centres: each
-    # data centre has room on other layers, and the queue of the link makes all
-    # streams late.
+    # Guards against an overload that fills the link between data centres.
     engines = make_two_data_centres()
     loads = EngineLoads()
     fill(loads, engines[1], 0.95)
--- a/caroblug/core/placement/tests/test_second_holders.py
+++ b/caroblug/core/placement/tests/test_second_holders.py
@@ -113,8 +113,7 @@
 
 @pytest.mark.parametrize("data_centre", ["a", "b", "c"])
 def test_second_holders_are_restored_when_two_neighbours_are_lost(data_centre):
-    # Guards against a second loss that leaves layers without any holder while
-    # other layers have three. Before, up to 20 layers kept a single holder.
+    # Guards against single holders of layers while others have three holders.
     placed = place_customer_a()
     local = [e for e in placed if e.data_centre == data_centre]
 
--- a/caroblug/gateway/tests/test_retries_under_overload.py
+++ b/caroblug/gateway/tests/test_retries_under_overload.py
@@ -284,8 +284,7 @@
 
 
 def test_single_rank_without_overload_gets_all_its_retries():
-    # Guards against reserves that deny retries while few engines fail: up to
-    # one request in ten needs a retry before its response has begun.
+    # Guards against reserves that deny retries while few engines fail.
     site = Site((5,))
     site.start_all()
     allowed = 0
