Log and count suspicions of requests that crash backend servers

Callers saw one request crash server after server, and the logs could not tell whether an end was not learned of, not told, or forgotten. A gateway now logs each suspicion of its own with the crash it counts (request.suspected) and the moment from which it refuses a request (request.quarantined, with the crashes and whether the last was reported by another gateway), counts both by source, and shows how many suspicions its messages leave out (caroblug_suspicions_untold).

--- a/caroblug/gateway/_crash_suspicions.py
+++ b/caroblug/gateway/_crash_suspicions.py
@@ -9,11 +9,10 @@
 import hashlib
 
 from caroblug.core.limits import Suspicion, Suspicions, Verdict
+from caroblug.gateway._context import Context
 from caroblug.gateway._exchange_results import FailureKind
-from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._http_client import Address, Exchange
 from caroblug.gateway._pending_request import PendingRequest
-from caroblug.utils import Clock
 
 QUARANTINE_CRASHES = 3
 """Crashes after which a request is quarantined. With two, a request hit by two
@@ -33,13 +32,12 @@
     """Suspicions known to one gateway.
 
     Args:
-        clock: Source of time.
-        fleet: Backend servers, whose start times identify crashes.
+        context: State shared by the gateway's components.
     """
 
-    def __init__(self, clock: Clock, fleet: Fleet) -> None:
-        self._clock = clock
-        self._fleet = fleet
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._clock = context.clock
         self._suspicions = Suspicions(QUARANTINE_CRASHES)
 
     def is_quarantined(self, pending: PendingRequest) -> bool:
@@ -78,17 +76,53 @@
 
     def on_process_ended(self, pending: PendingRequest, name: str) -> None:
         """Suspects a request that was on a backend server when it ended."""
-        self._suspicions.on_suspicion(
-            Suspicion(
-                fingerprint(pending),
-                pending.account or "",
-                self._make_crash_id(name),
-                0,
-                False,
-                _SUSPICION_TTL_MS,
-            ),
-            self._clock.now_ms(),
+        suspicion = Suspicion(
+            fingerprint(pending),
+            pending.account or "",
+            self._make_crash_id(name),
+            0,
+            False,
+            _SUSPICION_TTL_MS,
         )
+        if self._record(suspicion, "own"):
+            self._context.log.write(
+                "request.suspected",
+                request=pending.caller.id,
+                fingerprint=suspicion.fingerprint,
+                client_account=pending.account,
+                backend_server=name,
+                crash=suspicion.crash,
+            )
+
+    def _record(self, suspicion: Suspicion, source: str) -> bool:
+        """Records a suspicion and returns whether it is new.
+
+        Args:
+            suspicion: The suspicion.
+            source: `own` or `peer`, for the metrics.
+        """
+        now_ms = self._clock.now_ms()
+        digest = suspicion.fingerprint
+        before = self._suspicions.verdict(digest, now_ms)
+        if not self._suspicions.on_suspicion(suspicion, now_ms):
+            return False
+        context = self._context
+        context.telemetry.count("suspicions", source=source)
+        context.telemetry.gauge("suspected_requests", len(self._suspicions))
+        after = self._suspicions.verdict(digest, now_ms)
+        if after is Verdict.QUARANTINED and before is not after:
+            context.telemetry.count("quarantines", source=source)
+            context.log.write(
+                "request.quarantined",
+                fingerprint=digest,
+                client_account=suspicion.client_account,
+                source=source,
+                crashes=[
+                    s.crash
+                    for s in self._suspicions.for_request(digest, now_ms)
+                ],
+            )
+        return True
 
     def _make_crash_id(self, name: str) -> str:
         """Returns an id for the crash of one process of a backend server.
@@ -97,12 +131,14 @@
         equal requests on it ends for another reason, that counts as one crash.
         Otherwise all callers of a popular request would be refused.
         """
-        listed = self._fleet.listing.backends.get(name)
+        listed = self._context.fleet.listing.backends.get(name)
         return f"{name}/{listed.started_ms if listed else 0}"
 
     def export(self) -> list[list]:
         """Returns the latest suspicions in the form sent to other gateways."""
         known = self._suspicions.all_live(self._clock.now_ms())
+        untold = max(0, len(known) - _MAX_SHARED_SUSPICIONS)
+        self._context.telemetry.gauge("suspicions_untold", untold)
         return [
             [s.fingerprint, s.client_account, s.crash, s.remaining_ms]
             for s in known[-_MAX_SHARED_SUSPICIONS:]
@@ -114,19 +150,16 @@
         Args:
             suspicions: Suspicions in the form that `export` returns.
         """
-        now_ms = self._clock.now_ms()
         for digest, account, crash, remaining_ms in suspicions:
-            self._suspicions.on_suspicion(
-                Suspicion(
-                    str(digest),
-                    str(account),
-                    str(crash),
-                    0,
-                    False,
-                    min(int(remaining_ms), _SUSPICION_TTL_MS),
-                ),
-                now_ms,
+            suspicion = Suspicion(
+                str(digest),
+                str(account),
+                str(crash),
+                0,
+                False,
+                min(int(remaining_ms), _SUSPICION_TTL_MS),
             )
+            self._record(suspicion, "peer")
 
 
 def fingerprint(pending: PendingRequest) -> str:
--- a/caroblug/gateway/_decision_log.py
+++ b/caroblug/gateway/_decision_log.py
@@ -26,6 +26,8 @@
     "admission.admitted": 20,
     "admission.refused": 20,
     "admission.waits": 20,
+    "request.quarantined": 20,
+    "request.suspected": 20,
     "retry.denied": 20,
 }
 """Rate limit of the frequent kinds, in lines a second. Failures are limited
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -94,7 +94,7 @@
     ) -> None:
         self._context = context
         self._reload = reload
-        self._crashes = CrashSuspicions(context.clock, context.fleet)
+        self._crashes = CrashSuspicions(context)
         self._peers = Peers(context, registry, self._crashes)
         self._placement = PlacementController(context, registry, self._peers)
         self._backup = ListingBackup(
--- a/caroblug/gateway/tests/room_model.py
+++ b/caroblug/gateway/tests/room_model.py
@@ -132,9 +132,7 @@
             data_centre, rng, ServerLimits(LimitOwner(name, NOWHERE))
         )
         self.context = context
-        self.peers = Peers(
-            context, FakeRegistry(), CrashSuspicions(clock, context.fleet)
-        )
+        self.peers = Peers(context, FakeRegistry(), CrashSuspicions(context))
         self.readers = RoomReaders(context, self.peers)
         self.queue: collections.deque[Request] = collections.deque()
         self.running: dict[int, tuple[Path, Request]] = {}
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -16,9 +16,7 @@
 def make_placement(name="g1", clock=None):
     context = make_context(name, clock)
     registry = FakeRegistry()
-    peers = Peers(
-        context, registry, CrashSuspicions(context.clock, context.fleet)
-    )
+    peers = Peers(context, registry, CrashSuspicions(context))
     return (
         context,
         registry,
--- a/caroblug/gateway/tests/test_stream_admission.py
+++ b/caroblug/gateway/tests/test_stream_admission.py
@@ -100,7 +100,7 @@
         self.fleet = self.context.fleet
         self.fleet.update_listing(list_of(*ENGINES), self.clock.now_ms())
         self.fleet.loads.gateways = 1
-        self.crashes = CrashSuspicions(self.clock, self.fleet)
+        self.crashes = CrashSuspicions(self.context)
         self.permits = LimitPermits(self.context, None)
         self.admission = StreamAdmission(self.context)
         self.results = {}
