Tell suspicions of several crashes to every gateway, and the others a few times

Callers saw a request that crashes engines sent on, while many engines ended. Cause: a message to another gateway held the 50 suspicions added last, of all that were known in two minutes. Each end of an engine adds one for every stream on it, so that 20 streams and three ends were enough to displace the oldest request, which is the one that crashes engines.

A new suspicion is now told eight times by the gateway that observed the crash and twice by others; requests suspected of several crashes are told as long as the other gateway's digest of them differs, so that a start learns them and nothing is sent once all know. A suspicion counts as told when it was received. A full table drops requests of a single crash first. A quarantine holds ten minutes from the last crash, not two.

--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -33,6 +33,7 @@
     "RunGate": "_run_gate",
     "IsolationQueue": "_isolation_queue",
     "Suspicion": "_suspicions",
+    "SuspicionSharing": "_suspicion_sharing",
     "Suspicions": "_suspicions",
     "Ticket": "_run_gate",
     "BatchSource": "_isolation_queue",
--- a/caroblug/core/limits/_suspicions.py
+++ b/caroblug/core/limits/_suspicions.py
@@ -66,7 +66,8 @@
 class Suspicions:
     """Suspicions known to one instance, for a bounded number of requests.
 
-    When the bound is reached, the record that was added first is dropped.
+    When the bound is reached, the oldest record of a single crash is dropped,
+    or the oldest one if there is none.
 
     Args:
         quarantine_crashes: Number of crashes at which a request is
@@ -101,6 +102,12 @@
         record.end_ms = max(record.end_ms, end_ms)
         return True
 
+    def extend(self, fingerprint: str, remaining_ms: int, now_ms: int) -> None:
+        """Keeps a record for `remaining_ms` at least."""
+        record = self._live_record(fingerprint, now_ms)
+        if record is not None:
+            record.end_ms = max(record.end_ms, now_ms + remaining_ms)
+
     def verdict(self, fingerprint: str, now_ms: int) -> Verdict:
         """Returns the degree of suspicion against a request."""
         record = self._live_record(fingerprint, now_ms)
@@ -201,7 +208,14 @@
 
     def _add_record(self, suspicion: Suspicion, end_ms: int) -> _Record:
         if len(self._records) >= _MAX_RECORDS:
-            self._records.popitem(last=False)
+            del self._records[self._least_suspected()]
         record = _Record(suspicion.client_account, end_ms)
         self._records[suspicion.fingerprint] = record
         return record
+
+    def _least_suspected(self) -> str:
+        """Returns the fingerprint of the record to drop."""
+        for fingerprint, record in self._records.items():
+            if record.uncleared <= 1:
+                return fingerprint
+        return next(iter(self._records))
--- a/caroblug/gateway/_crash_suspicions.py
+++ b/caroblug/gateway/_crash_suspicions.py
@@ -8,7 +8,12 @@
 
 import hashlib
 
-from caroblug.core.limits import Suspicion, Suspicions, Verdict
+from caroblug.core.limits import (
+    Suspicion,
+    Suspicions,
+    SuspicionSharing,
+    Verdict,
+)
 from caroblug.gateway._context import Context
 from caroblug.gateway._exchange_results import FailureKind
 from caroblug.gateway._http_client import Address, Exchange
@@ -24,8 +29,11 @@
 """Time for which a suspicion counts; callers retry within their deadline of
 20 s."""
 
+QUARANTINE_MS = 600_000
+"""Time for which a request is quarantined. It isn't extended when the request
+comes again, so that a popular one which was innocent runs again some time."""
+
 _PROBE_TIMEOUT_S = 0.25
-_MAX_SHARED_SUSPICIONS = 50
 
 
 class CrashSuspicions:
@@ -39,6 +47,7 @@
         self._context = context
         self._clock = context.clock
         self._suspicions = Suspicions(QUARANTINE_CRASHES)
+        self._sharing = SuspicionSharing(self._suspicions)
 
     def is_quarantined(self, pending: PendingRequest) -> bool:
         """Returns whether a request must not run."""
@@ -84,7 +93,7 @@
             False,
             _SUSPICION_TTL_MS,
         )
-        if self._record(suspicion, "own"):
+        if self._record(suspicion, own=True):
             self._context.log.write(
                 "request.suspected",
                 request=pending.caller.id,
@@ -94,23 +103,27 @@
                 crash=suspicion.crash,
             )
 
-    def _record(self, suspicion: Suspicion, source: str) -> bool:
+    def _record(self, suspicion: Suspicion, own: bool) -> bool:
         """Records a suspicion and returns whether it is new.
 
         Args:
             suspicion: The suspicion.
-            source: `own` or `peer`, for the metrics.
+            own: Whether this gateway has observed the crash.
         """
+        source = "own" if own else "peer"
         now_ms = self._clock.now_ms()
         digest = suspicion.fingerprint
         before = self._suspicions.verdict(digest, now_ms)
         if not self._suspicions.on_suspicion(suspicion, now_ms):
             return False
+        self._sharing.on_new(suspicion, own, now_ms)
         context = self._context
         context.telemetry.count("suspicions", source=source)
         context.telemetry.gauge("suspected_requests", len(self._suspicions))
         after = self._suspicions.verdict(digest, now_ms)
         if after is Verdict.QUARANTINED and before is not after:
+            if own:
+                self._suspicions.extend(digest, QUARANTINE_MS, now_ms)
             context.telemetry.count("quarantines", source=source)
             context.log.write(
                 "request.quarantined",
@@ -134,16 +147,32 @@
         listed = self._context.fleet.listing.backends.get(name)
         return f"{name}/{listed.started_ms if listed else 0}"
 
-    def export(self) -> list[list]:
-        """Returns the latest suspicions in the form sent to other gateways."""
-        known = self._suspicions.all_live(self._clock.now_ms())
-        untold = max(0, len(known) - _MAX_SHARED_SUSPICIONS)
-        self._context.telemetry.gauge("suspicions_untold", untold)
+    def digest(self) -> str:
+        """Returns a digest of the requests suspected of several crashes."""
+        return self._sharing.digest(self._clock.now_ms())
+
+    def export(self, peer_digest: str | None) -> list[list]:
+        """Returns suspicions in the form sent to another gateway.
+
+        Args:
+            peer_digest: Digest that the other gateway last sent; None if it
+                has sent none.
+        """
+        chosen = self._sharing.choose(peer_digest, self._clock.now_ms())
+        self._context.telemetry.gauge("suspicions_untold", self._sharing.untold)
         return [
             [s.fingerprint, s.client_account, s.crash, s.remaining_ms]
-            for s in known[-_MAX_SHARED_SUSPICIONS:]
+            for s in chosen
         ]
 
+    def on_exported(self, suspicions: list) -> None:
+        """Counts suspicions that another gateway has received.
+
+        Args:
+            suspicions: Suspicions in the form that `export` returns.
+        """
+        self._sharing.on_told([(row[0], row[2]) for row in suspicions])
+
     def merge(self, suspicions: list) -> None:
         """Adds the suspicions received from another gateway.
 
@@ -157,9 +186,9 @@
                 str(crash),
                 0,
                 False,
-                min(int(remaining_ms), _SUSPICION_TTL_MS),
+                min(int(remaining_ms), QUARANTINE_MS),
             )
-            self._record(suspicion, "peer")
+            self._record(suspicion, own=False)
 
 
 def fingerprint(pending: PendingRequest) -> str:
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -112,6 +112,7 @@
             context.clock, context.settings.instance
         )
         self._retries_left: dict[str, dict[str, int]] = {}
+        self._crash_digests: dict[str, str] = {}
         self._fetching_version = -1
         self._new_version = event.Event()
         self._configuration_compressor = TextCompressor()
@@ -247,18 +248,20 @@
         return chosen + rng.sample(local, min(len(local), rest))
 
     def _exchange(self, name: str) -> None:
+        message = self._build_message(name)
         try:
-            answer = self.call(name, EXCHANGE_PATH, self._build_message())
+            answer = self.call(name, EXCHANGE_PATH, message)
         finally:
             self._exchanging.discard(name)
         if isinstance(answer, Unavailable):
             return
+        self._crashes.on_exported(message["crashes"])
         try:
             self._handle_answer(answer, name)
         except DECODE_ERRORS as error:
             self._calls.log_unreadable(EXCHANGE_PATH, error)
 
-    def _build_message(self) -> dict:
+    def _build_message(self, receiver: str) -> dict:
         context = self._context
         now_ms = context.clock.now_ms()
         settings = context.settings
@@ -277,7 +280,8 @@
             "list_digest": context.fleet.listing.digest,
             "list_end": context.fleet.listing.end,
             "accounts": encode_accounts(context.admissions, now_ms),
-            "crashes": self._crashes.export(),
+            "crashes": self._crashes.export(self._crash_digests.get(receiver)),
+            "crash_digest": self._crashes.digest(),
             "tenure": self.lease_state.value,
             "holder_age_ms": self._holder_age_ms(now_ms),
         }
@@ -317,7 +321,8 @@
         host, port = message["address"]
         self._add_member(Member(name, (str(host), int(port))))
         self._apply_peer_state(name, message)
-        answer = self._build_message()
+        answer = self._build_message(name)
+        self._crashes.on_exported(answer["crashes"])
         if message["version"] < self._version():
             raw = self._context.raw_configuration
             answer["packed_configuration"] = (
@@ -410,6 +415,8 @@
             for service, left in message.get("repeats", {}).items()
         }
         self._crashes.merge(message["crashes"])
+        # Gateways of the previous version send no digest.
+        self._crash_digests[name] = str(message.get("crash_digest", ""))
         now_ms = self._context.clock.now_ms()
         accounts = message.get("accounts", {})
         apply_accounts(self._context.admissions, name, accounts, now_ms)
@@ -533,6 +540,7 @@
                 del self._received_ms[name]
                 self._lease_states.pop(name, None)
                 self._retries_left.pop(name, None)
+                self._crash_digests.pop(name, None)
                 self._context.fleet.loads.remove_peer(name)
 
     def _knows_enough_members(self) -> bool:
--- a/caroblug/gateway/tests/crash_model.py
+++ b/caroblug/gateway/tests/crash_model.py
@@ -137,6 +137,8 @@
                     self._tell(partner, gateway)
 
     def _tell(self, sender: CrashSuspicions, receiver: CrashSuspicions) -> None:
-        text = json.dumps(sender.export(), separators=(",", ":"))
+        told = sender.export(receiver.digest())
+        sender.on_exported(told)
+        text = json.dumps(told, separators=(",", ":"))
         self.message_bytes.append(len(text))
         receiver.merge(json.loads(text))
--- a/caroblug/gateway/tests/room_model.py
+++ b/caroblug/gateway/tests/room_model.py
@@ -292,7 +292,7 @@
             other = self.gateways.get(name)
             if other is None or frozenset((gateway.name, name)) in self.cut:
                 continue
-            message = self._send(gateway.peers._build_message())
+            message = self._send(gateway.peers._build_message(""))
             answer = self._send(other.peers._handle_message(message))
             gateway.peers._handle_answer(answer, name)
 
--- a/caroblug/gateway/tests/test_account_messages.py
+++ b/caroblug/gateway/tests/test_account_messages.py
@@ -72,7 +72,7 @@
 
     now_ms = context.clock.now_ms()
     assert context.admissions["pool"].shares.is_above(0, "a", now_ms)
-    assert peers._build_message()["accounts"]["pool"]
+    assert peers._build_message("")["accounts"]["pool"]
 
 
 def test_message_of_a_gateway_without_accounts_is_applied():
--- a/caroblug/gateway/tests/test_configuration_spread.py
+++ b/caroblug/gateway/tests/test_configuration_spread.py
@@ -95,7 +95,7 @@
     other, other_peers = make_peers("g2")
     context.configuration = peers._registry.decode_configuration("7")
 
-    answer = peers._handle_message(other_peers._build_message())
+    answer = peers._handle_message(other_peers._build_message(""))
     other_peers._handle_answer(answer, "g1")
 
     assert other.configuration.version == 7
@@ -106,7 +106,7 @@
 def test_configuration_is_fetched_from_one_of_the_peers_that_have_it():
     # Guards against a link saturated by several copies of one configuration.
     context, peers = make_peers()
-    message = make_peers("g1")[1]._build_message()
+    message = make_peers("g1")[1]._build_message("")
 
     for name in ("g1", "g2", "g3"):
         peers._handle_message({**message, "name": name, "version": 9})
@@ -116,7 +116,7 @@
 
 def test_older_configuration_is_not_decompressed():
     context, peers = make_peers()
-    answer = make_peers("g1")[1]._build_message()
+    answer = make_peers("g1")[1]._build_message("")
 
     peers._handle_answer({**answer, "packed_configuration": "invalid"}, "g1")
 
--- a/caroblug/gateway/tests/test_crash_suspicions.py
+++ b/caroblug/gateway/tests/test_crash_suspicions.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from caroblug.gateway.tests.crash_model import CrashModel, Load
+from caroblug.gateway.tests.crash_model import CrashModel, Load, make_pending
 
 
 @pytest.mark.parametrize("gateways", [26, 64])
@@ -29,3 +29,55 @@
 
     assert model.crashes >= 3
     assert model.late_runs == 0, f"{model.crashes} engines crashed"
+
+
+def test_gateway_that_starts_learns_which_requests_are_quarantined():
+    # Guards against a start that lets a quarantined request run again.
+    model = CrashModel(26, Load(streams=20, ends=1.0), 1)
+    model.run(20)
+    started = model.gateways[5] = model.make_gateway(5)
+
+    model.run(1)
+
+    assert started.is_quarantined(make_pending(b"poison"))
+
+
+def test_crashes_on_both_sides_of_a_cut_count_after_it():
+    # Guards against suspicions that are no longer told when a cut ends.
+    model = CrashModel(26, Load(streams=20, ends=1.0, interval_ms=10**9), 1)
+    model.cut = set(range(5))
+    poison = make_pending(b"poison")
+    model.gateways[0].on_process_ended(poison, "e1")
+    model.gateways[20].on_process_ended(poison, "e2")
+    model.run(10)
+    model.cut = set()
+    model.gateways[21].on_process_ended(poison, "e3")
+
+    model.run(3)
+
+    assert all(g.is_quarantined(poison) for g in model.gateways)
+
+
+def test_requests_that_lost_one_engine_are_not_quarantined():
+    # Guards against refusing innocent requests on a day when racks end.
+    model = CrashModel(26, Load(streams=20, ends=5.0, interval_ms=10**9), 1)
+
+    model.run(20)
+
+    gateways = model.gateways
+    assert not any(
+        gateway.is_quarantined(make_pending(b"%d" % number))
+        for number in range(0, 200, 10)
+        for gateway in gateways
+    )
+
+
+def test_nothing_is_told_once_all_gateways_know():
+    # Guards against messages that repeat for minutes what everybody knows.
+    model = CrashModel(26, Load(streams=20), 1)
+    model.run(20)
+    model.message_bytes.clear()
+
+    model.run(5)
+
+    assert max(model.message_bytes) == len("[]")
--- a/caroblug/gateway/tests/test_limit_permits.py
+++ b/caroblug/gateway/tests/test_limit_permits.py
@@ -38,7 +38,7 @@
     for _ in range(4):
         for name in SERVERS:
             owner.fleet.limits.on_demand(name, True, clock.now_ms())
-        other_peers._handle_message(owner_peers._build_message())
+        other_peers._handle_message(owner_peers._build_message(""))
         clock.advance(1000)
     return other, LimitPermits(other, calls), calls
 
@@ -90,7 +90,7 @@
 def test_message_of_a_gateway_without_limits_is_applied():
     other, _, other_peers, _ = make_placement("g2")
     _, _, old_peers, _ = make_placement("g1")
-    message = old_peers._build_message()
+    message = old_peers._build_message("")
     del message["limits"]
 
     assert other_peers._handle_message(message)["name"] == "g2"
--- a/caroblug/gateway/tests/test_peers.py
+++ b/caroblug/gateway/tests/test_peers.py
@@ -93,7 +93,7 @@
     # always contact first.
     context, _, peers, _ = make_placement("g0")
     message = {
-        **peers._build_message(),
+        **peers._build_message(""),
         "name": "g1",
         "address": ["10.0.0.1", 1],
     }
@@ -123,6 +123,6 @@
         contexts.append(context)
         exchanges.append(peers)
     contexts[0].fleet.on_exit_announced("e1", 100_000)
-    exchanges[1]._handle_message(exchanges[0]._build_message())
+    exchanges[1]._handle_message(exchanges[0]._build_message(""))
 
     assert not contexts[1].fleet.backends("pool")
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -214,7 +214,7 @@
 
     young = make_placement("g9", clock)[2]
     receive_peer_state(
-        peers, "g9", LeaseState.NONE, young._build_message()["holder_age_ms"]
+        peers, "g9", LeaseState.NONE, young._build_message("")["holder_age_ms"]
     )
 
     assert placement.is_active
@@ -379,7 +379,7 @@
     context, _, next_peers, _ = make_placement("g2")
     list_coverage_gap_and_replicas(context)
 
-    next_peers._handle_message(peers._build_message())
+    next_peers._handle_message(peers._build_message(""))
 
     service = context.configuration.services["pool"]
     engines = context.fleet.engines(service, context.clock.now_ms())
@@ -397,7 +397,7 @@
     context, _, next_peers, _ = make_placement("g2")
     list_engines(context, make_engine("p", 48, 64))
 
-    next_peers._handle_message(peers._build_message())
+    next_peers._handle_message(peers._build_message(""))
 
     service = context.configuration.services["pool"]
     (engine,) = context.fleet.engines(service, context.clock.now_ms())
--- a/caroblug/gateway/tests/test_placement_rounds.py
+++ b/caroblug/gateway/tests/test_placement_rounds.py
@@ -160,7 +160,7 @@
             placement.renew_lease()
         (context, _, peers, placement) = gateways[holder]
         run_round(placement)
-        gateways[1 - holder][2]._handle_message(peers._build_message())
+        gateways[1 - holder][2]._handle_message(peers._build_message(""))
         clock.advance(ROUND_MS)
         fleet.advance()
         for context, _, _, _ in gateways:
--- a/caroblug/gateway/tests/test_room_readers.py
+++ b/caroblug/gateway/tests/test_room_readers.py
@@ -137,7 +137,7 @@
     (engine,) = [e for e in context.fleet.engines(POOL, 0) if e.name == "e1"]
     readers.read(engine)
     other_context, other_peers, _ = make_site("g1")
-    other_peers._handle_message(peers._build_message())
+    other_peers._handle_message(peers._build_message(""))
 
     now_ms = context.clock.now_ms()
     report = other_context.fleet.rooms.newest(now_ms, 48)["e1"]
@@ -149,7 +149,7 @@
     # Guards against gateways of two versions that reject each other's state.
     _, peers, _ = make_site()
     _, other_peers, _ = make_site("g1")
-    message = peers._build_message()
+    message = peers._build_message("")
     del message["rooms"], message["members"]
 
     assert other_peers._handle_message(message)["name"] == "g1"
@@ -162,7 +162,7 @@
     for number in range(60):
         full = attrs.evolve(report, memory_use=0.9)
         record_report(context, f"e{number}", full, now_ms)
-    message = peers._build_message()
+    message = peers._build_message("")
 
     assert len(message["rooms"]) == 48
     assert len(message["members"]) == 6
@@ -182,7 +182,7 @@
         for name in names:
             for other in sites[name]._choose_partners():
                 answer = sites[other]._handle_message(
-                    sites[name]._build_message()
+                    sites[name]._build_message("")
                 )
                 sites[name]._handle_answer(answer, other)
             sites[name]._context.clock.advance(500)
@@ -208,7 +208,7 @@
     context.clock.advance(2000)
     peers._remove_silent_peers()
 
-    assert not peers._build_message()["members"]
+    assert not peers._build_message("")["members"]
 
 
 def make_answer(running, waiting, slots=96):
@@ -252,4 +252,4 @@
     for engine in readers.due():
         readers.read(engine)
 
-    assert not peers._build_message()["told"]
+    assert not peers._build_message("")["told"]
