Check the quarantine before every send and before a path is repaired

A request whose third crash was reported while it waited for a path or a connection, or while it was rejected, was still sent, and a stalled stream was handed to the next engine by a repair, each of which it would crash. The check was made when the request arrived and after a run that was lost, not between. It is now made before each choice of a path, after the connection is open, and before each repair; a stream that is quarantined while an engine of its path is lost ends at once instead of waiting for its deadline. A ready answer of an engine is still delivered.

--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -28,7 +28,6 @@
 from caroblug.gateway._peers import Peers
 from caroblug.gateway._pending_request import (
     LEAVING_RETRY_AFTER_MS,
-    QUARANTINE_RETRY_AFTER_MS,
     UNREADY_RETRY_AFTER_MS,
     GatewayResponses,
     PendingRequest,
@@ -285,9 +284,7 @@
             self._responses.refuse(pending, "leaving", LEAVING_RETRY_AFTER_MS)
             return
         if self._crashes.is_quarantined(pending):
-            self._responses.refuse(
-                pending, "quarantined", QUARANTINE_RETRY_AFTER_MS
-            )
+            self._responses.refuse_quarantined(pending)
             return
         if decision.route.kind is RouteKind.STREAMING and (
             decision.service.model is not None
--- a/caroblug/gateway/_pending_request.py
+++ b/caroblug/gateway/_pending_request.py
@@ -111,6 +111,10 @@
             after_ms = self._context.retry_after.ms(mean_ms)
         self._send(pending, 503, reason, after_ms)
 
+    def refuse_quarantined(self, pending: PendingRequest) -> None:
+        """Refuses a request that is suspected of crashing engines."""
+        self.refuse(pending, "quarantined", QUARANTINE_RETRY_AFTER_MS)
+
     def fail(self, pending: PendingRequest, status: int, reason: str) -> None:
         """Fails a request that may have run.
 
--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -49,6 +49,7 @@
     NOT_SENT = "not_sent"
     FAILED = "failed"
     TIMED_OUT = "silent"
+    QUARANTINED = "quarantined"
 
 
 @attrs.frozen
@@ -70,6 +71,11 @@
     body: bytes = b""
 
 
+_QUARANTINED = AttemptResult(
+    AttemptOutcome.QUARANTINED, AttemptOutcome.QUARANTINED.value
+)
+
+
 class PlainCallHandler:
     """Forwards plain calls to backend servers and retries failed attempts.
 
@@ -99,6 +105,9 @@
         retryable = pending.admitted.route.retryable
         last = AttemptResult(AttemptOutcome.NOT_SENT, _NO_SERVER_REASON)
         while pending.sends < _MAX_SENDS:
+            if self._crashes.is_quarantined(pending):
+                last = _select_result(last, _QUARANTINED)
+                break
             if pending.left_ms(clock.now_ms()) <= 0:
                 break
             backend = self._choose_backend(pending)
@@ -124,8 +133,6 @@
                 break
             if pending.ran >= pending.admitted.route.max_attempts:
                 break
-            if self._crashes.is_quarantined(pending):
-                break
         self._finish(pending, last)
 
     def _retry_class(self, pending: PendingRequest) -> RetryClass:
@@ -193,6 +200,9 @@
         sent_ms = clock.now_ms()
         if context.fleet.availability.is_at_rest(backend.name, sent_ms):
             return AttemptResult(AttemptOutcome.NOT_SENT, AT_REST_REASON)
+        if self._crashes.is_quarantined(pending):
+            # Another gateway may have reported a crash meanwhile.
+            return _QUARANTINED
         pending.on_send(self._context)
         data = self._encode(pending, backend)
         problem = exchange.send(data, left_s, self._is_bodiless(pending))
@@ -298,6 +308,8 @@
     def _finish(self, pending: PendingRequest, last: AttemptResult) -> None:
         if last.outcome_kind is AttemptOutcome.ANSWERED:
             self._forward(pending, last)
+        elif last.outcome_kind is AttemptOutcome.QUARANTINED:
+            self._responses.refuse_quarantined(pending)
         elif not pending.ran:
             self._responses.refuse(pending, last.reason)
         elif last.outcome_kind is AttemptOutcome.TIMED_OUT:
--- a/caroblug/gateway/_run_results.py
+++ b/caroblug/gateway/_run_results.py
@@ -20,6 +20,10 @@
     ERROR_RESPONSE = "answered"
     LOST = "lost"
     OUT_OF_TIME = "out_of_time"
+    QUARANTINED = "quarantined"
+
+
+QUARANTINED_REASON = "quarantined"
 
 
 @attrs.frozen
@@ -39,3 +43,8 @@
     head: ResponseHead | None = None
     metadata: AnswerMetadata | None = None
     body: bytes = b""
+
+
+def make_quarantined_result() -> RunResult:
+    """Returns the result of a request that must not run any more."""
+    return RunResult(RunEnd.QUARANTINED, QUARANTINED_REASON)
--- a/caroblug/gateway/_stream_path_repair.py
+++ b/caroblug/gateway/_stream_path_repair.py
@@ -2,6 +2,7 @@
 
 from caroblug.core.placement import NoPath, Path
 from caroblug.gateway._interfaces import OrderOutcome
+from caroblug.gateway._run_results import QUARANTINED_REASON
 from caroblug.gateway._stream_retry_policy import StreamRetryPolicy
 from caroblug.gateway._stream_state import StreamState
 
@@ -48,6 +49,8 @@
         exchange = state.exchange
         refused: frozenset[str] = frozenset()
         for _ in range(_MAX_REPLACEMENT_PATHS):
+            if self._policy.is_quarantined():
+                return QUARANTINED_REASON
             path = self._policy.choose_replacement_path(refused)
             if isinstance(path, NoPath):
                 return "part is lost, no other one"
--- a/caroblug/gateway/_stream_retry_policy.py
+++ b/caroblug/gateway/_stream_retry_policy.py
@@ -160,6 +160,10 @@
             after=state.path.parts[0],
         )
 
+    def is_quarantined(self) -> bool:
+        """Returns whether the request must not reach another engine."""
+        return self._crashes.is_quarantined(self._state.pending)
+
     def can_retry(self, result: RunResult) -> bool:
         """Returns whether another run may follow one with this result."""
         if result.end in (RunEnd.NOT_SENT, RunEnd.REJECTED):
@@ -245,5 +249,5 @@
         return (
             route.resumable
             and pending.ran < route.max_attempts
-            and not self._crashes.is_quarantined(pending)
+            and not self.is_quarantined()
         )
--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -22,7 +22,11 @@
     RunState,
     Unavailable,
 )
-from caroblug.gateway._run_results import RunEnd, RunResult
+from caroblug.gateway._run_results import (
+    RunEnd,
+    RunResult,
+    make_quarantined_result,
+)
 from caroblug.gateway._running_streams import RunningStream, RunningStreams
 from caroblug.gateway._server_advice import (
     AT_REST_REASON,
@@ -137,6 +141,9 @@
             return self._on_exchange_failure(problem)
         if self._context.fleet.availability.is_at_rest(first, state.now_ms):
             return RunResult(RunEnd.NOT_SENT, AT_REST_REASON)
+        if self._crashes.is_quarantined(pending):
+            # Another gateway may have reported a crash meanwhile.
+            return make_quarantined_result()
         for name in self._connect_attempts.on_connected():
             state.eject_engine(name, FailureKind.CONNECT.value)
         pending.on_send(self._context)
@@ -318,9 +325,11 @@
         if paused_ms < check_after_s * 1000:
             return None
         result = self._investigate_pause(paused_ms)
-        if result is None or not self._policy.acquire_rerun():
+        if result is None:
             return None
-        return result
+        if self._crashes.is_quarantined(state.pending):
+            return make_quarantined_result()
+        return result if self._policy.acquire_rerun() else None
 
     def _investigate_pause(self, paused_ms: int) -> RunResult | None:
         """Reads from the first engine's report what a run waits for.
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -20,7 +20,12 @@
     GatewayResponses,
     PendingRequest,
 )
-from caroblug.gateway._run_results import RunEnd, RunResult
+from caroblug.gateway._run_results import (
+    QUARANTINED_REASON,
+    RunEnd,
+    RunResult,
+    make_quarantined_result,
+)
 from caroblug.gateway._running_streams import RunningStream, RunningStreams
 from caroblug.gateway._shared_retry_budget import SharedRetryBudget
 from caroblug.gateway._stream_admission import (
@@ -139,6 +144,9 @@
         pending = self._state.pending
         result = RunResult(RunEnd.NOT_SENT, "no time left")
         while pending.sends < _MAX_SENDS and not self._runner.unreachable:
+            if self._crashes.is_quarantined(pending):
+                result = make_quarantined_result()
+                break
             if self._state.left_ms <= 0:
                 result = RunResult(RunEnd.OUT_OF_TIME, "no time left")
                 break
@@ -187,6 +195,9 @@
         state.excluded_engines.add(name)
         if ended:
             self._crashes.on_process_ended(state.pending, name)
+        if self._crashes.is_quarantined(state.pending):
+            self._runner.abort(QUARANTINED_REASON)
+            return
         problem = ""
         if name == state.path.first.name:
             problem = "first engine is lost"
@@ -218,6 +229,8 @@
             )
         elif result.end is RunEnd.OUT_OF_TIME and pending.ran:
             self._responses.fail(pending, 504, result.reason)
+        elif result.end is RunEnd.QUARANTINED:
+            self._responses.refuse_quarantined(pending)
         elif result.end is RunEnd.NO_PATH:
             self._responses.refuse(
                 pending, result.reason, NO_ENGINES_RETRY_AFTER_MS
--- a/caroblug/gateway/tests/test_stream_rejections.py
+++ b/caroblug/gateway/tests/test_stream_rejections.py
@@ -163,7 +163,7 @@
         dialect.own_headers = lambda caller, after_ms: [("after", after_ms)]
         self.engines = Engines()
         monkeypatch.setattr(stream_state, "Exchange", self.engines.open)
-        crashes = CrashSuspicions(self.context)
+        self.crashes = crashes = CrashSuspicions(self.context)
         self._peers = Peers(self.context, FakeRegistry(), crashes)
         monkeypatch.setattr(gevent, "sleep", self._sleep)
         self._handler = StreamHandler(
