Count ends of processes that refuse no connection when they are looked at

A process counted as ended only if its port refused a connection at the one moment after a run was lost. A server that was back by then, that was silent, a later engine of the path, a response that broke off within its body and a call that timed out were not counted, so that a request which ends servers in these ways was sent on. A crash was named by the start that the list had when the end was found, so that two ends of a server which keeps its name could count as one.

What a run is lost on is now kept from its start, with the start of the process. All engines of the path are checked, each once for all requests. A run that began after a crash was known was lost in another one.

--- a/caroblug/core/limits/_suspicions.py
+++ b/caroblug/core/limits/_suspicions.py
@@ -48,6 +48,7 @@
 
 @attrs.define
 class _Crash:
+    learned_ms: int
     position: int
     cleared: bool
 
@@ -97,7 +98,7 @@
         if known is not None and (known.cleared or not suspicion.cleared):
             return False
         record.crashes[suspicion.crash] = _Crash(
-            suspicion.position, suspicion.cleared
+            now_ms, suspicion.position, suspicion.cleared
         )
         record.end_ms = max(record.end_ms, end_ms)
         return True
@@ -122,6 +123,14 @@
         record = self._live_record(fingerprint, now_ms)
         return record.end_ms - now_ms if record else 0
 
+    def learned_ms(
+        self, fingerprint: str, crash: str, now_ms: int
+    ) -> int | None:
+        """Returns when a request was first suspected of a crash, if it is."""
+        record = self._live_record(fingerprint, now_ms)
+        known = record.crashes.get(crash) if record else None
+        return known.learned_ms if known else None
+
     def isolate_until(self, fingerprint: str, now_ms: int) -> int:
         """Returns the position up to which a request is to run isolated."""
         record = self._live_record(fingerprint, now_ms)
--- a/caroblug/gateway/_backend_states.py
+++ b/caroblug/gateway/_backend_states.py
@@ -70,6 +70,8 @@
             is newer.
         layers_reported_ms: When it reported them.
         leaving_ms: When it was last found to be draining; -1 if never.
+        started_ms: Latest start of its process that was listed or reported; 0
+            if none was.
     """
 
     in_flight: int = 0
@@ -92,6 +94,7 @@
     reported_layers: LayerRange | None = None
     layers_reported_ms: int = 0
     leaving_ms: int = -1
+    started_ms: int = 0
 
 
 class BackendStates:
@@ -283,6 +286,15 @@
         """
         self._states[name].ended = True
 
+    def on_started(self, name: str, started_ms: int) -> None:
+        """Records when a process started, as it is listed or reports."""
+        state = self._states[name]
+        state.started_ms = max(state.started_ms, started_ms)
+
+    def started_ms(self, name: str) -> int:
+        """Returns the latest known start of a process; 0 if unknown."""
+        return self._states[name].started_ms
+
     def has_ended(self, name: str) -> bool:
         """Returns whether a process has ended and not responded since."""
         return self._states[name].ended
--- a/caroblug/gateway/_crash_suspicions.py
+++ b/caroblug/gateway/_crash_suspicions.py
@@ -8,6 +8,8 @@
 
 import hashlib
 
+import gevent
+
 from caroblug.core.limits import (
     Suspicion,
     Suspicions,
@@ -15,9 +17,14 @@
     Verdict,
 )
 from caroblug.gateway._context import Context
-from caroblug.gateway._exchange_results import FailureKind
-from caroblug.gateway._http_client import Address, Exchange
 from caroblug.gateway._pending_request import PendingRequest
+from caroblug.gateway._process_ends import (
+    LostRun,
+    ProcessChecks,
+    ProcessState,
+    ServerProcess,
+    UnresolvedEnds,
+)
 
 QUARANTINE_CRASHES = 3
 """Crashes after which a request is quarantined. With two, a request hit by two
@@ -33,7 +40,7 @@
 """Time for which a request is quarantined. It isn't extended when the request
 comes again, so that a popular one which was innocent runs again some time."""
 
-_PROBE_TIMEOUT_S = 0.25
+_RESOLVE_INTERVAL_S = 0.25
 
 
 class CrashSuspicions:
@@ -48,6 +55,8 @@
         self._clock = context.clock
         self._suspicions = Suspicions(QUARANTINE_CRASHES)
         self._sharing = SuspicionSharing(self._suspicions)
+        self._checks = ProcessChecks(context)
+        self._unresolved = UnresolvedEnds(context)
 
     def is_quarantined(self, pending: PendingRequest) -> bool:
         """Returns whether a request must not run."""
@@ -58,37 +67,56 @@
         )
         return verdict is Verdict.QUARANTINED
 
-    def on_connection_lost(
-        self, pending: PendingRequest, name: str, address: Address
-    ) -> bool:
-        """Suspects a request that lost its connection if the process ended.
+    def run(self) -> None:
+        """Finds out which lost runs were crashes until the process ends."""
+        while True:
+            gevent.sleep(_RESOLVE_INTERVAL_S)
+            for lost in self._unresolved.resolve():
+                self._suspect(lost)
 
-        The process has ended if its port refuses connections. A backend server
-        that only broke off one response still listens, and one that is cut off
-        refuses nothing.
+    def on_run_lost(
+        self, pending: PendingRequest, process: ServerProcess
+    ) -> ProcessState:
+        """Suspects a request that lost its connection if the process ended.
 
         Args:
             pending: The request.
-            name: Name of the backend server.
-            address: Host and port of the backend server.
+            process: A process that it ran on.
 
         Returns:
-            Whether the process has ended.
+            What is known of the process now. Its end may be found later.
         """
-        exchange = Exchange(address)
-        problem = exchange.connect(_PROBE_TIMEOUT_S)
-        exchange.close()
-        if problem is None or problem.failure is not FailureKind.REFUSED:
-            return False
-        self.on_process_ended(pending, name)
-        return True
-
-    def on_process_ended(self, pending: PendingRequest, name: str) -> None:
-        """Suspects a request that was on a backend server when it ended."""
+        found = self._checks.check(process)
+        if found is ProcessState.ENDED:
+            self.on_process_ended(pending, process)
+        elif found is not ProcessState.ALIVE:
+            self._unresolved.add(_lost_run(pending, process), found)
+        return found
+
+    def on_unreachable(
+        self, pending: PendingRequest, process: ServerProcess
+    ) -> None:
+        """Records that a request was on a process that doesn't answer."""
+        run = _lost_run(pending, process)
+        self._unresolved.add(run, ProcessState.SILENT)
+
+    def on_process_ended(
+        self, pending: PendingRequest, process: ServerProcess
+    ) -> None:
+        """Suspects a request that was on a process when it ended."""
+        self._suspect(_lost_run(pending, process))
+
+    def on_served(self, pending: PendingRequest) -> None:
+        """Clears a request that has been answered, since it crashes nothing."""
+        if len(self._suspicions):
+            now_ms = self._clock.now_ms()
+            self._suspicions.clear(fingerprint(pending), 1, now_ms)
+
+    def _suspect(self, lost: LostRun) -> None:
         suspicion = Suspicion(
-            fingerprint(pending),
-            pending.account or "",
-            self._make_crash_id(name),
+            lost.fingerprint,
+            lost.account,
+            self._make_crash_id(lost.fingerprint, lost.process),
             0,
             False,
             _SUSPICION_TTL_MS,
@@ -96,10 +124,10 @@
         if self._record(suspicion, own=True):
             self._context.log.write(
                 "request.suspected",
-                request=pending.caller.id,
-                fingerprint=suspicion.fingerprint,
-                client_account=pending.account,
-                backend_server=name,
+                request=lost.request_id,
+                fingerprint=lost.fingerprint,
+                client_account=lost.account,
+                backend_server=lost.process.name,
                 crash=suspicion.crash,
             )
 
@@ -137,15 +165,25 @@
             )
         return True
 
-    def _make_crash_id(self, name: str) -> str:
-        """Returns an id for the crash of one process of a backend server.
+    def _make_crash_id(self, digest: str, process: ServerProcess) -> str:
+        """Returns an id for the end of one process of a backend server.
 
         The id doesn't depend on the request. If a backend server with several
         equal requests on it ends for another reason, that counts as one crash.
-        Otherwise all callers of a popular request would be refused.
+        Otherwise all callers of a popular request would be refused. A run that
+        began after a crash was known was lost in another one, although the list
+        may still have the start of the process before.
         """
-        listed = self._context.fleet.listing.backends.get(name)
-        return f"{name}/{listed.started_ms if listed else 0}"
+        base = f"{process.name}/{process.started_ms}"
+        crash = base
+        number = 1
+        now_ms = self._clock.now_ms()
+        while True:
+            learned_ms = self._suspicions.learned_ms(digest, crash, now_ms)
+            if learned_ms is None or learned_ms >= process.since_ms:
+                return crash
+            number += 1
+            crash = f"{base}#{number}"
 
     def digest(self) -> str:
         """Returns a digest of the requests suspected of several crashes."""
@@ -191,6 +229,15 @@
             self._record(suspicion, own=False)
 
 
+def _lost_run(pending: PendingRequest, process: ServerProcess) -> LostRun:
+    return LostRun(
+        fingerprint(pending),
+        pending.account or "",
+        pending.caller.id,
+        process,
+    )
+
+
 def fingerprint(pending: PendingRequest) -> str:
     """Returns a digest that equal requests of one client account share."""
     digest = hashlib.blake2b(digest_size=12)
--- a/caroblug/gateway/_engine_reports.py
+++ b/caroblug/gateway/_engine_reports.py
@@ -8,7 +8,7 @@
 def record_report(
     context: Context, name: str, report: EngineReport, read_ms: int
 ) -> None:
-    """Records the memory and the queue that an engine reports.
+    """Records the start, the memory and the queue that an engine reports.
 
     Args:
         context: State shared by the gateway's components.
@@ -23,6 +23,7 @@
         read_ms - report.age_ms,
     )
     now_ms = context.clock.now_ms()
+    context.fleet.on_started(name, report.started_ms)
     if not context.fleet.rooms.on_report(name, room, now_ms):
         context.telemetry.count("invalid_loads", source="report")
 
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -123,6 +123,7 @@
         for name, backend in listing.backends.items():
             state = self._states[name]
             state.listed_ms = now_ms
+            self.on_started(name, backend.started_ms)
             if name not in before or before[name].holds != backend.holds:
                 state.reported_layers = None
         for name, state in list(self._states.items()):
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -172,6 +172,7 @@
             self._peers.run_members,
             self._peers.run_exchange,
             self._suspect_probes.run,
+            self._crashes.run,
             self._liveness.run,
             self._slowness.run,
             self._room_readers.run,
--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -3,6 +3,7 @@
 import enum
 
 import attrs
+import gevent
 
 from caroblug.core.limits import RetryClass, classify_retry
 from caroblug.gateway._connect_attempts import CONNECT_TIMEOUT_S
@@ -24,6 +25,7 @@
 )
 from caroblug.gateway._limit_permits import LimitPermits
 from caroblug.gateway._pending_request import GatewayResponses, PendingRequest
+from caroblug.gateway._process_ends import ServerProcess
 from caroblug.gateway._server_advice import (
     AT_REST_REASON,
     apply_server_advice,
@@ -193,10 +195,11 @@
     ) -> AttemptResult:
         context = self._context
         clock = context.clock
+        process = self._find_process(backend)
         left_s = pending.left_ms(clock.now_ms()) / 1000
         problem = exchange.connect(min(CONNECT_TIMEOUT_S, left_s))
         if problem is not None:
-            return self._on_exchange_failure(pending, backend, problem)
+            return self._on_exchange_failure(pending, process, problem)
         sent_ms = clock.now_ms()
         if context.fleet.availability.is_at_rest(backend.name, sent_ms):
             return AttemptResult(AttemptOutcome.NOT_SENT, AT_REST_REASON)
@@ -207,13 +210,14 @@
         data = self._encode(pending, backend)
         problem = exchange.send(data, left_s, self._is_bodiless(pending))
         if problem is not None:
-            return self._on_exchange_failure(pending, backend, problem)
+            return self._on_exchange_failure(pending, process, problem)
         head = exchange.read_head(self._response_timeout_s(pending))
         if isinstance(head, ReadTimeout):
             pending.ran += 1
+            gevent.spawn(self._crashes.on_run_lost, pending, process)
             return AttemptResult(AttemptOutcome.TIMED_OUT, "no answer in time")
         if isinstance(head, ExchangeFailure):
-            return self._on_exchange_failure(pending, backend, head)
+            return self._on_exchange_failure(pending, process, head)
         metadata = context.dialect.decode_answer(head)
         apply_server_advice(context, backend.name, metadata, sent_ms)
         context.fleet.on_response(
@@ -232,6 +236,7 @@
                 AttemptOutcome.TIMED_OUT, "body not whole in time"
             )
         if isinstance(body, ExchangeFailure):
+            self._crashes.on_run_lost(pending, process)
             return AttemptResult(
                 AttemptOutcome.FAILED, f"body {body.failure.value}"
             )
@@ -249,24 +254,34 @@
     def _on_exchange_failure(
         self,
         pending: PendingRequest,
-        backend: BackendServer,
+        process: ServerProcess,
         problem: ExchangeFailure,
     ) -> AttemptResult:
         context = self._context
         if warrants_ejection(problem.failure):
-            for_ms = context.fleet.eject(backend.name, context.clock.now_ms())
+            for_ms = context.fleet.eject(process.name, context.clock.now_ms())
             context.log.write(
                 "backend_server.avoided",
-                backend_server=backend.name,
+                backend_server=process.name,
                 reason=problem.failure.value,
                 for_ms=for_ms,
             )
         if not problem.sent:
             return AttemptResult(AttemptOutcome.NOT_SENT, problem.failure.value)
         pending.ran += 1
-        self._crashes.on_connection_lost(pending, backend.name, backend.address)
+        self._crashes.on_run_lost(pending, process)
         return AttemptResult(AttemptOutcome.FAILED, problem.failure.value)
 
+    def _find_process(self, backend: BackendServer) -> ServerProcess:
+        """Returns the process that a call is about to be sent to."""
+        return ServerProcess(
+            backend.name,
+            backend.address,
+            backend.started_ms,
+            self._context.clock.now_ms(),
+            reports=False,
+        )
+
     def _encode(self, pending: PendingRequest, backend: BackendServer) -> bytes:
         forward_metadata = ForwardMetadata(
             backend=backend.name,
@@ -302,6 +317,8 @@
 
     def _forward(self, pending: PendingRequest, result: AttemptResult) -> None:
         status = result.head.status
+        if status < _MIN_ERROR_STATUS:
+            self._crashes.on_served(pending)
         self._responses.log(pending, status)
         pending.reply.send(status, list(result.metadata.headers), result.body)
 
--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -3,6 +3,8 @@
 A run sends the request to the first engine of a path and reads the response.
 """
 
+import gevent
+
 from caroblug.core.placement import Engine, Path
 from caroblug.gateway._connect_attempts import ConnectAttempts
 from caroblug.gateway._crash_suspicions import CrashSuspicions
@@ -22,6 +24,7 @@
     RunState,
     Unavailable,
 )
+from caroblug.gateway._process_ends import ProcessState
 from caroblug.gateway._run_results import (
     RunEnd,
     RunResult,
@@ -45,6 +48,10 @@
 takes much less, and a second run still returns its first event within half a
 second."""
 
+_STALLED_CHECK_S = 0.05
+"""Wait for the check of an engine that stalls a run. A port that refuses
+connections does so at once."""
+
 _PAUSE_CHECK_S = 0.3
 """Pause between events after which a run is investigated, which costs a
 call."""
@@ -201,6 +208,7 @@
             )
             if isinstance(chunk, EndOfBody):
                 if state.events.mid_event:
+                    self._check_processes()
                     return RunResult(RunEnd.LOST, "ended inside an event")
                 if not reply.begun:
                     reply.begin(head.status, list(metadata.headers))
@@ -263,23 +271,23 @@
                 state.eject_engine(first.name, problem.failure.value)
             return RunResult(RunEnd.NOT_SENT, problem.failure.value)
         if problem.failure is not FailureKind.NOT_HTTP:
-            self._probe_first_engine()
+            self._check_processes()
         return RunResult(RunEnd.LOST, problem.failure.value)
 
-    def _probe_first_engine(self) -> None:
-        """Ejects the first engine if it no longer responds.
+    def _check_processes(self) -> None:
+        """Ejects the first engine if its process no longer responds.
 
         An engine that only broke off one response stays in use, and one that
-        has crashed is not sent a second request.
+        has crashed is not sent a second request. The later engines of the path
+        are checked while the next run begins.
         """
         state = self._state
-        first = state.path.first
-        report = self._read_report(first)
-        if isinstance(report, Unavailable):
-            state.eject_engine(first.name, f"report: {report.message}")
-            self._crashes.on_connection_lost(
-                state.pending, first.name, first.address
-            )
+        first, *later = state.processes.values()
+        found = self._crashes.on_run_lost(state.pending, first)
+        if found is not ProcessState.ALIVE:
+            state.eject_engine(first.name, f"process: {found.value}")
+        for process in later:
+            gevent.spawn(self._crashes.on_run_lost, state.pending, process)
 
     def _read_report(self, engine: Engine) -> EngineReport | Unavailable:
         read_ms = self._state.now_ms
@@ -349,6 +357,7 @@
         report = self._read_report(first)
         if isinstance(report, Unavailable):
             state.eject_engine(first.name, f"report: {report.message}")
+            self._check_stalled(first)
             return RunResult(RunEnd.LOST, "first engine does not answer")
         for request_id, address in report.stalled:
             if request_id == state.pending.caller.id:
@@ -380,9 +389,7 @@
             # report shows which.
             state.excluded_engines.add(engine.name)
             self._context.engines_to_probe.add(engine.name)
-            self._crashes.on_connection_lost(
-                state.pending, engine.name, engine.address
-            )
+            self._check_stalled(engine)
         if (
             not stalled_engines
             or stalled_engines[0].name == state.path.first.name
@@ -391,6 +398,18 @@
         problem = self._repair.replace(stalled_engines[0].name)
         return RunResult(RunEnd.LOST, problem) if problem else None
 
+    def _check_stalled(self, engine: Engine) -> None:
+        """Checks an engine that stalls the run, for a short time at most.
+
+        The result decides whether the request may go on to another engine.
+        """
+        state = self._state
+        gevent.spawn(
+            self._crashes.on_run_lost,
+            state.pending,
+            state.processes[engine.name],
+        ).join(_STALLED_CHECK_S)
+
     def _encode(self) -> bytes:
         state = self._state
         pending = state.pending
--- a/caroblug/gateway/_stream_state.py
+++ b/caroblug/gateway/_stream_state.py
@@ -2,11 +2,12 @@
 
 import attrs
 
-from caroblug.core.placement import Path
+from caroblug.core.placement import Engine, Path
 from caroblug.gateway._context import Context
 from caroblug.gateway._events import EventPace, EventSequence
 from caroblug.gateway._http_client import Exchange
 from caroblug.gateway._pending_request import PendingRequest
+from caroblug.gateway._process_ends import ServerProcess
 from caroblug.gateway._stream_latency import StreamLatency
 
 
@@ -27,6 +28,7 @@
         last_event_ms: Time of the latest event, of the start of the run or of
             the latest path change, whichever is last.
         lost: Engine that interrupted the latest run, for the log.
+        processes: Processes of the engines on the path, by name.
         lacked_room: Whether an engine rejected the stream for lack of room
             since it was last accepted.
     """
@@ -43,6 +45,7 @@
     last_event_ms: int = 0
     lost: str = ""
     lacked_room: bool = False
+    processes: dict[str, ServerProcess] = attrs.field(factory=dict)
     _prefilling_engines: tuple[str, ...] = ()
     _run_counted: bool = False
 
@@ -76,6 +79,7 @@
 
     def begin_run(self, path: Path) -> None:
         """Sets up a run over a path and counts its load."""
+        self.processes = {}
         self.lost = ""
         self._run_counted = False
         self._enter_path(path)
@@ -137,10 +141,21 @@
 
     def _enter_path(self, path: Path) -> None:
         self.path = path
+        self.processes = {
+            part.engine.name: self.processes.get(part.engine.name)
+            or self._find_process(part.engine)
+            for part in path.parts
+        }
         self.context.fleet.loads.add_request(
             path.names, self.mean_tokens, self.now_ms
         )
 
+    def _find_process(self, engine: Engine) -> ServerProcess:
+        started_ms = self.context.fleet.started_ms(engine.name)
+        return ServerProcess(
+            engine.name, engine.address, started_ms, self.now_ms, reports=True
+        )
+
     def _leave_path(self) -> None:
         self.context.fleet.loads.remove_request(
             self.path.names, self.mean_tokens, self.now_ms
--- a/caroblug/gateway/_streams.py
+++ b/caroblug/gateway/_streams.py
@@ -193,8 +193,11 @@
             return
         state.lost = name
         state.excluded_engines.add(name)
+        process = state.processes[name]
         if ended:
-            self._crashes.on_process_ended(state.pending, name)
+            self._crashes.on_process_ended(state.pending, process)
+        else:
+            self._crashes.on_unreachable(state.pending, process)
         if self._crashes.is_quarantined(state.pending):
             self._runner.abort(QUARANTINED_REASON)
             return
@@ -215,6 +218,7 @@
         pending = self._state.pending
         reply = pending.reply
         if result.end is RunEnd.COMPLETE:
+            self._crashes.on_served(pending)
             self._responses.log(pending, 200)
             reply.finish()
         elif reply.begun:
--- a/caroblug/gateway/tests/crash_model.py
+++ b/caroblug/gateway/tests/crash_model.py
@@ -14,7 +14,8 @@
 from caroblug.gateway import CallerRequest, RawRequest
 from caroblug.gateway._crash_suspicions import CrashSuspicions
 from caroblug.gateway._pending_request import PendingRequest
-from caroblug.gateway.tests.fakes import make_context
+from caroblug.gateway._process_ends import ServerProcess
+from caroblug.gateway.tests.fakes import NOWHERE, make_context
 from caroblug.gateway.tests.test_fleet import POOL
 from caroblug.utils import ManualClock
 
@@ -38,6 +39,11 @@
     return PendingRequest(request, caller, admitted, None, 1_000_000)
 
 
+def make_process(name: str, since_ms: int = 100_000) -> ServerProcess:
+    """Returns the process of an engine."""
+    return ServerProcess(name, NOWHERE, 7, since_ms, reports=True)
+
+
 @attrs.define
 class Load:
     """What else happens beside the request that crashes engines.
@@ -110,7 +116,7 @@
         elif self._third_ms and now_ms - self._third_ms > STABLE_MS:
             self.late_runs += 1
         name = f"crashed{self.crashes}"
-        gateway.on_process_ended(poison, name)
+        gateway.on_process_ended(poison, make_process(name))
         self._end_streams(name)
 
     def _end_engines(self) -> None:
@@ -124,7 +130,8 @@
         for _ in range(self.load.streams):
             self._others += 1
             gateway = self.rng.choice(self.gateways)
-            gateway.on_process_ended(make_pending(b"%d" % self._others), name)
+            pending = make_pending(b"%d" % self._others)
+            gateway.on_process_ended(pending, make_process(name))
 
     def _exchange(self) -> None:
         """Lets each gateway exchange a message with a few others."""
--- a/caroblug/gateway/tests/test_crash_suspicions.py
+++ b/caroblug/gateway/tests/test_crash_suspicions.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from caroblug.gateway.tests.crash_model import CrashModel, Load, make_pending
+from caroblug.gateway.tests.crash_model import (
+    CrashModel,
+    Load,
+    make_pending,
+    make_process,
+)
 
 
 @pytest.mark.parametrize("gateways", [26, 64])
@@ -47,11 +52,11 @@
     model = CrashModel(26, Load(streams=20, ends=1.0, interval_ms=10**9), 1)
     model.cut = set(range(5))
     poison = make_pending(b"poison")
-    model.gateways[0].on_process_ended(poison, "e1")
-    model.gateways[20].on_process_ended(poison, "e2")
+    model.gateways[0].on_process_ended(poison, make_process("e1"))
+    model.gateways[20].on_process_ended(poison, make_process("e2"))
     model.run(10)
     model.cut = set()
-    model.gateways[21].on_process_ended(poison, "e3")
+    model.gateways[21].on_process_ended(poison, make_process("e3"))
 
     model.run(3)
 
--- a/caroblug/gateway/tests/test_quarantine.py
+++ b/caroblug/gateway/tests/test_quarantine.py
@@ -3,6 +3,7 @@
 import types
 
 from caroblug.gateway._stream_path_repair import StreamPathRepair
+from caroblug.gateway.tests.crash_model import make_process
 from caroblug.gateway.tests.test_fleet import make_engine
 from caroblug.gateway.tests.test_stream_rejections import (
     LAYERS,
@@ -22,7 +23,9 @@
 def crash_elsewhere(gateway, pending, count=3):
     """Lets other gateways report crashes of a request."""
     for number in range(count):
-        gateway.crashes.on_process_ended(pending, f"elsewhere{number}")
+        gateway.crashes.on_process_ended(
+            pending, make_process(f"elsewhere{number}")
+        )
 
 
 def test_stream_that_was_rejected_is_not_sent_once_quarantined(monkeypatch):
