Keep quarantined requests in the platform's store

After all gateways were killed together nobody knew which requests were quarantined, and such a request crashed three more engines; a gateway that hears no other one never learned of any. The gateway that observes the last crash now writes the request to a keyed topic of the store. Gateways that start read it, and those that hear nobody read it again every 10 s.

--- a/caroblug/gateway/_crash_suspicions.py
+++ b/caroblug/gateway/_crash_suspicions.py
@@ -55,6 +55,7 @@
         self._clock = context.clock
         self._suspicions = Suspicions(QUARANTINE_CRASHES)
         self._sharing = SuspicionSharing(self._suspicions)
+        self._unsaved: set[str] = set()
         self._checks = ProcessChecks(context)
         self._unresolved = UnresolvedEnds(context)
 
@@ -152,6 +153,7 @@
         if after is Verdict.QUARANTINED and before is not after:
             if own:
                 self._suspicions.extend(digest, QUARANTINE_MS, now_ms)
+                self._unsaved.add(digest)
             context.telemetry.count("quarantines", source=source)
             context.log.write(
                 "request.quarantined",
@@ -198,10 +200,7 @@
         """
         chosen = self._sharing.choose(peer_digest, self._clock.now_ms())
         self._context.telemetry.gauge("suspicions_untold", self._sharing.untold)
-        return [
-            [s.fingerprint, s.client_account, s.crash, s.remaining_ms]
-            for s in chosen
-        ]
+        return _encode(chosen)
 
     def on_exported(self, suspicions: list) -> None:
         """Counts suspicions that another gateway has received.
@@ -211,6 +210,22 @@
         """
         self._sharing.on_told([(row[0], row[2]) for row in suspicions])
 
+    def unsaved_quarantines(self) -> dict[str, list[list]]:
+        """Returns quarantined requests that are to be saved in the store.
+
+        Returns:
+            Their suspicions, in the form that `export` returns, by fingerprint.
+        """
+        now_ms = self._clock.now_ms()
+        return {
+            digest: _encode(self._suspicions.for_request(digest, now_ms))
+            for digest in sorted(self._unsaved)
+        }
+
+    def on_quarantines_saved(self, saved: dict[str, list[list]]) -> None:
+        """Records that the store has quarantined requests."""
+        self._unsaved.difference_update(saved)
+
     def merge(self, suspicions: list) -> None:
         """Adds the suspicions received from another gateway.
 
@@ -229,6 +244,13 @@
             self._record(suspicion, own=False)
 
 
+def _encode(suspicions: list[Suspicion]) -> list[list]:
+    return [
+        [s.fingerprint, s.client_account, s.crash, s.remaining_ms]
+        for s in suspicions
+    ]
+
+
 def _lost_run(pending: PendingRequest, process: ServerProcess) -> LostRun:
     return LostRun(
         fingerprint(pending),
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -34,6 +34,7 @@
 )
 from caroblug.gateway._placement import PlacementController
 from caroblug.gateway._plain_calls import PlainCallHandler
+from caroblug.gateway._quarantine_backup import QuarantineBackup
 from caroblug.gateway._room_readers import RoomReaders
 from caroblug.gateway._running_streams import RunningStreams
 from caroblug.gateway._settings import GatewaySettings, SettingsProblem
@@ -43,7 +44,7 @@
 from caroblug.gateway._streams import StreamHandler
 from caroblug.gateway._suspect_probes import SuspectProbes
 from caroblug.gateway._telemetry import Telemetry
-from caroblug.utils import BoottimeClock
+from caroblug.utils import BoottimeClock, TimeOfDayClock
 
 _DENIAL_STATUSES = {
     DenialReason.NOT_CONFIGURED: 503,
@@ -102,6 +103,13 @@
         self._store_watcher = StoreWatcher(
             context, registry, self._peers, self._backup
         )
+        self._quarantine_backup = QuarantineBackup(
+            context,
+            registry,
+            self._crashes,
+            lambda: self._peers.hears_nobody,
+            TimeOfDayClock(),
+        )
         self._suspect_probes = SuspectProbes(context)
         self._responses = GatewayResponses(context)
         self._retry_budget = SharedRetryBudget(context, self._peers)
@@ -173,6 +181,7 @@
             self._peers.run_exchange,
             self._suspect_probes.run,
             self._crashes.run,
+            self._quarantine_backup.run,
             self._liveness.run,
             self._slowness.run,
             self._room_readers.run,
--- a/caroblug/gateway/_interfaces.py
+++ b/caroblug/gateway/_interfaces.py
@@ -170,6 +170,19 @@
     def read_saved_backends(self) -> Listing | Unavailable:
         """Reads the newest copy of the list that can be read."""
 
+    @abc.abstractmethod
+    def save_quarantines(self, records: dict[str, str]) -> Unavailable | None:
+        """Saves records of quarantined requests.
+
+        Args:
+            records: Record of each request by its fingerprint; an empty one
+                removes the request.
+        """
+
+    @abc.abstractmethod
+    def read_quarantines(self) -> dict[str, str] | Unavailable:
+        """Reads the records of all saved requests by fingerprint."""
+
     @abc.abstractmethod
     def renew_placement_lease(
         self, lease_ms: int
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -127,6 +127,11 @@
         """Ranking of the local gateways that read from the store."""
         return self._reader_ranking
 
+    @property
+    def hears_nobody(self) -> bool:
+        """Whether there are other gateways, and none of them is heard."""
+        return len(self._members) > 0 and not self._received_ms
+
     @property
     def calls(self) -> PeerCalls:
         """Calls to and from other gateways."""
--- a/caroblug/gateway/tests/fakes.py
+++ b/caroblug/gateway/tests/fakes.py
@@ -102,6 +102,12 @@
     def read_saved_backends(self):
         return Unavailable("not set")
 
+    def save_quarantines(self, records):
+        return Unavailable("not set")
+
+    def read_quarantines(self):
+        return Unavailable("not set")
+
     def renew_placement_lease(self, lease_ms):
         return self.lease
 
--- a/caroblug/utils/__init__.py
+++ b/caroblug/utils/__init__.py
@@ -11,6 +11,7 @@
     "BoottimeClock": "_clock",
     "ManualClock": "_clock",
     "MonotonicClock": "_clock",
+    "TimeOfDayClock": "_clock",
     "log_state": "_logging",
     "start_logging": "_logging",
     "Metrics": "_metrics",
--- a/caroblug/utils/_clock.py
+++ b/caroblug/utils/_clock.py
@@ -1,4 +1,7 @@
-"""Clocks that return whole milliseconds and never go backwards."""
+"""Clocks that return whole milliseconds.
+
+All but the time of day never go backwards.
+"""
 
 import abc
 import time
@@ -26,6 +29,17 @@
         return time.monotonic_ns() // _NANOSECONDS_PER_MS
 
 
+class TimeOfDayClock(Clock):
+    """Time of day, on which machines roughly agree.
+
+    It may jump, so that only times of minutes may be measured with it.
+    """
+
+    def now_ms(self) -> int:
+        """Returns milliseconds since the epoch."""
+        return time.time_ns() // _NANOSECONDS_PER_MS
+
+
 class ManualClock(Clock):
     """Clock for tests that changes only by `advance`.
 
