Forget expired suspicions, cleared crashes and lost runs that went on elsewhere

A request that had been cleared of eight crashes counted no more of them, since its record was full. A request that was answered after it had lost one engine was suspected once that engine's end became known. Expired records stayed until they were looked up. The two tests fail without the change.

--- a/caroblug/core/limits/_suspicions.py
+++ b/caroblug/core/limits/_suspicions.py
@@ -93,7 +93,7 @@
         if record is None:
             record = self._add_record(suspicion, end_ms)
         known = record.crashes.get(suspicion.crash)
-        if known is None and len(record.crashes) >= _MAX_CRASHES:
+        if known is None and not _make_room(record):
             return False
         if known is not None and (known.cleared or not suspicion.cleared):
             return False
@@ -167,6 +167,11 @@
         known = self.for_request(fingerprint, now_ms)
         return [s for s in known if s.crash in cleared]
 
+    def remove_expired(self, now_ms: int) -> None:
+        """Removes the records that have expired."""
+        for fingerprint in list(self._records):
+            self._live_record(fingerprint, now_ms)
+
     def absolve(self, fingerprint: str, now_ms: int) -> list[Suspicion]:
         """Clears all suspicions of a request that has run to its end.
 
@@ -250,3 +255,14 @@
             if record.uncleared <= 1:
                 return fingerprint
         return next(iter(self._records))
+
+
+def _make_room(record: _Record) -> bool:
+    """Returns whether a record has room, for which a cleared crash may go."""
+    if len(record.crashes) < _MAX_CRASHES:
+        return True
+    for name, crash in record.crashes.items():
+        if crash.cleared:
+            del record.crashes[name]
+            return True
+    return False
--- a/caroblug/core/limits/tests/test_suspicion_sharing.py
+++ b/caroblug/core/limits/tests/test_suspicion_sharing.py
@@ -72,6 +72,19 @@
     assert one.choose("", 0)
 
 
+def test_cleared_crashes_leave_room_for_later_ones():
+    # Guards against a request that counts no more crashes after many that were
+    # cleared.
+    suspicions = Suspicions(3)
+    for number in range(20):
+        suspicions.on_suspicion(make_suspicion("r", f"c{number}"), 0)
+        suspicions.absolve("r", 0)
+    for crash in ("c21", "c22", "c23"):
+        suspicions.on_suspicion(make_suspicion("r", crash), 0)
+
+    assert suspicions.count_quarantined(0) == 1
+
+
 def test_full_table_keeps_requests_suspected_of_several_crashes(monkeypatch):
     # Guards against many single crashes that evict a request that causes them.
     monkeypatch.setattr("caroblug.core.limits._suspicions._MAX_RECORDS", 10)
--- a/caroblug/gateway/_crash_suspicions.py
+++ b/caroblug/gateway/_crash_suspicions.py
@@ -69,6 +69,7 @@
         """Finds out which lost runs were crashes until the process ends."""
         while True:
             gevent.sleep(_RESOLVE_INTERVAL_S)
+            self._suspicions.remove_expired(self._clock.now_ms())
             for lost in self._unresolved.resolve():
                 self._suspect(lost)
 
@@ -106,9 +107,11 @@
 
     def on_served(self, pending: PendingRequest) -> None:
         """Clears a request that has been answered, since it crashes nothing."""
-        if not len(self._suspicions):
+        if not len(self._suspicions) and not len(self._unresolved):
             return
         digest = fingerprint(pending)
+        self._unresolved.discard(digest)
+        self._unsaved.discard(digest)
         for cleared in self._suspicions.absolve(digest, self._clock.now_ms()):
             self._sharing.on_cleared(cleared, own=True)
             self._context.telemetry.count("suspicions_cleared")
--- a/caroblug/gateway/_process_ends.py
+++ b/caroblug/gateway/_process_ends.py
@@ -153,6 +153,11 @@
         now_ms = self._context.clock.now_ms()
         self._until_ms.setdefault(key, (run, now_ms + for_ms))
 
+    def discard(self, fingerprint: str) -> None:
+        """Removes the runs of a request that has been answered."""
+        for key in [key for key in self._until_ms if key[0] == fingerprint]:
+            del self._until_ms[key]
+
     def resolve(self) -> list[LostRun]:
         """Removes and returns the runs whose processes have ended."""
         now_ms = self._context.clock.now_ms()
--- a/caroblug/gateway/tests/test_process_ends.py
+++ b/caroblug/gateway/tests/test_process_ends.py
@@ -185,6 +185,17 @@
     assert site.suspected == 0
 
 
+def test_request_answered_elsewhere_is_not_suspected_later(site):
+    # Guards against suspicions of requests that went on over another engine.
+    site.failure = FailureKind.CONNECT
+    site.lose("e1")
+    site.crashes.on_served(POISON)
+    site.change("e1", started_ms=STARTED_MS + 4000)
+    site.resolve()
+
+    assert site.suspected == 0
+
+
 def test_engine_that_drained_and_left_has_not_crashed(site):
     site.failure = FailureKind.CONNECT
     site.lose("e1")
