Count engines of a path that end together once, and answers before the news

Ends of servers that a request came to at the same time are now one crash, and an answer counts against every crash before it, whenever the news of it arrives.

--- a/caroblug/gateway/_crash_suspicions.py
+++ b/caroblug/gateway/_crash_suspicions.py
@@ -6,8 +6,10 @@
 their suspicions, and a request suspected of three crashes is refused.
 """
 
+import collections
 import hashlib
 
+import attrs
 import gevent
 
 from caroblug.core.limits import (
@@ -40,6 +42,10 @@
 """Time for which a request is quarantined. It isn't extended when the request
 comes again, so that a popular one which was innocent runs again some time."""
 
+_MAX_SERVED = 4096
+"""Answered requests that are remembered. Popular ones are answered again and
+again, and only those can have several copies at servers that end."""
+
 _RESOLVE_INTERVAL_S = 0.25
 
 
@@ -56,6 +62,9 @@
         self._suspicions = Suspicions(QUARANTINE_CRASHES)
         self._sharing = SuspicionSharing(self._suspicions)
         self._unsaved: set[str] = set()
+        self._served_ms: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self._checks = ProcessChecks(context)
         self._unresolved = UnresolvedEnds(context)
 
@@ -107,16 +116,23 @@
 
     def on_served(self, pending: PendingRequest) -> None:
         """Clears a request that has been answered, since it crashes nothing."""
-        if not len(self._suspicions) and not len(self._unresolved):
-            return
         digest = fingerprint(pending)
+        now_ms = self._clock.now_ms()
+        self._served_ms.pop(digest, None)
+        self._served_ms[digest] = now_ms
+        if len(self._served_ms) > _MAX_SERVED:
+            self._served_ms.popitem(last=False)
         self._unresolved.discard(digest)
         self._unsaved.discard(digest)
-        for cleared in self._suspicions.absolve(digest, self._clock.now_ms()):
+        for cleared in self._suspicions.absolve(digest, now_ms):
             self._sharing.on_cleared(cleared, own=True)
             self._context.telemetry.count("suspicions_cleared")
 
     def _suspect(self, lost: LostRun) -> None:
+        exposure = lost.process.exposure
+        if exposure in lost.crashed_exposures:
+            return
+        lost.crashed_exposures.add(exposure)
         suspicion = Suspicion(
             lost.fingerprint,
             lost.account,
@@ -267,6 +283,7 @@
         Args:
             suspicions: Suspicions in the form that `export` returns.
         """
+        now_ms = self._clock.now_ms()
         for digest, account, crash, remaining_ms in suspicions:
             suspicion = Suspicion(
                 str(digest),
@@ -276,7 +293,26 @@
                 False,
                 min(int(remaining_ms), QUARANTINE_MS),
             )
-            self._record(suspicion, own=False)
+            if self._was_served_since(suspicion, now_ms):
+                cleared = attrs.evolve(suspicion, cleared=True)
+                if self._suspicions.on_suspicion(cleared, now_ms):
+                    self._sharing.on_cleared(cleared, own=True)
+            else:
+                self._record(suspicion, own=False)
+
+    def _was_served_since(self, suspicion: Suspicion, now_ms: int) -> bool:
+        """Returns whether a request was answered here after its last crash.
+
+        The time that is left shows when the sender recorded the last crash.
+        """
+        served_ms = self._served_ms.get(suspicion.fingerprint)
+        if served_ms is None:
+            return False
+        left_ms = suspicion.remaining_ms
+        ttl_ms = (
+            _SUSPICION_TTL_MS if left_ms <= _SUSPICION_TTL_MS else QUARANTINE_MS
+        )
+        return served_ms > now_ms - (ttl_ms - left_ms)
 
 
 def _encode(suspicions: list[Suspicion]) -> list[list]:
@@ -292,6 +328,7 @@
         pending.account or "",
         pending.caller.id,
         process,
+        pending.crashed_exposures,
     )
 
 
--- a/caroblug/gateway/_pending_request.py
+++ b/caroblug/gateway/_pending_request.py
@@ -43,6 +43,9 @@
         end_ms: Deadline of the request.
         sends: Number of times it was sent.
         ran: Number of times it may have run.
+        exposures: Number of times it came to servers that it had not been on.
+        crashed_exposures: Those in which a server has ended. Engines of one
+            path that end together, such as those of a rack, are one crash.
         tried: Names of the backend servers that it was sent to.
         stream_latency: Times of the stream's events; None for a plain call.
     """
@@ -54,6 +57,8 @@
     end_ms: int
     sends: int = 0
     ran: int = 0
+    exposures: int = 0
+    crashed_exposures: set[int] = attrs.field(factory=set)
     tried: set[str] = attrs.field(factory=set)
     stream_latency: StreamLatency | None = None
 
--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -195,7 +195,7 @@
     ) -> AttemptResult:
         context = self._context
         clock = context.clock
-        process = self._find_process(backend)
+        process = self._find_process(pending, backend)
         left_s = pending.left_ms(clock.now_ms()) / 1000
         problem = exchange.connect(min(CONNECT_TIMEOUT_S, left_s))
         if problem is not None:
@@ -272,13 +272,17 @@
         self._crashes.on_run_lost(pending, process)
         return AttemptResult(AttemptOutcome.FAILED, problem.failure.value)
 
-    def _find_process(self, backend: BackendServer) -> ServerProcess:
+    def _find_process(
+        self, pending: PendingRequest, backend: BackendServer
+    ) -> ServerProcess:
         """Returns the process that a call is about to be sent to."""
+        pending.exposures += 1
         return ServerProcess(
             backend.name,
             backend.address,
             backend.started_ms,
             self._context.clock.now_ms(),
+            pending.exposures,
             reports=False,
         )
 
--- a/caroblug/gateway/_process_ends.py
+++ b/caroblug/gateway/_process_ends.py
@@ -38,6 +38,8 @@
         address: Host and port.
         started_ms: When the process started, as known then; 0 if unknown.
         since_ms: When the request came to it.
+        exposure: Number of this exposure of the request, which all processes
+            share that the request came to at the same time.
         reports: Whether the server gives reports, as engines do.
     """
 
@@ -45,6 +47,7 @@
     address: Address
     started_ms: int
     since_ms: int
+    exposure: int
     reports: bool
 
 
@@ -119,12 +122,14 @@
         account: Client account of the request; empty if it has none.
         request_id: Id of the request, for the log.
         process: The process.
+        crashed_exposures: Those exposures in which a process has ended.
     """
 
     fingerprint: str
     account: str
     request_id: str
     process: ServerProcess
+    crashed_exposures: set[int]
 
 
 class UnresolvedEnds:
--- a/caroblug/gateway/_stream_state.py
+++ b/caroblug/gateway/_stream_state.py
@@ -141,6 +141,7 @@
 
     def _enter_path(self, path: Path) -> None:
         self.path = path
+        self.pending.exposures += 1
         self.processes = {
             part.engine.name: self.processes.get(part.engine.name)
             or self._find_process(part.engine)
@@ -151,9 +152,13 @@
         )
 
     def _find_process(self, engine: Engine) -> ServerProcess:
-        started_ms = self.context.fleet.started_ms(engine.name)
         return ServerProcess(
-            engine.name, engine.address, started_ms, self.now_ms, reports=True
+            engine.name,
+            engine.address,
+            self.context.fleet.started_ms(engine.name),
+            self.now_ms,
+            self.pending.exposures,
+            reports=True,
         )
 
     def _leave_path(self) -> None:
--- a/caroblug/gateway/tests/crash_model.py
+++ b/caroblug/gateway/tests/crash_model.py
@@ -5,6 +5,7 @@
 and again at random gateways and crashes each engine that runs it.
 """
 
+import itertools
 import json
 import random
 
@@ -25,7 +26,7 @@
 need it to tell each other."""
 
 _PARTNERS = 4
-_BASE_PORT = 1000
+_exposures = itertools.count()
 _ROUTE = Route(
     "r", "h", "/", RouteKind.STREAMING, (Share("pool", 1.0),), 20_000
 )
@@ -41,7 +42,8 @@
 
 def make_process(name: str, since_ms: int = 100_000) -> ServerProcess:
     """Returns the process of an engine."""
-    return ServerProcess(name, NOWHERE, 7, since_ms, reports=True)
+    exposure = next(_exposures)
+    return ServerProcess(name, NOWHERE, 7, since_ms, exposure, reports=True)
 
 
 @attrs.define
--- a/caroblug/gateway/tests/test_crash_suspicions.py
+++ b/caroblug/gateway/tests/test_crash_suspicions.py
@@ -94,6 +94,36 @@
     assert not any(g.is_quarantined(popular) for g in model.gateways)
 
 
+def test_answer_before_the_news_of_a_crash_clears_it():
+    # Guards against refusing a popular request although it was answered after
+    # each end of a server, by gateways that had not heard of the end yet.
+    model = CrashModel(26, Load(interval_ms=10**9), 1)
+    popular = make_pending(b"popular")
+    for number in range(3):
+        process = make_process(f"e{number}", model.clock.now_ms())
+        model.gateways[number].on_process_ended(popular, process)
+        model.clock.advance(10)
+        model.gateways[20].on_served(popular)
+    model.run(3)
+
+    assert not any(g.is_quarantined(popular) for g in model.gateways)
+
+
+def test_answer_before_a_crash_does_not_clear_it():
+    # Guards against a request that crashes servers since a change of theirs.
+    model = CrashModel(26, Load(interval_ms=10**9), 1)
+    request = make_pending(b"now crashes")
+    for gateway in model.gateways:
+        gateway.on_served(request)
+    model.clock.advance(1000)
+    for number in range(3):
+        process = make_process(f"e{number}", model.clock.now_ms())
+        model.gateways[number].on_process_ended(request, process)
+        model.run(2)
+
+    assert all(g.is_quarantined(request) for g in model.gateways)
+
+
 def test_copy_that_ends_well_after_the_third_crash_ends_the_quarantine():
     # Guards against refusing an innocent request for ten minutes.
     model = CrashModel(26, Load(interval_ms=10**9), 1)
--- a/caroblug/gateway/tests/test_process_ends.py
+++ b/caroblug/gateway/tests/test_process_ends.py
@@ -29,6 +29,7 @@
         self.crashes = CrashSuspicions(self.context)
         self.failure: FailureKind | None = FailureKind.REFUSED
         self.connects = 0
+        self._exposures = 0
         self.servers = {
             name: attrs.evolve(make_engine(name, 0, 80), started_ms=STARTED_MS)
             for name in NAMES
@@ -63,8 +64,12 @@
             dialect.reports[address], started_ms=started_ms
         )
 
-    def process(self, name: str) -> ServerProcess:
-        """Returns a process as a run that begins now sees it."""
+    def processes(self, *names: str) -> list[ServerProcess]:
+        """Returns the processes of a path of a run that begins now."""
+        self._exposures += 1
+        return [self._process(name) for name in names]
+
+    def _process(self, name: str) -> ServerProcess:
         fleet = self.context.fleet
         server = self.servers[name]
         return ServerProcess(
@@ -72,14 +77,17 @@
             server.address,
             fleet.started_ms(name),
             self.context.clock.now_ms(),
+            self._exposures,
             reports=name != "desk",
         )
 
-    def lose(self, name: str, pending=POISON) -> ProcessState:
+    def lose(self, name: str, pending=None) -> ProcessState:
         """Loses a run that began on a server."""
-        process = self.process(name)
+        (process,) = self.processes(name)
         self.context.clock.advance(50)
-        return self.crashes.on_run_lost(pending, process)
+        return self.crashes.on_run_lost(
+            pending or make_pending(b"poison"), process
+        )
 
     def resolve(self) -> None:
         """Looks once for ends that were not known before."""
@@ -210,15 +218,33 @@
 
 def test_equal_requests_on_one_process_are_suspected_of_one_crash(site):
     # Guards against refusing a popular request because one server ended.
-    processes = [site.process("desk") for _ in range(5)]
+    processes = [site.processes("desk")[0] for _ in range(5)]
     site.context.clock.advance(50)
     for process in processes:
-        site.crashes.on_run_lost(POISON, process)
+        site.crashes.on_run_lost(make_pending(b"poison"), process)
         site.context.clock.advance(5)
 
     assert site.suspected == 1
 
 
+def test_engines_of_a_path_that_end_together_are_one_crash(site):
+    # Guards against refusing innocent requests whose path lies in one rack.
+    pending = make_pending(b"poison")
+    for process in site.processes(*NAMES):
+        site.crashes.on_run_lost(pending, process)
+
+    assert site.suspected == 1
+
+
+def test_engine_that_replaces_one_and_ends_as_well_is_another_crash(site):
+    # Guards against repairs that hand a request from engine to engine.
+    pending = make_pending(b"poison")
+    for name in NAMES:
+        site.lose(name, pending)
+
+    assert site.crashes.is_quarantined(pending)
+
+
 def test_each_end_of_a_server_that_keeps_its_name_counts(site):
     # Guards against ends that count as one while the list has the start of the
     # process before.
