Don't clear a request that has lost a server by an answer to the same attempt

Only an attempt that has lost no server shows that a request crashes nothing. test_request_that_ends_well_after_a_crash_is_not_cleared fails without it.

--- a/caroblug/gateway/_crash_suspicions.py
+++ b/caroblug/gateway/_crash_suspicions.py
@@ -98,6 +98,7 @@
         if found is ProcessState.ENDED:
             self.on_process_ended(pending, process)
         elif found is not ProcessState.ALIVE:
+            pending.lost_server = True
             self._unresolved.add(_lost_run(pending, process), found)
         return found
 
@@ -105,6 +106,7 @@
         self, pending: PendingRequest, process: ServerProcess
     ) -> None:
         """Records that a request was on a process that doesn't answer."""
+        pending.lost_server = True
         run = _lost_run(pending, process)
         self._unresolved.add(run, ProcessState.SILENT)
 
@@ -112,10 +114,16 @@
         self, pending: PendingRequest, process: ServerProcess
     ) -> None:
         """Suspects a request that was on a process when it ended."""
+        pending.lost_server = True
         self._suspect(_lost_run(pending, process))
 
     def on_served(self, pending: PendingRequest) -> None:
-        """Clears a request that has been answered, since it crashes nothing."""
+        """Clears a request that has been answered, since it crashes nothing.
+
+        One that has lost a server on the way may have crashed it.
+        """
+        if pending.lost_server:
+            return
         digest = fingerprint(pending)
         now_ms = self._clock.now_ms()
         self._served_ms.pop(digest, None)
--- a/caroblug/gateway/_pending_request.py
+++ b/caroblug/gateway/_pending_request.py
@@ -46,6 +46,7 @@
         exposures: Number of times it came to servers that it had not been on.
         crashed_exposures: Those in which a server has ended. Engines of one
             path that end together, such as those of a rack, are one crash.
+        lost_server: Whether a server that it was on has ended or was silent.
         tried: Names of the backend servers that it was sent to.
         stream_latency: Times of the stream's events; None for a plain call.
     """
@@ -59,6 +60,7 @@
     ran: int = 0
     exposures: int = 0
     crashed_exposures: set[int] = attrs.field(factory=set)
+    lost_server: bool = False
     tried: set[str] = attrs.field(factory=set)
     stream_latency: StreamLatency | None = None
 
--- a/caroblug/gateway/tests/test_crash_suspicions.py
+++ b/caroblug/gateway/tests/test_crash_suspicions.py
@@ -86,9 +86,9 @@
         for gateway in model.gateways[:5]:
             process = make_process(f"e{number}", model.clock.now_ms())
             gateway.on_process_ended(popular, process)
-        model.gateways[20].on_served(popular)
+        model.gateways[20].on_served(make_pending(b"popular"))
         model.run(2)
-        model.gateways[20].on_served(popular)
+        model.gateways[20].on_served(make_pending(b"popular"))
         model.run(2)
 
     assert not any(g.is_quarantined(popular) for g in model.gateways)
@@ -103,7 +103,7 @@
         process = make_process(f"e{number}", model.clock.now_ms())
         model.gateways[number].on_process_ended(popular, process)
         model.clock.advance(10)
-        model.gateways[20].on_served(popular)
+        model.gateways[20].on_served(make_pending(b"popular"))
     model.run(3)
 
     assert not any(g.is_quarantined(popular) for g in model.gateways)
@@ -133,7 +133,7 @@
         model.gateways[number].on_process_ended(popular, process)
     model.run(2)
     assert all(g.is_quarantined(popular) for g in model.gateways)
-    model.gateways[9].on_served(popular)
+    model.gateways[9].on_served(make_pending(b"popular"))
     model.run(3)
 
     assert not any(g.is_quarantined(popular) for g in model.gateways)
--- a/caroblug/gateway/tests/test_process_ends.py
+++ b/caroblug/gateway/tests/test_process_ends.py
@@ -197,13 +197,24 @@
     # Guards against suspicions of requests that went on over another engine.
     site.failure = FailureKind.CONNECT
     site.lose("e1")
-    site.crashes.on_served(POISON)
+    site.crashes.on_served(make_pending(b"poison"))
     site.change("e1", started_ms=STARTED_MS + 4000)
     site.resolve()
 
     assert site.suspected == 0
 
 
+def test_request_that_ends_well_after_a_crash_is_not_cleared(site):
+    # Guards against a request that crashes an engine each time, is repaired and
+    # is answered.
+    for name in NAMES:
+        pending = make_pending(b"poison")
+        site.lose(name, pending)
+        site.crashes.on_served(pending)
+
+    assert site.crashes.is_quarantined(POISON)
+
+
 def test_engine_that_drained_and_left_has_not_crashed(site):
     site.failure = FailureKind.CONNECT
     site.lose("e1")
@@ -261,7 +272,7 @@
     # after the other.
     for name in NAMES:
         site.lose(name)
-        site.crashes.on_served(POISON)
+        site.crashes.on_served(make_pending(b"poison"))
 
     assert not site.crashes.is_quarantined(POISON)
 
--- a/caroblug/gateway/tests/test_quarantine_backup.py
+++ b/caroblug/gateway/tests/test_quarantine_backup.py
@@ -154,7 +154,7 @@
     crashes, backup = site.start()
     site.crash(crashes)
     backup.step()
-    crashes.on_served(POISON)
+    crashes.on_served(make_pending(b"poison"))
     backup.step()
 
     assert not site.store.records
