--- a/caroblug/core/limits/tests/test_suspicion_sharing.py
+++ b/caroblug/core/limits/tests/test_suspicion_sharing.py
@@ -73,8 +73,7 @@
 
 
 def test_cleared_crashes_leave_room_for_later_ones():
-    # Guards against a request that counts no more crashes after many that were
-    # cleared.
+    # Guards against a request whose crashes no longer count after many cleared.
     suspicions = Suspicions(3)
     for number in range(20):
         suspicions.on_suspicion(make_suspicion("r", f"c{number}"), 0)
--- a/caroblug/gateway/tests/test_crash_suspicions.py
+++ b/caroblug/gateway/tests/test_crash_suspicions.py
@@ -12,8 +12,7 @@
 
 @pytest.mark.parametrize("gateways", [26, 64])
 def test_request_is_quarantined_while_many_engines_end(gateways):
-    # Guards against a suspicion that is no longer told because many others
-    # are known.
+    # Guards against a suspicion that others displace in what is told.
     model = CrashModel(gateways, Load(streams=20, ends=1.0), 1)
 
     model.run(20)
@@ -78,8 +77,7 @@
 
 
 def test_request_served_anywhere_is_quarantined_nowhere():
-    # Guards against refusing a popular request because servers ended under its
-    # copies at several gateways, while others of its copies were answered.
+    # Guards against refusing a request of which other copies were answered.
     model = CrashModel(26, Load(interval_ms=10**9), 1)
     popular = make_pending(b"popular")
     for number in range(6):
@@ -95,8 +93,7 @@
 
 
 def test_answer_before_the_news_of_a_crash_clears_it():
-    # Guards against refusing a popular request although it was answered after
-    # each end of a server, by gateways that had not heard of the end yet.
+    # Guards against forgetting answers that came before the news of a crash.
     model = CrashModel(26, Load(interval_ms=10**9), 1)
     popular = make_pending(b"popular")
     for number in range(3):
--- a/caroblug/gateway/tests/test_process_ends.py
+++ b/caroblug/gateway/tests/test_process_ends.py
@@ -133,8 +133,7 @@
 
 
 def test_engine_that_is_back_before_it_is_checked_has_crashed(site):
-    # Guards against an end that nobody sees because the next process already
-    # accepts connections.
+    # Guards against an end that the next process hides.
     site.failure = None
     site.report("e1", STARTED_MS + 900)
 
@@ -205,8 +204,7 @@
 
 
 def test_request_that_ends_well_after_a_crash_is_not_cleared(site):
-    # Guards against a request that crashes an engine each time, is repaired and
-    # is answered.
+    # Guards against clearing a request whose path was repaired after a crash.
     for name in NAMES:
         pending = make_pending(b"poison")
         site.lose(name, pending)
@@ -257,8 +255,7 @@
 
 
 def test_each_end_of_a_server_that_keeps_its_name_counts(site):
-    # Guards against ends that count as one while the list has the start of the
-    # process before.
+    # Guards against ends that count as one because the list is outdated.
     for _ in range(3):
         site.lose("e1")
         site.context.clock.advance(2000)
@@ -268,8 +265,7 @@
 
 
 def test_request_that_was_answered_is_cleared(site):
-    # Guards against refusing a popular request on a day when servers end one
-    # after the other.
+    # Guards against refusing a popular request while servers end in turn.
     for name in NAMES:
         site.lose(name)
         site.crashes.on_served(make_pending(b"poison"))
--- a/caroblug/gateway/tests/test_quarantine.py
+++ b/caroblug/gateway/tests/test_quarantine.py
@@ -51,8 +51,7 @@
 
 
 def test_stream_is_not_sent_that_is_quarantined_while_it_connects(monkeypatch):
-    # Guards against a request that waits for a path or a connection while its
-    # third crash is reported.
+    # Guards against a send although a third crash was reported meanwhile.
     gateway = make_gateway(monkeypatch)
     first = gateway.stream()
     gateway.engines.requests.clear()
--- a/caroblug/gateway/tests/test_quarantine_backup.py
+++ b/caroblug/gateway/tests/test_quarantine_backup.py
@@ -61,8 +61,7 @@
 
 
 def test_request_stays_quarantined_after_all_gateways_have_ended():
-    # Guards against a request that crashes three more engines after the
-    # gateways were killed together.
+    # Guards against three more crashes after all gateways were killed.
     site = Site()
     crashes, backup = site.start()
     site.crash(crashes)
@@ -115,8 +114,7 @@
 
 
 def test_gateway_that_hears_nobody_reads_again():
-    # Guards against a gateway that never learns of a quarantine because it is
-    # cut off from the others.
+    # Guards against a gateway that is cut off and learns of no quarantine.
     site = Site()
     cut_off, its_backup = site.start()
     crashes, backup = site.start()
