Refuse a request that was answered lately only after six ends of servers

A popular request is at every server that ends, and refusing it for ten minutes is an outage for its callers, while one that crashes each server is never answered.

--- a/caroblug/core/limits/_suspicions.py
+++ b/caroblug/core/limits/_suspicions.py
@@ -118,6 +118,11 @@
             return Verdict.QUARANTINED
         return Verdict.SUSPECT if record.uncleared else Verdict.CLEAR
 
+    def count_crashes(self, fingerprint: str, now_ms: int) -> int:
+        """Returns how many crashes a request is suspected of."""
+        record = self._live_record(fingerprint, now_ms)
+        return record.uncleared if record is not None else 0
+
     def remaining_ms(self, fingerprint: str, now_ms: int) -> int:
         """Returns the time until a record expires; 0 if there is none."""
         record = self._live_record(fingerprint, now_ms)
--- a/caroblug/gateway/_crash_suspicions.py
+++ b/caroblug/gateway/_crash_suspicions.py
@@ -16,7 +16,6 @@
     Suspicion,
     Suspicions,
     SuspicionSharing,
-    Verdict,
 )
 from caroblug.gateway._context import Context
 from caroblug.gateway._pending_request import PendingRequest
@@ -34,6 +33,11 @@
 request in several thousand; with four, each such request crashes a fourth
 engine."""
 
+_QUARANTINE_CRASHES_IF_SERVED = 6
+"""Crashes since its last answer after which a request is quarantined that was
+answered within `_SUSPICION_TTL_MS`. A popular request is at every server that
+ends, and refusing it would be an outage for its callers."""
+
 _SUSPICION_TTL_MS = 120_000
 """Time for which a suspicion counts; callers retry within their deadline of
 20 s."""
@@ -169,7 +173,7 @@
         source = "own" if own else "peer"
         now_ms = self._clock.now_ms()
         digest = suspicion.fingerprint
-        before = self._suspicions.verdict(digest, now_ms)
+        before = self.has_quarantined(digest)
         if not self._suspicions.on_suspicion(suspicion, now_ms):
             if self._suspicions.is_cleared(digest, suspicion.crash, now_ms):
                 # The sender doesn't know that the request is innocent.
@@ -179,8 +183,7 @@
         context = self._context
         context.telemetry.count("suspicions", source=source)
         context.telemetry.gauge("suspected_requests", len(self._suspicions))
-        after = self._suspicions.verdict(digest, now_ms)
-        if after is Verdict.QUARANTINED and before is not after:
+        if self.has_quarantined(digest) and not before:
             if own:
                 self._suspicions.extend(digest, QUARANTINE_MS, now_ms)
                 self._unsaved.add(digest)
@@ -273,13 +276,19 @@
         return {
             digest: _encode(self._suspicions.for_request(digest, now_ms))
             for digest in sorted(self._unsaved)
-            if self._suspicions.verdict(digest, now_ms) is Verdict.QUARANTINED
+            if self.has_quarantined(digest)
         }
 
     def has_quarantined(self, digest: str) -> bool:
         """Returns whether the requests with a fingerprint must not run."""
-        verdict = self._suspicions.verdict(digest, self._clock.now_ms())
-        return verdict is Verdict.QUARANTINED
+        now_ms = self._clock.now_ms()
+        crashes = self._suspicions.count_crashes(digest, now_ms)
+        if crashes < QUARANTINE_CRASHES:
+            return False
+        served_ms = self._served_ms.get(digest)
+        if served_ms is None or now_ms - served_ms > _SUSPICION_TTL_MS:
+            return True
+        return crashes >= _QUARANTINE_CRASHES_IF_SERVED
 
     def on_quarantines_saved(self, saved: dict[str, list[list]]) -> None:
         """Records that the store has quarantined requests."""
