--- a/review/standins.py
+++ b/review/standins.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import resource
 import shutil
 import signal
 import socket
@@ -23,6 +24,7 @@
 TENANT = "hule930"
 PARTS = 12
 HEARTBEAT_S = 1.2
+ADDRESS_BYTES = 3 << 30
 
 # Bounds of the site Falaj Stars (sites/falaj-caroblug.toml).
 BOUNDS = {
@@ -55,6 +57,39 @@
     "IdleTimeoutMs": 15000,
 }
 
+LAYERS = 80
+KIND = "a100"
+POOL = {
+    "Name": "caroblug-pool",
+    "HealthPath": "/health",
+    "MaxConns": 968,
+    "Protocol": "h1",
+    "Tls": False,
+    "Engine": {
+        "Slots": 96,
+        "KvTokens": 50000,
+        "KvBytes": 852000,
+        "LinkMbps": 480000.0,
+        "Stride": 2,
+        "Models": [{"Name": "daka510000", "pace": 1.0, "LoadS": 2.0}],
+        "step_ms": 0.85,
+        "per_seq_ms": 0.00552,
+        "context_per_k": 0.0074,
+        "read_per_s": 272000.0,
+        "pairs_per_m": 0.12,
+        "chunk": 512,
+        "report_lag_ms": 200.0,
+        "loads_at_once": 6,
+        "usual": {"prompt": 772, "answer": 145},
+        "Layers": LAYERS,
+        "LayerMb": 1750.0,
+        "ActBytes": 42600,
+        "PipeMbps": 9300.0,
+        "Kinds": [{"Name": KIND, "Mb": 72000.0, "pace": 2.4, "ReadX": 3.2}],
+    },
+}
+"""Service of the engines, as in examples of the pages."""
+
 
 class Record:
     """Writes record.txt: what was sent, answered and run, with times."""
@@ -382,6 +417,99 @@
         return format_response(200, headers, b"done " + request_id.encode())
 
 
+class Engine(HttpStandin):
+    """A model engine that holds layers as it is ordered; it serves no stream.
+
+    Args:
+        store: The platform's store.
+        zone: Zone of its machine.
+        number: Number in its id.
+    """
+
+    def __init__(self, store, zone, number) -> None:
+        super().__init__()
+        self.id = f"i-engine-{number}"
+        self.orders = 0
+        self._store = store
+        self._zone = zone
+        self._began_ms = int(time.time() * 1000)
+        self._holds = (0, 0)
+        self._busy = False
+        self._tasks = []
+
+    async def start(self) -> None:
+        """Listens and registers itself."""
+        await super().start()
+        self._beat()
+        self._tasks.append(asyncio.create_task(self._run_beats()))
+
+    def _models(self) -> list[dict]:
+        first, end = self._holds
+        layers = {"From": first, "Target": end, "Version": 1} if end else None
+        model = {"Name": "daka510000", "Version": 1, "Adapters": []}
+        return [{**model, "Layers": layers}]
+
+    def _beat(self) -> None:
+        entry = {
+            "Service": "caroblug-pool",
+            "Address": f"127.0.0.1:{self.port}",
+            "Zone": self._zone,
+            "Version": "v1",
+            "Slots": 96,
+            "State": "ready",
+            "ColdLeftMs": 0,
+            "Kind": KIND,
+            "Stage": "both",
+            "Models": self._models(),
+            "Seq": self.orders,
+            "born": self._began_ms,
+        }
+        self._store.put("keyed.servers", self.id, json.dumps(entry).encode())
+
+    async def _run_beats(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            self._beat()
+
+    async def _load(self, holds) -> None:
+        self._busy = True
+        await asyncio.sleep(2.0 * (holds[1] - holds[0]) / LAYERS)
+        self._holds, self._busy = holds, False
+        self._beat()
+
+    async def answer(self, method, target, headers, body) -> bytes:
+        """Answers a health check, a report or an order."""
+        del method, headers
+        if target == "/health":
+            return format_response(200, [("Instance-Id", self.id)], b"")
+        if target == "/-/report":
+            report = {
+                "Stage": "both",
+                "Models": self._models(),
+                "Kind": KIND,
+                "Busy": self._busy,
+                "Seq": self.orders,
+                "Waiting": 0,
+                "Running": 0,
+                "KvUsed": 0,
+                "KvTotal": 90000,
+                "Handles": 0,
+                "Stalled": [],
+                "pace": 1.0,
+                "born": self._began_ms,
+            }
+            return format_response(200, [], json.dumps(report).encode())
+        order = json.loads(body) if target == "/-/order" else {}
+        if order.get("Op") != "place":
+            return format_response(400, [("Not-Executed", "1")], b"")
+        if self._busy or order.get("Expect", self.orders) != self.orders:
+            return format_response(409, [], b"")
+        self.orders += 1
+        holds = (order["From"], order["Target"])
+        self._tasks.append(asyncio.create_task(self._load(holds)))
+        return format_response(202, [], b"")
+
+
 def make_configuration(version: int = 7) -> bytes:
     """Returns a configuration of one service, with one route of each kind."""
 
@@ -413,6 +541,7 @@
                 "Protocol": "h1",
                 "Tls": False,
             },
+            POOL,
         ],
         "Limits": LIMITS,
         "Tenants": [{"Name": TENANT, "ApiKeys": [KEY], "Priority": 1}],
@@ -432,6 +561,11 @@
             sock.close()
 
 
+def limit_address_space() -> None:
+    """Bounds a process far above its `MemoryMb`, for the test's machine."""
+    resource.setrlimit(resource.RLIMIT_AS, (ADDRESS_BYTES, ADDRESS_BYTES))
+
+
 class Gateway:
     """A gateway process, started with the command of the deploy file."""
 
@@ -519,6 +653,7 @@
                 "python3",
                 "-S",
                 "platform/gateway.py",
+                preexec_fn=limit_address_space,
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
@@ -635,6 +770,7 @@
         self.store = Store()
         self.work_s = work_s
         self.desks: list[Desk] = []
+        self.engines: list[Engine] = []
         self.gateways: list[Gateway] = []
 
     async def start(self, gateways: int, desk_types) -> None:
@@ -656,6 +792,14 @@
         await desk.start()
         return desk
 
+    async def add_engines(self, count: int) -> None:
+        """Starts engines in two zones."""
+        for number in range(1, count + 1):
+            zone = f"muscat-{'ab'[number % 2]}"
+            engine = Engine(self.store, zone, number)
+            self.engines.append(engine)
+            await engine.start()
+
     async def add_gateway(self, number: int) -> Gateway:
         """Starts a gateway; the first four lie in three zones."""
         gateway = Gateway(
