Read the server list beside entries that can't be decoded

Another program had written an entry with `Infinity` for its slots, 4 s earlier.

Cause: int(inf) raises OverflowError, which was not among the errors that decoding expects, so that it ended the greenlet that reads the list, at all gateways at once and for good. The traceback on standard error named StoreWatcher.run_list; the log had no line. Deeply nested data does the same by RecursionError. The other readers of the store expected the same errors: configuration, copies of the list, group and its members.

Decoding now has one list of expected errors, which names their base classes, and one decoder of JSON that raises ValueError alone and refuses `Infinity` and `NaN`, which are no JSON. Each refused entry is logged with its key and the reason, once, at most ten of a list; a gauge counts all.

--- a/caroblug/gateway/_decision_log.py
+++ b/caroblug/gateway/_decision_log.py
@@ -26,6 +26,7 @@
     "admission.admitted": 20,
     "admission.refused": 20,
     "admission.waits": 20,
+    "backends.entry_refused": 10,
     "request.quarantined": 20,
     "request.suspected": 20,
     "retry.denied": 20,
--- a/caroblug/gateway/_interfaces.py
+++ b/caroblug/gateway/_interfaces.py
@@ -40,6 +40,19 @@
     started_ms: int = 0
 
 
+@attrs.frozen
+class RefusedEntry:
+    """An entry of the list of backend servers that names no server to use.
+
+    Attributes:
+        key: Key of the entry.
+        reason: What is wrong with it.
+    """
+
+    key: str
+    reason: str
+
+
 @attrs.frozen
 class Listing:
     """A snapshot of the list of backend servers.
@@ -47,7 +60,7 @@
     Attributes:
         backends: Backend servers by name.
         end: Position in the store's log; it grows with each change of the list.
-        ignored: Number of entries that could not be decoded.
+        refused: Entries that name no server to use.
         raw: The list as the platform wrote it, for sending to other gateways.
         digest: Digest of the backend servers. Heartbeats change `raw` and `end`
             all the time, but not the digest.
@@ -55,18 +68,21 @@
 
     backends: dict[str, BackendServer]
     end: int
-    ignored: int = 0
+    refused: tuple[RefusedEntry, ...] = ()
     raw: str = ""
     digest: str = ""
 
 
 def make_listing(
-    backends: dict[str, BackendServer], end: int, ignored: int, raw: str
+    backends: dict[str, BackendServer],
+    end: int,
+    refused: tuple[RefusedEntry, ...],
+    raw: str,
 ) -> Listing:
     """Returns a listing with the digest of its backend servers."""
     text = "".join(repr(backends[name]) for name in sorted(backends))
     digest = hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
-    return Listing(backends, end, ignored, raw, digest)
+    return Listing(backends, end, refused, raw, digest)
 
 
 @attrs.frozen
--- a/caroblug/gateway/_store_watcher.py
+++ b/caroblug/gateway/_store_watcher.py
@@ -9,6 +9,7 @@
 from caroblug.gateway._interfaces import (
     ConfigurationRead,
     NoChange,
+    RefusedEntry,
     Registry,
     Unavailable,
 )
@@ -34,6 +35,9 @@
 _LIST_RETRY_MS = 900
 """Pause after a failed read of the list. Rejected calls cost money, too."""
 
+_MAX_LOGGED_ENTRIES = 10
+"""Refused entries of one list that are logged; the others are only counted."""
+
 _LIST_POLL_S = 0.05
 _START_POLL_S = 0.005
 _INITIAL_LIST_RETRY_MS = 150
@@ -114,7 +118,7 @@
         self._peers = peers
         self._registry = registry
         self._lost: set[str] = set()
-        self._ignored = 0
+        self._refused: frozenset[RefusedEntry] = frozenset()
         self._list_failures = 0
         self._call: gevent.Greenlet | None = None
         self._waiting_since_ms: int | None = None
@@ -312,15 +316,27 @@
         self._peers.reader_ranking.record_read(
             context.clock.now_ms() - started_ms
         )
-        if listing.ignored != self._ignored:
-            self._ignored = listing.ignored
-            context.log.write("backends.ignored", records=listing.ignored)
+        self._record_refused(listing.refused)
         context.fleet.update_listing(listing, started_ms)
         if was_lost:
             self._on_store_recovered()
         context.telemetry.gauge("backends", len(listing.backends))
         return True
 
+    def _record_refused(self, refused: tuple[RefusedEntry, ...]) -> None:
+        """Counts the entries that name no server and logs the new ones."""
+        before = self._refused
+        self._refused = frozenset(refused)
+        self._context.telemetry.gauge("refused_entries", len(refused))
+        new = [entry for entry in refused if entry not in before]
+        for entry in new[:_MAX_LOGGED_ENTRIES]:
+            self._context.log.write(
+                "backends.entry_refused",
+                key=entry.key,
+                reason=entry.reason,
+                refused=len(refused),
+            )
+
     def _record_outcome(self, what: str, read) -> None:
         """Counts a call to the store and logs when an outage begins or ends."""
         self._context.telemetry.count("store_calls", what=what)
--- a/caroblug/gateway/tests/test_fleet.py
+++ b/caroblug/gateway/tests/test_fleet.py
@@ -41,7 +41,7 @@
 
 
 def list_of(*backends, end=1):
-    return make_listing({b.name: b for b in backends}, end, 0, "")
+    return make_listing({b.name: b for b in backends}, end, (), "")
 
 
 def names(path):
--- a/caroblug/gateway/tests/test_store_watcher.py
+++ b/caroblug/gateway/tests/test_store_watcher.py
@@ -7,6 +7,7 @@
 from caroblug.core.access import Configuration, RequestLimits
 from caroblug.gateway import (
     ConfigurationRead,
+    RefusedEntry,
     Unavailable,
     _store_watcher,
     make_listing,
@@ -40,7 +41,7 @@
     registry.read_backends = lambda: Unavailable("silent")
     watcher._read_list()
 
-    registry.read_backends = lambda: make_listing({}, 2, 0, "")
+    registry.read_backends = lambda: make_listing({}, 2, (), "")
     watcher._read_list()
 
     assert reads
@@ -63,7 +64,7 @@
     registry.read_configuration = lambda: ConfigurationRead(
         make_configuration(7), 2
     )
-    registry.read_backends = lambda: make_listing({}, 2, 0, "")
+    registry.read_backends = lambda: make_listing({}, 2, (), "")
     watcher._read_list()
     gevent.idle()
 
@@ -152,7 +153,7 @@
     registry.read_configuration = lambda: ConfigurationRead(
         make_configuration(7), 2
     )
-    registry.read_backends = lambda: make_listing({}, 2, 0, "")
+    registry.read_backends = lambda: make_listing({}, 2, (), "")
     watcher._read_list()
 
     wait_for_version(context, 7)
@@ -167,7 +168,7 @@
     registry.read_configuration = hang
     registry.read_backends = lambda: Unavailable("silent")
     watcher._read_list()
-    registry.read_backends = lambda: make_listing({}, 2, 0, "")
+    registry.read_backends = lambda: make_listing({}, 2, (), "")
 
     assert watcher._read_list()
     assert context.fleet.has_listing
@@ -187,7 +188,7 @@
 
     def slow_read():
         gevent.sleep(0.1)
-        return make_listing({}, 2, 0, "")
+        return make_listing({}, 2, (), "")
 
     registry.read_backends = slow_read
 
@@ -274,3 +275,27 @@
 
     wait_for_version(context, 7)
     loop.kill()
+
+
+def test_refused_entries_are_logged_once_and_their_number_is_bounded():
+    # Guards against an operator who can't tell which entry is left out, and
+    # against another writer that fills the log.
+    context, registry, peers, _ = make_placement()
+    watcher = make_watcher(context, registry, peers)
+    lines = []
+    context.log.write = lambda kind, **fields: lines.append((kind, fields))
+
+    def read(count: int) -> int:
+        refused = tuple(RefusedEntry(f"i{n}", "odd") for n in range(count))
+        registry.read_backends = lambda: make_listing({}, 2, refused, "")
+        lines.clear()
+        watcher._read_list()
+        return sum(kind == "backends.entry_refused" for kind, _ in lines)
+
+    assert read(1) == 1
+    assert lines[0][1] == {"key": "i0", "reason": "odd", "refused": 1}
+    assert read(1) == 0
+    assert read(3) == 2
+    assert read(500) == _store_watcher._MAX_LOGGED_ENTRIES
+    assert read(0) == 0
+    assert read(1) == 1
--- a/caroblug/utils/__init__.py
+++ b/caroblug/utils/__init__.py
@@ -1,4 +1,4 @@
-"""Shared helpers: clocks, refusals, settings, logging and metrics.
+"""Shared helpers: clocks, decoding, refusals, settings, logging and metrics.
 
 Names are imported on first access. Settings and metrics depend on libraries
 that would slow the start of a program which needs only the clock.
@@ -12,6 +12,9 @@
     "ManualClock": "_clock",
     "MonotonicClock": "_clock",
     "TimeOfDayClock": "_clock",
+    "DECODE_ERRORS": "_decoding",
+    "load_json": "_decoding",
+    "shorten": "_decoding",
     "log_state": "_logging",
     "start_logging": "_logging",
     "Metrics": "_metrics",
