Restart a gateway's loop that an unexpected error has ended

A loop that ended with an error took its job with it until the process was restarted: after one such error no gateway read the list of backend servers any more, while each said that it was ready, and nothing but a traceback on standard error told of it. The same holds for the other loops of the gateway, which were spawned without anything around them.

Errors of greenlets that do one thing are counted and logged as well; gevent's hook for that is shared with the programs that end at such an error. The gateway doesn't end: data that all gateways read may cause the error, and would end them all again after each start.

--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -44,7 +44,12 @@
 from caroblug.gateway._streams import StreamHandler
 from caroblug.gateway._suspect_probes import SuspectProbes
 from caroblug.gateway._telemetry import Telemetry
-from caroblug.utils import BoottimeClock, TimeOfDayClock
+from caroblug.gateway._unexpected_errors import UnexpectedErrors
+from caroblug.utils import (
+    BoottimeClock,
+    TimeOfDayClock,
+    handle_greenlet_errors,
+)
 
 _DENIAL_STATUSES = {
     DenialReason.NOT_CONFIGURED: 503,
@@ -94,6 +99,7 @@
     ) -> None:
         self._context = context
         self._reload = reload
+        self._errors = UnexpectedErrors(context)
         self._crashes = CrashSuspicions(context)
         self._peers = Peers(context, registry, self._crashes)
         self._placement = PlacementController(context, registry, self._peers)
@@ -170,24 +176,27 @@
         self._callers.listen()
         self._ready.start()
         self._peer_calls.start()
-        for loop in (
-            self._store_watcher.run_configuration,
-            self._store_watcher.run_list,
-            self._store_watcher.run_restore,
-            self._backup.run,
-            self._placement.run_lease,
-            self._placement.run_plan,
-            self._peers.run_members,
-            self._peers.run_exchange,
-            self._suspect_probes.run,
-            self._crashes.run,
-            self._quarantine_backup.run,
-            self._liveness.run,
-            self._slowness.run,
-            self._room_readers.run,
-            self._poll_settings,
+        handle_greenlet_errors(
+            lambda error: self._errors.record("greenlet", error)
+        )
+        for name, loop in (
+            ("configuration", self._store_watcher.run_configuration),
+            ("backends", self._store_watcher.run_list),
+            ("restore", self._store_watcher.run_restore),
+            ("backup", self._backup.run),
+            ("lease", self._placement.run_lease),
+            ("plan", self._placement.run_plan),
+            ("members", self._peers.run_members),
+            ("exchange", self._peers.run_exchange),
+            ("probes", self._suspect_probes.run),
+            ("crashes", self._crashes.run),
+            ("quarantine", self._quarantine_backup.run),
+            ("liveness", self._liveness.run),
+            ("slowness", self._slowness.run),
+            ("rooms", self._room_readers.run),
+            ("settings", self._poll_settings),
         ):
-            gevent.spawn(loop)
+            gevent.spawn(self._errors.run_loop, name, loop)
         self._wait_until_ready()
         self._callers.start()
         self._metrics.start()
--- a/caroblug/node/_lifetime.py
+++ b/caroblug/node/_lifetime.py
@@ -16,6 +16,7 @@
 from caroblug.utils import (
     Clock,
     SettingsRejected,
+    handle_greenlet_errors,
     load_settings,
     log_state,
     start_logging,
@@ -109,20 +110,11 @@
 def stop_on_broken_invariant() -> None:
     """Ends the process when an uncaught exception ends a greenlet.
 
-    By default gevent prints the traceback and the process continues without
-    that greenlet or with an inconsistent state, while it looks healthy.
-    Expected failures are returned as values and never end a greenlet.
+    It would otherwise continue without that greenlet or with an inconsistent
+    state, while it looks healthy. Expected failures are returned as values and
+    never end a greenlet.
     """
-    hub = gevent.get_hub()
-    handle_error = hub.handle_error
-
-    def _handle_error(context, kind, value, trace) -> None:
-        ends_greenlet = isinstance(context, gevent.Greenlet)
-        if ends_greenlet and kind is not None and issubclass(kind, Exception):
-            report_broken_invariant(value)
-        handle_error(context, kind, value, trace)
-
-    hub.handle_error = _handle_error
+    handle_greenlet_errors(report_broken_invariant)
 
 
 def report_broken_invariant(error: BaseException) -> None:
--- a/caroblug/utils/__init__.py
+++ b/caroblug/utils/__init__.py
@@ -15,6 +15,7 @@
     "DECODE_ERRORS": "_decoding",
     "load_json": "_decoding",
     "shorten": "_decoding",
+    "handle_greenlet_errors": "_greenlets",
     "log_state": "_logging",
     "start_logging": "_logging",
     "Metrics": "_metrics",
