Report how old a gateway's list and configuration are

An operator could not tell that a gateway which says it is ready goes by a list that stands still: the counter of calls to the store stops growing, and nothing else shows it. Gauges give the age of the list and of the configuration's last confirmation, computed when the metrics are read, and one line says when an age passes 5 s (list) or 30 s (configuration) and when it is current again.

The gateway stays ready: with all gateways in that state nothing would be served otherwise, and requests are served by the old list.

--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -17,6 +17,7 @@
 from caroblug.gateway._caller_requests import RawRequest
 from caroblug.gateway._context import Context
 from caroblug.gateway._crash_suspicions import CrashSuspicions
+from caroblug.gateway._data_ages import DataAges
 from caroblug.gateway._decision_log import DecisionLog
 from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._http_server import HttpServer, Reply
@@ -102,6 +103,7 @@
         self._errors = UnexpectedErrors(context)
         self._crashes = CrashSuspicions(context)
         self._peers = Peers(context, registry, self._crashes)
+        self._ages = DataAges(context, self._peers.reader_ranking)
         self._placement = PlacementController(context, registry, self._peers)
         self._backup = ListingBackup(
             context, registry, lambda: self._placement.is_active
@@ -195,6 +197,7 @@
             ("slowness", self._slowness.run),
             ("rooms", self._room_readers.run),
             ("settings", self._poll_settings),
+            ("ages", self._ages.run),
         ):
             gevent.spawn(self._errors.run_loop, name, loop)
         self._wait_until_ready()
@@ -360,6 +363,7 @@
     def _handle_metrics(self, request: RawRequest, reply: Reply) -> None:
         del request
         kind = ("Content-Type", "text/plain; version=0.0.4")
+        self._ages.update_metrics()
         reply.send(200, [kind], self._context.telemetry.expose())
 
 
