--- a/caroblug/gateway/_http_client.py
+++ b/caroblug/gateway/_http_client.py
@@ -115,7 +115,8 @@
             sock.connect(self._address)
         except ConnectionRefusedError:
             return self._fail(FailureKind.REFUSED)
-        except OSError:
+        except (OSError, OverflowError, ValueError):
+            # The last two are raised for a port or host that can't exist.
             return self._fail(FailureKind.CONNECT)
         return None
 
--- a/caroblug/gateway/tests/test_http_client.py
+++ b/caroblug/gateway/tests/test_http_client.py
@@ -3,6 +3,7 @@
 import struct
 
 import gevent
+import pytest
 from gevent import event, server, socket
 
 from caroblug.gateway import ExchangeFailure, fetch, format_request
@@ -51,3 +52,23 @@
 
     assert problem == ExchangeFailure(FailureKind.RESET, sent=False)
     listener.stop(timeout=0)
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        ("127.0.0.1", 812000),
+        ("127.0.0.1", -1),
+        ("127.0.0.1", 10**30),
+        ("a\0b", 80),
+        ("a" * 300, 80),
+        ("\ud800", 80),
+        ("", 0),
+    ],
+)
+def test_address_that_can_not_exist_is_a_failed_connect(address):
+    # Guards against an address of a peer or server that ends its caller.
+    response = fetch(address, b"GET / HTTP/1.1\r\n\r\n", timeout_s=0.2)
+
+    assert isinstance(response, ExchangeFailure)
+    assert not response.sent
