Read quarantined requests beside records that can't be read

A record with a number that overflows, or nested deeply, ended the loop that reads and writes quarantines: gateways learned of no quarantined request any more, which would crash as many engines again. Each record that is refused is logged with its key and reason.

--- a/caroblug/gateway/_decision_log.py
+++ b/caroblug/gateway/_decision_log.py
@@ -27,6 +27,8 @@
     "admission.refused": 20,
     "admission.waits": 20,
     "backends.entry_refused": 10,
+    "peer.unreadable": 5,
+    "quarantine.record_refused": 10,
     "request.quarantined": 20,
     "request.suspected": 20,
     "retry.denied": 20,
--- a/caroblug/gateway/_quarantine_backup.py
+++ b/caroblug/gateway/_quarantine_backup.py
@@ -14,7 +14,7 @@
 from caroblug.gateway._context import Context
 from caroblug.gateway._crash_suspicions import QUARANTINE_MS, CrashSuspicions
 from caroblug.gateway._interfaces import Registry, Unavailable
-from caroblug.utils import Clock
+from caroblug.utils import DECODE_ERRORS, Clock, load_json, shorten
 
 _CHECK_INTERVAL_S = 0.25
 _MIN_RETRY_MS = 1000
@@ -22,11 +22,12 @@
 """Pause after a failed call and its maximum; it doubles with each failure, as
 rejected calls cost money, too."""
 
+_MAX_KEY_CHARS = 64
+"""Length to which the key of a refused record is cut in the log."""
+
 _ALONE_INTERVAL_MS = 10_000
 """Interval between reads while the gateway hears no other one."""
 
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
-
 
 class _Schedule:
     """When a call to the store is due."""
@@ -131,16 +132,16 @@
         expired = [
             fingerprint
             for fingerprint, text in records.items()
-            if not self._restore(text)
+            if not self._restore(fingerprint, text)
         ]
         if expired:
             # Kept if that fails: the next start reads and drops them again.
             self._registry.save_quarantines(dict.fromkeys(expired, ""))
 
-    def _restore(self, text: str) -> bool:
+    def _restore(self, fingerprint: str, text: str) -> bool:
         """Adds a saved request; returns whether it is still quarantined."""
         try:
-            record = json.loads(text)
+            record = load_json(text)
             left_ms = int(record["until_ms"]) - self._time_of_day.now_ms()
             if left_ms <= 0:
                 return False
@@ -149,6 +150,11 @@
             self._crashes.merge(
                 [[*crash[:3], left_ms] for crash in record["crashes"]]
             )
-        except _DECODE_ERRORS:
+        except DECODE_ERRORS as error:
+            self._context.log.write(
+                "quarantine.record_refused",
+                key=fingerprint[:_MAX_KEY_CHARS],
+                reason=shorten(error),
+            )
             return False
         return True
--- a/caroblug/gateway/tests/test_quarantine_backup.py
+++ b/caroblug/gateway/tests/test_quarantine_backup.py
@@ -1,5 +1,7 @@
 """Tests that a quarantine outlasts the gateways that know of it."""
 
+import pytest
+
 from caroblug.gateway._crash_suspicions import QUARANTINE_MS, CrashSuspicions
 from caroblug.gateway._interfaces import Unavailable
 from caroblug.gateway._quarantine_backup import QuarantineBackup
@@ -178,10 +180,25 @@
     assert not site.store.records
 
 
-def test_unreadable_record_is_ignored():
+@pytest.mark.parametrize(
+    "record",
+    [
+        '{"until_ms": "soon"}',
+        '{"until_ms": 1e999, "crashes": []}',
+        '{"until_ms": Infinity, "crashes": []}',
+        '{"until_ms": 900000, "crashes": [["a", "b", "c"], 7]}',
+        "[" * 100_000,
+    ],
+)
+def test_unreadable_record_is_ignored(record):
+    # Guards against a start that never learns of what is quarantined.
     site = Site()
-    site.store.records["odd"] = '{"until_ms": "soon"}'
+    crashes, backup = site.start()
+    site.crash(crashes)
+    backup.step()
+    site.store.records["odd"] = record
+    site.store.records["a"] = record
 
     crashes, _ = site.start()
 
-    assert not crashes.is_quarantined(POISON)
+    assert crashes.is_quarantined(POISON)
