Outlast messages of peers that can't be decoded

An OverflowError or RecursionError while a peer's message was decoded left the call without an answer, and ended the greenlet of the exchange. An answer to a call for a permit or for retries that lacks its number raised into the caller's request. Both are now failed calls. A loan is at most what was asked for.

--- a/caroblug/gateway/_limit_permits.py
+++ b/caroblug/gateway/_limit_permits.py
@@ -4,7 +4,7 @@
 
 from caroblug.gateway._context import Context
 from caroblug.gateway._interfaces import BackendServer, Unavailable
-from caroblug.gateway._peer_calls import PeerCalls
+from caroblug.gateway._peer_calls import PeerCalls, read_count
 
 PERMIT_PATH = "/permit"
 
@@ -61,7 +61,9 @@
         )
         wait_ms = _FAILED_CALL_MS
         if not isinstance(response, Unavailable):
-            wait_ms = int(response["wait_ms"])
+            answered_ms = read_count(response, "wait_ms")
+            if not isinstance(answered_ms, Unavailable):
+                wait_ms = answered_ms
         granted = wait_ms <= 0
         context.telemetry.count("permit_requests", granted=str(granted))
         if granted:
--- a/caroblug/gateway/_peer_calls.py
+++ b/caroblug/gateway/_peer_calls.py
@@ -9,12 +9,11 @@
 from caroblug.gateway._http_client import Address, fetch, format_request
 from caroblug.gateway._http_server import Reply
 from caroblug.gateway._interfaces import Unavailable
+from caroblug.utils import DECODE_ERRORS, load_json, shorten
 
 Handler = Callable[[dict], dict]
 
 _CALL_TIMEOUT_S = 0.3
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
-"""Exceptions raised while decoding a message with an unexpected structure."""
 
 
 class PeerCalls:
@@ -39,7 +38,7 @@
             reply.send(404, [], b"no such path")
             return
         try:
-            answer = handler(json.loads(request.body))
+            answer = handler(load_json(request.body))
         except DECODE_ERRORS as error:
             self.log_unreadable(request.path, error)
             reply.send(400, [], b"message does not parse")
@@ -67,17 +66,33 @@
         if answer.head.status != 200:
             return Unavailable(f"status {answer.head.status}")
         try:
-            return dict(json.loads(answer.body))
+            return dict(load_json(answer.body))
         except DECODE_ERRORS as error:
             self.log_unreadable(path, error)
-            return Unavailable(f"answer does not parse: {error!r}")
+            return Unavailable(f"answer does not parse: {shorten(error)}")
 
     def log_unreadable(self, path: str, error: Exception) -> None:
         """Logs a message that can't be decoded."""
         self._context.log.write(
-            "peer.unreadable", path=path, reason=repr(error)
+            "peer.unreadable", path=path, reason=shorten(error)
         )
 
 
+def read_count(answer: dict, field: str) -> int | Unavailable:
+    """Returns a number in another gateway's answer.
+
+    Args:
+        answer: The answer.
+        field: Name of the number.
+
+    Returns:
+        The number, or `Unavailable` if there is none.
+    """
+    try:
+        return int(answer[field])
+    except DECODE_ERRORS as error:
+        return Unavailable(f"{field} in the answer: {shorten(error)}")
+
+
 def _encode(message: dict) -> bytes:
     return json.dumps(message, separators=(",", ":")).encode()
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -21,10 +21,11 @@
     UNKNOWN_AGE_MS,
     LeaseHolderTracker,
 )
-from caroblug.gateway._peer_calls import DECODE_ERRORS, PeerCalls
+from caroblug.gateway._peer_calls import PeerCalls
 from caroblug.gateway._peer_members import PeerMembers
 from caroblug.gateway._reader_ranking import ReaderRanking
 from caroblug.gateway._server_state_messages import ServerStateMessages
+from caroblug.utils import DECODE_ERRORS
 
 EXCHANGE_PATH = "/tell"
 
--- a/caroblug/gateway/_shared_retry_budget.py
+++ b/caroblug/gateway/_shared_retry_budget.py
@@ -15,6 +15,7 @@
 from caroblug.core.limits import RetryClass
 from caroblug.gateway._context import Context
 from caroblug.gateway._interfaces import Unavailable
+from caroblug.gateway._peer_calls import read_count
 from caroblug.gateway._peers import Peers
 
 LEND_PATH = "/lend"
@@ -169,7 +170,10 @@
             response = self._peers.call(name, LEND_PATH, message)
             if isinstance(response, Unavailable):
                 continue
-            lent = int(response["lent"])
+            lent = read_count(response, "lent")
+            if isinstance(lent, Unavailable):
+                continue
+            lent = min(lent, _LOAN_SIZE)
             if lent > 0 or not leaves_reserve:
                 # A lender that only keeps its reserve can still lend to the
                 # classes that the reserve is for.
--- a/caroblug/gateway/tests/test_limit_permits.py
+++ b/caroblug/gateway/tests/test_limit_permits.py
@@ -1,5 +1,7 @@
 """Tests of permits for servers whose limit another gateway owns."""
 
+import pytest
+
 from caroblug.gateway._interfaces import Unavailable
 from caroblug.gateway._limit_permits import PERMIT_PATH, LimitPermits
 from caroblug.gateway.tests.test_fleet import list_of, make_plain_server
@@ -94,3 +96,14 @@
     del message["limits"]
 
     assert other_peers._handle_message(message)["name"] == "g2"
+
+
+@pytest.mark.parametrize(
+    "answer", [{}, {"wait_ms": None}, {"wait_ms": 1e999}, {"wait_ms": "now"}]
+)
+def test_answer_that_cannot_be_read_grants_nothing(answer):
+    # Guards against a request that is never answered because of it.
+    other, permits, calls = make_pair()
+    calls.handler = lambda message: answer
+
+    assert not permits.acquire("d1")
--- a/caroblug/gateway/tests/test_peer_calls.py
+++ b/caroblug/gateway/tests/test_peer_calls.py
@@ -37,8 +37,33 @@
     assert handle("/nothing", b"{}").status == 404
 
 
-@pytest.mark.parametrize("body", [b"", b"[]", b"{}", b"7", b'"text"'])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b"{}",
+        b"7",
+        b'"text"',
+        b"[" * 100_000,
+        b'{"number": Infinity}',
+        b"\xff",
+    ],
+)
 def test_message_with_an_unexpected_structure_is_a_bad_request(body):
     # Guards against a gateway that terminates because of a message sent by
     # another version.
     assert handle("/double", body).status == 400
+
+
+def test_number_of_a_message_that_overflows_is_a_bad_request():
+    # Guards against a call that is never answered because of its numbers.
+    calls = PeerCalls(make_context())
+    calls.register("/count", lambda message: {"n": int(message["number"])})
+    reply = FakeReply()
+    body = b'{"number": 1e999}'
+    calls.handle_request(
+        RawRequest("POST", "/count", [], body, False, 0), reply
+    )
+
+    assert reply.status == 400
--- a/caroblug/gateway/tests/test_peers.py
+++ b/caroblug/gateway/tests/test_peers.py
@@ -1,5 +1,7 @@
 """Tests of the peer exchange: choice of partners and reported state."""
 
+import pytest
+
 from caroblug.gateway._interfaces import Member
 from caroblug.gateway._peers import LeaseState
 from caroblug.gateway.tests.test_fleet import make_engine
@@ -126,3 +128,26 @@
     exchanges[1]._handle_message(exchanges[0]._build_message(""))
 
     assert not contexts[1].fleet.backends("pool")
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"list_age_ms": 1e999},
+        {"paces": {"e0": [1e999, 1e999]}},
+        {"rooms": {"e0": [1e999, 0, 0, 10**400]}},
+        {"limits": {"e0": [10**400, 0, 0]}},
+        {"members": {"g9": ["10.0.0.1", 1e999, "a"]}},
+    ],
+)
+def test_answer_that_cannot_be_decoded_ends_no_exchange(fields):
+    # Guards against a peer whose answer ends what waits for it.
+    _, _, peers, _ = make_placement("g1")
+    _, _, others, _ = make_placement("g2")
+    peers._add_member(Member("g2", ("10.0.0.1", 1)))
+    answer = {**others._build_message("g1"), **fields}
+    peers.call = lambda name, path, message: answer
+
+    peers._exchange("g2")
+
+    assert not peers._exchanging
