Answer a request whose handler has raised an error

A caller whose request met an error that nobody expected got no answer, and its connection stayed open until its deadline: the greenlet that handles requests of the connection had ended. Now such a request gets 500 at once, as a part of it may have run, or its response ends early if it had begun; the connection ends, and the error is counted and logged by the hook for greenlets.

--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -20,7 +20,11 @@
 from caroblug.gateway._data_ages import DataAges
 from caroblug.gateway._decision_log import DecisionLog
 from caroblug.gateway._fleet import Fleet
-from caroblug.gateway._http_server import HttpServer, Reply
+from caroblug.gateway._http_server import (
+    CallerDisconnectedError,
+    HttpServer,
+    Reply,
+)
 from caroblug.gateway._interfaces import CallerRequest, Dialect, Registry
 from caroblug.gateway._kept_connections import KeptConnections
 from caroblug.gateway._limit_permits import PERMIT_PATH, LimitPermits
@@ -280,8 +284,22 @@
     # Request handling.
 
     def _handle_request(self, request: RawRequest, reply: Reply) -> None:
+        caller = self._context.dialect.decode_request(request)
+        try:
+            self._serve_request(request, caller, reply)
+        except CallerDisconnectedError:
+            raise
+        except Exception:
+            # Part of the request may have run, so that 503 would be wrong.
+            if not reply.begun:
+                reply.end_connection()
+                self._deny(request, caller, reply, 500, "unexpected error")
+            raise
+
+    def _serve_request(
+        self, request: RawRequest, caller: CallerRequest, reply: Reply
+    ) -> None:
         context = self._context
-        caller = context.dialect.decode_request(request)
         if caller.bad is not None:
             self._deny(request, caller, reply, 400, caller.bad)
             return
--- a/caroblug/gateway/_http_server.py
+++ b/caroblug/gateway/_http_server.py
@@ -273,16 +273,32 @@
         while self._queue:
             request = self._queue.popleft()
             reply = Reply(self._socket, request, self._closing())
-            # A caller that has disconnected needs no response, and its
-            # connection ends.
-            with contextlib.suppress(CallerDisconnectedError):
+            try:
                 self._handler(request, reply)
+            except CallerDisconnectedError:
+                # The caller needs no response, and its connection ends.
+                reply.end_connection()
+            except Exception:
+                self._end_after_error(reply)
+                raise
             if not reply.reusable:
                 self._ended = True
                 self._shut_down_writing()
                 return
             self._idle_since_ms = self._clock.now_ms()
 
+    def _end_after_error(self, reply: Reply) -> None:
+        """Ends the connection of a request whose handler has raised an error.
+
+        The caller gets a response at once, or one that ends early.
+        """
+        reply.end_connection()
+        if not reply.begun:
+            with contextlib.suppress(CallerDisconnectedError):
+                reply.send(500, [], b"unexpected error")
+        self._ended = True
+        self._shut_down_writing()
+
     def _shut_down_writing(self) -> None:
         """Shuts down the sending direction after the response.
 
--- a/caroblug/gateway/tests/test_http_server.py
+++ b/caroblug/gateway/tests/test_http_server.py
@@ -83,3 +83,47 @@
     serve(connection)
 
     assert caller.recv(1000) == b""
+
+
+def read_all(caller) -> bytes:
+    caller.settimeout(5)
+    data = b""
+    while chunk := caller.recv(1000):
+        data += chunk
+    return data
+
+
+def test_request_whose_handler_fails_is_answered_and_its_connection_ends(
+    keep_alive,
+):
+    # Guards against a caller that waits for an answer until its deadline.
+    connection, caller, _ = keep_alive
+
+    def fail(request, reply):
+        raise OverflowError
+
+    connection._handler = fail
+    caller.sendall(REQUEST)
+    serve(connection)
+    answer = read_all(caller)
+
+    assert answer.startswith(b"HTTP/1.1 500 ")
+    assert b"Connection: close" in answer
+
+
+def test_response_that_an_error_cuts_short_does_not_look_complete(keep_alive):
+    # Guards against half an answer that a caller takes for the whole one.
+    connection, caller, _ = keep_alive
+
+    def fail(request, reply):
+        reply.begin(200, [])
+        reply.send_chunk(b"half")
+        raise OverflowError
+
+    connection._handler = fail
+    caller.sendall(REQUEST)
+    serve(connection)
+    answer = read_all(caller)
+
+    assert answer.endswith(b"half\r\n")
+    assert answer.count(b"HTTP/1.1") == 1
