Leave out entries of the instance list that name no instance

The same cause at entries and side processes, which end at an unexpected error: one odd entry of the instance list hid all instances, a port above 65535 was connected to, the answer to a write to the log wasn't decoded under any list of errors, and a Retry-After of 1e308 of the weight store overflowed. An entry is now refused by itself and logged once, a write whose answer can't be decoded may have been made, and the pause is at most an hour.

--- a/caroblug/transport/_instances.py
+++ b/caroblug/transport/_instances.py
@@ -5,13 +5,18 @@
 
 import abc
 import dataclasses
+from typing import Any
 
 import attrs
 
 from caroblug.transport._http import HttpFailure, JsonHttpClient
+from caroblug.utils import DECODE_ERRORS, log_state, shorten
 
 _OK = 200
 _LEAVING = "leaving"
+_MAX_PORT = 65535
+_MAX_LOGGED_ENTRIES = 64
+"""Refused entries that are logged; any further ones are left out silently."""
 
 
 @attrs.frozen
@@ -69,6 +74,7 @@
 
     def __init__(self, host: str, port: int, timeout_ms: int) -> None:
         self._client = JsonHttpClient(host, port, timeout_ms, connections=1)
+        self._refused: set[str] = set()
 
     def fetch(self) -> tuple[InstanceRecord, ...] | InstancesUnavailable:
         """Returns every listed instance."""
@@ -78,20 +84,26 @@
         if response.status != _OK:
             return InstancesUnavailable(f"status {response.status}")
         try:
-            return tuple(
-                InstanceRecord(
-                    str(i["instance"]),
-                    str(i["role"]),
-                    str(i["host"]),
-                    int(i["port"]),
-                    str(i["data_centre"]),
-                    i["state"] == _LEAVING,
-                    int(i.get("http_port", 0)),
-                )
-                for i in response.json()["instances"]
-            )
-        except (KeyError, TypeError, ValueError):
+            entries = list(response.json()["instances"])
+        except DECODE_ERRORS:
             return InstancesUnavailable("response is not valid")
+        records = map(self._decode, entries)
+        return tuple(record for record in records if record is not None)
+
+    def _decode(self, entry: Any) -> InstanceRecord | None:
+        """Returns an entry of the list; None if it names no instance."""
+        try:
+            return _decode_instance(entry)
+        except DECODE_ERRORS as error:
+            self._log_refused(shorten(entry), shorten(error))
+            return None
+
+    def _log_refused(self, entry: str, reason: str) -> None:
+        """Logs a refused entry once."""
+        if entry in self._refused or len(self._refused) >= _MAX_LOGGED_ENTRIES:
+            return
+        self._refused.add(entry)
+        log_state("instances.entry_refused", entry=entry, reason=reason)
 
     def withdraw(self, instance: str) -> InstancesUnavailable | None:
         """Marks an instance as leaving."""
@@ -104,6 +116,22 @@
         return None
 
 
+def _decode_instance(entry: dict) -> InstanceRecord:
+    port = int(entry["port"])
+    http_port = int(entry.get("http_port", 0))
+    if not 1 <= port <= _MAX_PORT or not 0 <= http_port <= _MAX_PORT:
+        raise ValueError(f"ports {port} and {http_port}")
+    return InstanceRecord(
+        str(entry["instance"]),
+        str(entry["role"]),
+        str(entry["host"]),
+        port,
+        str(entry["data_centre"]),
+        entry["state"] == _LEAVING,
+        http_port,
+    )
+
+
 def make_instance_list(
     host: str, port: int, timeout_ms: int = 1000
 ) -> InstanceList:
--- a/caroblug/transport/_log.py
+++ b/caroblug/transport/_log.py
@@ -8,6 +8,7 @@
 import orjson
 
 from caroblug.transport._http import HttpFailure, JsonHttpClient
+from caroblug.utils import DECODE_ERRORS
 
 _CREATED = 201
 _OK = 200
@@ -104,7 +105,10 @@
             return LogUnavailable(response.message, maybe_written=response.sent)
         if response.status != _CREATED:
             return LogUnavailable(f"status {response.status}")
-        return Appended(int(response.json()["offset"]))
+        try:
+            return Appended(int(response.json()["offset"]))
+        except DECODE_ERRORS:
+            return LogUnavailable("response is not valid", maybe_written=True)
 
     def read(
         self, stream: str, offset: int, limit: int = 100, wait_ms: int = 0
--- a/caroblug/transport/_weight_store.py
+++ b/caroblug/transport/_weight_store.py
@@ -10,6 +10,7 @@
 _TOO_MANY_REQUESTS = 429
 _MS_PER_S = 1000
 _DEFAULT_RETRY_S = 1.0
+_MAX_RETRY_S = 3600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,7 +89,7 @@
                 continue
     if not math.isfinite(seconds) or seconds < 0:
         seconds = _DEFAULT_RETRY_S
-    return int(seconds * _MS_PER_S)
+    return int(min(seconds, _MAX_RETRY_S) * _MS_PER_S)
 
 
 def make_weight_store(
