Bound the numbers that callers and servers send in headers and events

Long or odd digits in Last-Event-Id, in the ids of an engine's events and in Keep-Alive raised ValueError, which cut the stream or failed the read of a report.

--- a/caroblug/gateway/_events.py
+++ b/caroblug/gateway/_events.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from caroblug.utils import parse_digits
+
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)")
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 
@@ -32,11 +34,11 @@
 
     Attributes:
         expected: Next id in the sequence.
-        found: Id received.
+        found: Id received; None if it has too many digits.
     """
 
     expected: int
-    found: int
+    found: int | None
 
 
 class EventSequence:
@@ -95,8 +97,10 @@
     ) -> OutOfOrderEvent | None:
         match = _EVENT_ID.search(event)
         if match is not None:
-            found = int(match.group(1))
+            found = parse_digits(match.group(1).decode())
             last = self._last_id
+            if found is None:
+                return OutOfOrderEvent((last or 0) + 1, None)
             if last is not None and found <= last:
                 return None
             if last is not None and found != last + 1:
--- a/caroblug/gateway/_kept_connection.py
+++ b/caroblug/gateway/_kept_connection.py
@@ -22,8 +22,9 @@
     Exchange,
     send_and_read,
 )
-from caroblug.utils import Clock
+from caroblug.utils import Clock, parse_digits
 
+_MAX_IDLE_S = 3600
 _IDLE_MS = 4000
 """Time without use after which a connection is closed, in ms, unless the
 backend server names another one."""
@@ -305,6 +306,9 @@
     """Returns the time for which a server keeps an idle connection, in ms."""
     for option in (head.get("keep-alive") or "").split(","):
         name, _, value = option.partition("=")
-        if name.strip().lower() == "timeout" and value.strip().isdecimal():
-            return int(value) * _MS_PER_S - _IDLE_MARGIN_MS
+        if name.strip().lower() != "timeout":
+            continue
+        timeout_s = parse_digits(value.strip())
+        if timeout_s is not None:
+            return min(timeout_s, _MAX_IDLE_S) * _MS_PER_S - _IDLE_MARGIN_MS
     return _IDLE_MS
--- a/caroblug/gateway/_stream_state.py
+++ b/caroblug/gateway/_stream_state.py
@@ -9,6 +9,7 @@
 from caroblug.gateway._pending_request import PendingRequest
 from caroblug.gateway._process_ends import ServerProcess
 from caroblug.gateway._stream_latency import StreamLatency
+from caroblug.utils import parse_digits
 
 
 @attrs.define
@@ -182,4 +183,4 @@
 
 
 def _parse_event_id(text: str | None) -> int | None:
-    return int(text) if text is not None and text.isdigit() else None
+    return parse_digits(text) if text is not None else None
--- a/caroblug/gateway/tests/test_events.py
+++ b/caroblug/gateway/tests/test_events.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 import hypothesis.strategies as st
+import pytest
 
 from caroblug.gateway._events import EventPace, EventSequence, OutOfOrderEvent
 
@@ -62,6 +63,17 @@
     assert forwarded == [event(n) for n in range(1, total + 1)]
 
 
+@pytest.mark.parametrize("digits", [19, 5000])
+def test_id_with_too_many_digits_is_out_of_order(digits):
+    # Guards against an event of a server that ends its stream with an error.
+    events = EventSequence()
+    events.feed(event(1))
+
+    found = events.feed(b"id: %b\ndata: x\n\n" % (b"9" * digits))
+
+    assert found == OutOfOrderEvent(2, None)
+
+
 def test_mean_gap_is_reported_after_enough_events():
     pace = EventPace()
     for _ in range(11):
--- a/caroblug/gateway/tests/test_kept_connections.py
+++ b/caroblug/gateway/tests/test_kept_connections.py
@@ -454,6 +454,9 @@
         (b"Keep-Alive: max=9, timeout=30", 29_000, True),
         (b"Keep-Alive: timeout=0", 0, False),
         (b"Keep-Alive: timeout=soon", 3900, True),
+        (b"Keep-Alive: timeout=\xb2", 3900, True),
+        (b"Keep-Alive: timeout=" + b"9" * 18, 60_000, True),
+        (b"Keep-Alive: timeout=" + b"9" * 5000, 3900, True),
     ],
 )
 def test_unused_connection_is_closed_in_time(
--- a/caroblug/utils/__init__.py
+++ b/caroblug/utils/__init__.py
@@ -14,6 +14,7 @@
     "TimeOfDayClock": "_clock",
     "DECODE_ERRORS": "_decoding",
     "load_json": "_decoding",
+    "parse_digits": "_decoding",
     "shorten": "_decoding",
     "handle_greenlet_errors": "_greenlets",
     "log_state": "_logging",
--- a/caroblug/utils/_decoding.py
+++ b/caroblug/utils/_decoding.py
@@ -19,6 +19,8 @@
 `ArithmeticError`. Deeply nested data raises `RecursionError`."""
 
 _MAX_SHOWN_CHARS = 80
+_MAX_DIGITS = 18
+"""Digits of a number that is read from a header; it fits into 64 bits."""
 
 
 def load_json(data: str | bytes) -> Any:
@@ -37,6 +39,20 @@
         raise ValueError("JSON is nested too deeply") from error
 
 
+def parse_digits(text: str) -> int | None:
+    """Returns the number that ASCII digits denote.
+
+    Args:
+        text: The digits, as in a header.
+
+    Returns:
+        The number; None if the text has other characters or too many digits.
+    """
+    if len(text) > _MAX_DIGITS or not (text.isascii() and text.isdecimal()):
+        return None
+    return int(text)
+
+
 def shorten(value: object) -> str:
     """Returns the representation of a value for a message, of bounded length.
 
