Test comments of one line, and what was decoded before as a test of its own

The test of an unreadable record of a quarantine is back as it was; the new one, that it hides no other record, stands beside it.

--- a/caroblug/gateway/_data_ages.py
+++ b/caroblug/gateway/_data_ages.py
@@ -1,8 +1,8 @@
 """Ages of what a gateway reads again and again.
 
-A gateway whose list of backend servers or configuration stands still goes on
-serving with what it knows and remains ready: refusing everything would be worse
-for callers, and the other gateways are mostly no better off.
+A gateway whose list of backend servers or configuration is outdated continues
+to serve with them and remains ready. Refusing all requests would be worse for
+callers, as the other gateways are usually in the same state.
 """
 
 import gevent
--- a/caroblug/gateway/_unexpected_errors.py
+++ b/caroblug/gateway/_unexpected_errors.py
@@ -1,9 +1,9 @@
 """Errors that no part of the gateway expects, and loops that outlast them.
 
-Expected failures are returned as values. An error that is left ends one loop or
-the handling of one request. Ending the process instead would take down every
-gateway at once if data that all of them read causes the error, again after each
-start. So a loop is restarted, and the error is logged and counted.
+Expected failures are returned as values. Any other error ends one loop or the
+handling of one request. The process doesn't end: if data that all gateways read
+causes the error, all of them would end, again after each start. So the loop is
+restarted, and the error is logged and counted.
 """
 
 import traceback
--- a/caroblug/gateway/tests/test_quarantine_backup.py
+++ b/caroblug/gateway/tests/test_quarantine_backup.py
@@ -180,6 +180,15 @@
     assert not site.store.records
 
 
+def test_unreadable_record_is_ignored():
+    site = Site()
+    site.store.records["odd"] = '{"until_ms": "soon"}'
+
+    crashes, _ = site.start()
+
+    assert not crashes.is_quarantined(POISON)
+
+
 @pytest.mark.parametrize(
     "record",
     [
@@ -190,8 +199,8 @@
         "[" * 100_000,
     ],
 )
-def test_unreadable_record_is_ignored(record):
-    # Guards against a start that never learns of what is quarantined.
+def test_unreadable_record_hides_no_other_one(record):
+    # Guards against a start that doesn't read what is quarantined.
     site = Site()
     crashes, backup = site.start()
     site.crash(crashes)
--- a/caroblug/gateway/tests/test_store_watcher.py
+++ b/caroblug/gateway/tests/test_store_watcher.py
@@ -278,8 +278,7 @@
 
 
 def test_refused_entries_are_logged_once_and_their_number_is_bounded():
-    # Guards against an operator who can't tell which entry is left out, and
-    # against another writer that fills the log.
+    # Guards against refused entries that are not logged, or that fill the log.
     context, registry, peers, _ = make_placement()
     watcher = make_watcher(context, registry, peers)
     lines = []
--- a/caroblug/transport/tests/test_odd_answers.py
+++ b/caroblug/transport/tests/test_odd_answers.py
@@ -45,8 +45,7 @@
     ],
 )
 def test_instances_beside_an_entry_that_names_none(odd, monkeypatch):
-    # Guards against one entry that hides all instances, or whose port ends the
-    # programs that connect to it.
+    # Guards against one entry that hides all instances or ends a program.
     lines = []
     monkeypatch.setattr(
         instances, "log_state", lambda kind, **fields: lines.append(kind)
