Let a stream wait whose wait can't be estimated

Where streams are admitted by priority, a stream behind more urgent ones that take all released memory got no answer (500 since errors of handlers are answered), and the streams behind it in the queue were served only when another one arrived.

Cause: the expected wait is infinite, and the log line rounded it after the stream had joined the queue and before it had a ticket (OverflowError); the loop that serves the queue then failed at that stream (KeyError).

The line leaves the estimate out, and the ticket comes first, so that a stream leaves the queue however its wait ends.

--- a/caroblug/gateway/_admission_log.py
+++ b/caroblug/gateway/_admission_log.py
@@ -1,5 +1,6 @@
 """Log lines, counters and gauges of admission control."""
 
+import math
 from collections.abc import Iterable
 
 from caroblug.core.admission import Admission, Refuse, StreamRequest, Wait
@@ -63,7 +64,7 @@
             max_use=round(admission.need(request, now_ms).max_use, 3),
             waiting=admission.waiting,
             displaced=len(decision.displaced),
-            expected_ms=round(decision.expected_ms),
+            expected_ms=_round_finite(decision.expected_ms),
             longest_ms=decision.until_ms - now_ms,
             reports_age_ms=self._reports_age_ms(now_ms),
         )
@@ -119,3 +120,8 @@
         if self._measured_ms is None:
             return None
         return now_ms - self._measured_ms
+
+
+def _round_finite(value: float) -> int | None:
+    """Returns a rounded value; None if it is infinite."""
+    return round(value) if math.isfinite(value) else None
--- a/caroblug/gateway/_stream_admission.py
+++ b/caroblug/gateway/_stream_admission.py
@@ -350,10 +350,11 @@
     ) -> Path | NoPath | Refuse:
         gate = self._gate
         began_ms = self._state.now_ms
-        gate.log.on_wait(self._state, gate.admission, request, decision)
         self._outcome = event.AsyncResult()
+        # From here on the request leaves the queue whatever happens.
         gate.add_waiting(request, self)
         try:
+            gate.log.on_wait(self._state, gate.admission, request, decision)
             outcome = self._outcome.get()
         finally:
             # The greenlet is killed here when the caller leaves.
--- a/caroblug/gateway/tests/test_stream_admission.py
+++ b/caroblug/gateway/tests/test_stream_admission.py
@@ -228,6 +228,37 @@
     assert len(site.results) == 1
 
 
+def test_stream_waits_whose_wait_can_not_be_estimated():
+    # Guards against a stream that fails behind more urgent ones.
+    site = Site(use=0.95)
+    for n in range(5):
+        site.ask(site.make_state(name=f"r{n}", deadline_ms=9000, tokens=2000))
+    state = site.make_state(name="late", priority=2, deadline_ms=9000)
+    waiting, _ = site.ask(state)
+
+    assert waiting.exception is None
+    assert site.gate.admission.waiting == 6
+    site.report(0.1)
+    site.serve_waiting(advance_ms=500)
+    assert len(site.results) == 6
+
+
+def test_stream_that_fails_as_it_begins_to_wait_leaves_the_queue():
+    # Guards against a queue that serves nobody behind a failed stream.
+    site = Site(use=0.95)
+    site.ask(site.make_state(name="first", deadline_ms=9000, tokens=700))
+    on_wait = site.gate.log.on_wait
+    site.gate.log.on_wait = lambda *args: 1 / 0
+    failed, _ = site.ask(site.make_state(name="second", deadline_ms=9000))
+    site.gate.log.on_wait = on_wait
+
+    assert isinstance(failed.exception, ZeroDivisionError)
+    assert site.gate.admission.waiting == 1
+    site.report(0.1)
+    site.serve_waiting(advance_ms=500)
+    assert list(site.results) == ["first"]
+
+
 def test_no_path_is_searched_for_while_a_layer_has_no_room():
     # Guards against a search over all engines every 50 ms for each queue.
     site = Site(use=0.95)
