--- a/review/4/play.py
+++ b/review/4/play.py
@@ -34,6 +34,7 @@
         super().__init__(site.store, name, "desk")
 
     def answer(self, request, sock) -> bool:
+        """Runs a booking."""
         if request.path == "/health":
             sock.sendall(harness.response(200, {"Instance-Id": self.name}))
             return True
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -242,6 +242,8 @@
         self._log: dict[str, list[tuple[str, bytes]]] = {}
         self._members: dict[str, dict[str, float]] = {}
         self._generation = 1
+        self._topics: list[str] = []
+        self._owners_of: dict[tuple[str, int], str] = {}
         self._calls = {
             "/-/log-append": self._append,
             "/-/log-read": self._read,
@@ -269,6 +271,7 @@
         self.put("keyed.op/0", "config", json.dumps(configuration).encode())
 
     def answer(self, request: Request, sock: socket.socket) -> bool:
+        """Answers a call of a gateway."""
         call = self._calls.get(request.path)
         if self.is_down:
             sock.sendall(response(503))
@@ -370,14 +373,29 @@
             self._generation += 1
 
     def _rows(self, members: dict[str, float]) -> list[tuple[str, int, str]]:
-        names = sorted(members)
-        if not names:
+        """Returns the owner of each partition, which changes seldom."""
+        if not members:
             return []
-        return [
-            (topic, part, names[part % len(names)])
+        parts = [
+            (topic, part)
             for topic in self._topics
             for part in range(self.PARTS)
         ]
+        names = sorted(members)
+        most = -(-len(parts) // len(names))
+        counts = dict.fromkeys(names, 0)
+        for key in parts:
+            owner = self._owners_of.get(key)
+            if owner in counts and counts[owner] < most:
+                counts[owner] += 1
+            else:
+                self._owners_of.pop(key, None)
+        for key in parts:
+            if key not in self._owners_of:
+                owner = min(names, key=counts.__getitem__)
+                self._owners_of[key] = owner
+                counts[owner] += 1
+        return [(*key, self._owners_of[key]) for key in parts]
 
 
 class Backend(Server):
@@ -398,6 +416,7 @@
         self.zone = zone
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.beaten_s = 0.0
         super().__init__(port)
         threading.Thread(target=self._heartbeats, daemon=True).start()
 
@@ -418,6 +437,7 @@
     def beat(self) -> None:
         """Writes its entry, if the store takes it."""
         self.sequence += 1
+        self.beaten_s = time.monotonic()
         if not self.store.is_down:
             value = json.dumps(self.entry()).encode()
             self.store.put("keyed.servers/0", self.name, value)
@@ -436,6 +456,179 @@
         return True
 
 
+class Engine(Backend):
+    """A model engine, which may be ordered to hold layers.
+
+    Args:
+        store: The store.
+        name: Its id.
+        service: Name of its service.
+        kind: Its kind of accelerator.
+        fleet: Engines by address, to which it adds itself.
+        options: What engines of its service have in common.
+        port: Port; any free one if it is 0.
+        zone: Its zone.
+    """
+
+    def __init__(
+        self,
+        store,
+        name,
+        service,
+        kind,
+        fleet,
+        options,
+        port=0,
+        zone="muscat-a",
+    ) -> None:
+        self.kind = kind
+        self.options = options
+        self.fleet = fleet
+        self.holds = (0, 0)
+        self.busy = False
+        self.orders = 0
+        self.running = 0
+        self.state_lock = threading.Lock()
+        super().__init__(store, name, service, port, zone)
+        fleet[self.address] = self
+
+    def _state(self) -> dict:
+        table = {
+            "Stage": "both",
+            "Models": [{"Name": "daka510000", "Version": 1, "Adapters": []}],
+            "Kind": self.kind,
+            "born": self.born,
+        }
+        first, end = self.holds
+        if end > first:
+            table["Layers"] = {"From": first, "Target": end, "Version": 1}
+        return table
+
+    def entry(self) -> dict:
+        """Returns its entry, with the layers that it holds."""
+        return {**super().entry(), **self._state(), "Slots": 96}
+
+    def report(self) -> dict:
+        """Returns its report."""
+        return {
+            **self._state(),
+            "Busy": self.busy,
+            "Seq": self.orders,
+            "Waiting": 0,
+            "Running": self.running,
+            "KvUsed": 0,
+            "KvTotal": 50000,
+            "Handles": 0,
+            "Stalled": [],
+            "pace": 1.0,
+        }
+
+    def answer(self, request: Request, sock: socket.socket) -> bool:
+        """Answers a report, an order or a request."""
+        if request.path == "/health":
+            sock.sendall(response(200, {"Instance-Id": self.name}))
+            return True
+        if self.misdirected(request, sock):
+            return True
+        if request.path == "/-/report":
+            data = json.dumps(self.report()).encode()
+            kind = {"Content-Type": "application/json"}
+            sock.sendall(response(200, kind, data))
+            return True
+        if request.path == "/-/order":
+            status = self.order(json.loads(request.body))
+            if self.is_open:
+                sock.sendall(response(status))
+            return self.is_open
+        return self.stream(request, sock)
+
+    def order(self, order: dict) -> int:
+        """Carries out an order and returns the status of the answer."""
+        if order["Op"] == "repath":
+            return 404
+        if order["Op"] != "place":
+            return 400
+        layers = (order["From"], order["Target"])
+        with self.state_lock:
+            if order.get("Expect", self.orders) != self.orders or self.busy:
+                return 409
+            if layers == self.holds:
+                return 200
+            self.orders += 1
+            self.busy = True
+        self.on_place(order)
+        if not self.is_open:
+            return 0
+        load_s = self.options["LoadS"] * (layers[1] - layers[0])
+        timer = threading.Timer(
+            load_s / self.options["Layers"], self._finish, [layers]
+        )
+        timer.daemon = True
+        timer.start()
+        return 202
+
+    def on_place(self, order: dict) -> None:
+        """Is called for each order to hold layers that has begun."""
+
+    def _finish(self, layers: tuple[int, int]) -> None:
+        with self.state_lock:
+            self.holds = layers
+            self.busy = False
+        self.beat()
+
+    def _at_fault(self, request: Request) -> tuple[int, str] | None:
+        """Returns why a request can't run, and the address at fault."""
+        hops = request.get("hop-count")
+        if hops is None:
+            whole = (0, self.options["Layers"])
+            return None if self.holds == whole else (421, self.address)
+        for hop in hops.split(","):
+            address, _, layers = hop.partition("=")
+            first, end = map(int, layers.split("-"))
+            engine = self.fleet.get(address)
+            if engine is None or not engine.is_open:
+                return 503, address
+            if not engine.holds[0] <= first < end <= engine.holds[1]:
+                return 421, address
+        return None
+
+    def stream(self, request: Request, sock: socket.socket) -> bool:
+        """Answers with a stream of events."""
+        fault = self._at_fault(request)
+        if fault is not None:
+            status, address = fault
+            headers = {"Not-Executed": "1", "At-Server": address}
+            sock.sendall(response(status, headers))
+            return True
+        request_id = request.get("request-id")
+        self.on_run(request_id)
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"Request-Id: {request_id}",
+            f"Response-Seal: 3e1b.07.5a2.600.0.{request_id[-8:]}",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        ]
+        sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
+        last = int(request.get("last-event-id") or 0)
+        events = int(request.get("token-count").split(",")[1]) // 2
+        with self.state_lock:
+            self.running += 1
+        try:
+            for number in range(last + 1, events + 1):
+                time.sleep(self.options.get("event_s", 0.02))
+                event = f"id: {number}\ndata: {request_id} {number}\n\n"
+                sock.sendall(b"%x\r\n%b\r\n" % (len(event), event.encode()))
+            sock.sendall(b"0\r\n\r\n")
+        finally:
+            with self.state_lock:
+                self.running -= 1
+        return True
+
+    def on_run(self, request_id: str) -> None:
+        """Is called when a request begins to run."""
+
+
 class Answer:
     """An answer as a client received it."""
 
@@ -655,3 +848,34 @@
         "Protocol": "h1",
         "Tls": False,
     }
+
+
+def model_service(name: str, options: dict, kinds: list[dict]) -> dict:
+    """Returns a service of model engines."""
+    return {
+        **plain_service(name),
+        "MaxConns": 968,
+        "Engine": {
+            "Slots": 96,
+            "KvTokens": 50000,
+            "KvBytes": 10650 * options["Layers"],
+            "LinkMbps": 480000.0,
+            "Stride": 2,
+            "Models": [{"Name": "daka510000", "LoadS": options["LoadS"]}],
+            "step_ms": 0.85,
+            "per_seq_ms": 0.00552,
+            "context_per_k": 0.0074,
+            "read_per_s": 272000.0,
+            "pairs_per_m": 0.12,
+            "chunk": 512,
+            "report_lag_ms": 200.0,
+            "loads_at_once": 6,
+            "delays": [],
+            "usual": {"prompt": 772, "answer": 145},
+            "Layers": options["Layers"],
+            "LayerMb": options["LayerMb"],
+            "ActBytes": 42600,
+            "PipeMbps": 9300.0,
+            "Kinds": kinds,
+        },
+    }
