--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import contextlib
 import json
 import os
 import pathlib
@@ -176,6 +177,8 @@
         self._connections: set[socket.socket] = set()
         self._lock = threading.Lock()
         self.is_open = True
+        self.is_dark = False
+        self._held: list[socket.socket] = []
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self) -> None:
@@ -184,6 +187,9 @@
                 sock, _ = self._listener.accept()
             except OSError:
                 return
+            if self.is_dark:
+                self._held.append(sock)
+                return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self._lock:
                 self._connections.add(sock)
@@ -213,16 +219,37 @@
         """Answers a request; returns whether the connection goes on."""
         raise NotImplementedError
 
+    def lose_power(self) -> None:
+        """Goes silent: it answers nothing, and connections to it hang.
+
+        The queue of new connections is kept full, so that the kernel drops the
+        packets that open more of them.
+        """
+        self.is_dark = True
+        self._listener.listen(0)
+        for _ in range(64):
+            filler = socket.socket()
+            filler.settimeout(0.02)
+            self._held.append(filler)
+            try:
+                filler.connect((HOST, self.port))
+            except TimeoutError:
+                return
+
     def crash(self) -> None:
         """Ends the server and its connections, as a crash does."""
         self.is_open = False
-        self._listener.shutdown(socket.SHUT_RDWR)
+        for sock in self._held:
+            sock.close()
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         with self._lock:
             for sock in self._connections:
                 reset = struct.pack("ii", 1, 0)
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
-                sock.shutdown(socket.SHUT_RDWR)
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
 
 
 class Store(Server):
