--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -756,6 +756,11 @@
                 stderr=log,
             )
 
+    def restart(self) -> None:
+        """Starts the process again, which isn't the first one any more."""
+        self._settings["Bootstrap"] = False
+        self.start()
+
     def is_ready(self) -> bool:
         """Returns what the process answers to the question of readiness."""
         try:
