--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,6 +8,6 @@
 
 for path in sorted(pathlib.Path("review").glob("*/play.py")):
     compile(path.read_text(), str(path), "exec")
-path = pathlib.Path("review/harness_2.py")
-compile(path.read_text(), str(path), "exec")
+for path in pathlib.Path("review").glob("*_2.py"):
+    compile(path.read_text(), str(path), "exec")
 CHECK
