--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,4 +1,4 @@
-"""Engines whose addresses go to smaller engines of another service.
+"""Engines whose addresses go to engines of another service.
 
 Two services have model engines. An engine of the first one crashes for good
 under streams. After `ReuseAfterS`, an engine of the second one, which has less
@@ -16,15 +16,16 @@
 
 import harness_2 as harness
 
+FIRST_PART_ROUNDS = (1, 4)
 ROUNDS = 5
 REUSE_AFTER_S = 2.1
 ROUND_S = 12.0
 CLIENTS = 6
 LAYERS = 16
 LAYER_MB = 1750.0
-LARGE_MB = 36000.0
+LARGE_MB = 20000.0
 SMALL_MB = 14400.0
-OPTIONS = {"LoadS": 2.0, "Layers": LAYERS, "LayerMb": LAYER_MB}
+OPTIONS = {"LoadS": 1.0, "Layers": LAYERS, "LayerMb": LAYER_MB}
 LARGE = {"Name": "a100s", "Mb": LARGE_MB, "pace": 3.1, "ReadX": 3.2}
 SMALL = {"Name": "t4", "Mb": SMALL_MB, "pace": 15.0, "ReadX": 15.0}
 MEMORY_MB = {"a100s": LARGE_MB, "t4": SMALL_MB}
@@ -37,12 +38,32 @@
     def __init__(self, site, service, kind, fleet, port=0) -> None:
         self._site = site
         self.overloaded = False
+        self.strangers: set[str] = set()
         name = f"i-{next(_IDS):08x}"
         super().__init__(site.store, name, service, kind, fleet, OPTIONS, port)
         site.record.write(
             f"{self.name} ({kind}, {service}) starts at port {self.port}"
         )
 
+    def stream(self, request, sock) -> bool:
+        """Runs a stream, and records at which engines it runs."""
+        hops = request.get("hop-count")
+        if hops and self._at_fault(request) is None:
+            request_id = request.get("request-id")
+            for hop in hops.split(","):
+                engine = self.fleet[hop.partition("=")[0]]
+                if engine.service != self.service:
+                    engine.on_stranger(request_id, self.service)
+        return super().stream(request, sock)
+
+    def on_stranger(self, request_id: str, service: str) -> None:
+        """Records a request of another service that it runs layers for."""
+        self.strangers.add(request_id)
+        self._site.record.write(
+            f"ROUTE: {request_id}, a request to service {service}, runs at "
+            f"{self.name} of service {self.service}"
+        )
+
     def on_place(self, order: dict) -> None:
         """Crashes if the layers don't fit."""
         count = order["Target"] - order["From"]
@@ -97,8 +118,27 @@
         time.sleep(0.1)
 
 
+def lose_engine(site, large, fleet, number: int) -> Engine:
+    """Crashes an engine for good; returns the one that gets its address."""
+    first = number in FIRST_PART_ROUNDS
+    lost = next(e for e in large if e.holds[1] and (not e.holds[0]) == first)
+    large.remove(lost)
+    site.record.write(
+        f"{lost.name}, which holds {lost.holds[0]} to {lost.holds[1]}, "
+        f"crashes for good"
+    )
+    lost.crash()
+    time.sleep(REUSE_AFTER_S)
+    new = Engine(site, "small", "t4", fleet, lost.port)
+    drop_s = harness.HEARTBEAT_MS * 3 / 1000
+    time.sleep(max(0.0, lost.beaten_s + drop_s - time.monotonic()))
+    site.store.put("keyed.servers/0", lost.name, b"")
+    site.record.write(f"the entry of {lost.name} is removed")
+    return new
+
+
 def play(site) -> bool:
-    """Returns whether an engine was ordered to hold more than fits."""
+    """Returns whether a request ran at an engine of the other service."""
     stream = {
         "TimeoutMs": 20000,
         "GoalMs": 500,
@@ -117,8 +157,8 @@
     ]
     site.store.configure(harness.configuration(7, routes, services))
     fleet: dict = {}
-    large = [Engine(site, "large", "a100s", fleet) for _ in range(3)]
-    small = [Engine(site, "small", "t4", fleet) for _ in range(3)]
+    large = [Engine(site, "large", "a100s", fleet) for _ in range(4)]
+    small = [Engine(site, "small", "t4", fleet) for _ in range(4)]
     gateways = [site.add_gateway(f"front-muscat-a-{i}") for i in (1, 2, 3)]
     for gateway in gateways:
         gateway.wait_ready()
@@ -137,20 +177,9 @@
     engines = [*large, *small]
     try:
         time.sleep(2)
-        for _ in range(ROUNDS):
+        for number in range(ROUNDS):
             if site.trouble:
-                lost = max(large, key=lambda engine: engine.running)
-                large.remove(lost)
-                site.record.write(f"{lost.name} crashes for good")
-                lost.crash()
-                time.sleep(REUSE_AFTER_S)
-                new = Engine(site, "small", "t4", fleet, lost.port)
-                engines.append(new)
-                drop = harness.HEARTBEAT_MS * 3 / 1000
-                left_s = lost.beaten_s + drop - time.monotonic()
-                time.sleep(max(0.0, left_s))
-                site.store.put("keyed.servers/0", lost.name, b"")
-                site.record.write(f"the entry of {lost.name} is removed")
+                engines.append(lose_engine(site, large, fleet, number))
                 time.sleep(ROUND_S / 3)
                 large.append(Engine(site, "large", "a100s", fleet))
                 engines.append(large[-1])
@@ -159,14 +188,16 @@
         ending.set()
         for client in clients:
             client.join()
+    strangers = {key for engine in engines for key in engine.strangers}
     overloaded = [engine.name for engine in engines if engine.overloaded]
     summary = (
-        f"{len(statuses)} streams, {statuses.count(200)} with 200; engines "
-        f"that were ordered to hold more than fits: {len(overloaded)}"
+        f"{len(statuses)} streams, {statuses.count(200)} with 200; run by an "
+        f"engine of the other service: {len(strangers)}; engines ordered to "
+        f"hold more than fits: {len(overloaded)}"
     )
     site.record.write(summary)
     print(summary)
-    return bool(overloaded)
+    return bool(strangers)
 
 
 if __name__ == "__main__":
