--- a/review/5/play.py
+++ b/review/5/play.py
@@ -16,11 +16,11 @@
 
 import harness_2 as harness
 
-FIRST_PART_ROUNDS = (1, 4)
+FIRST_PART_ROUNDS = (2,)
 ROUNDS = 5
 REUSE_AFTER_S = 2.1
 ROUND_S = 12.0
-CLIENTS = 6
+CLIENTS = 12
 LAYERS = 16
 LAYER_MB = 1750.0
 LARGE_MB = 20000.0
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -15,6 +15,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -825,6 +826,8 @@
     Returns:
         1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
     """
+    # Ends the gateways, too, if the script is ended early.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     site = Site(case)
     try:
         broken = play(site)
