--- a/review/4/play.py
+++ b/review/4/play.py
@@ -37,6 +37,18 @@
             site.store, name, service, "a100s", fleet, OPTIONS, port
         )
         site.record.write(f"{name} ({service}) starts at port {self.port}")
+        self._site = site
+
+    def on_run(self, request_id: str) -> None:
+        """Records a run."""
+        self._site.record.write(f"{self.name} runs {request_id}")
+
+    def on_place(self, order: dict) -> None:
+        """Records an order."""
+        self._site.record.write(
+            f"{self.name} is ordered to hold {order['From']} to "
+            f"{order['Target']}"
+        )
 
 
 class Results:
@@ -84,6 +96,7 @@
         except OSError:
             status = 0
         results.add(sent_s, service, status)
+        site.record.write(f"{service}: client gets {status} for {request_id}")
         if status != 200:
             time.sleep(0.2)
 
--- a/review/5/play.py
+++ b/review/5/play.py
@@ -56,6 +56,10 @@
                     engine.on_stranger(request_id, self.service)
         return super().stream(request, sock)
 
+    def on_run(self, request_id: str) -> None:
+        """Records a run, which the first engine of a path begins."""
+        self._site.record.write(f"{self.name} runs {request_id}")
+
     def on_stranger(self, request_id: str, service: str) -> None:
         """Records a request of another service that it runs layers for."""
         self.strangers.add(request_id)
@@ -100,8 +104,8 @@
             site.record.write(f"client gets {error!r} for {request_id}")
             continue
         statuses.append(answer.status)
+        site.record.write(f"client gets {answer.status} for {request_id}")
         if answer.status != 200 or not answer.complete:
-            site.record.write(f"client gets {answer.status} for {request_id}")
             time.sleep(0.3)
 
 
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -34,6 +34,10 @@
 class Desk(harness.Backend):
     """A sound booking server."""
 
+    def __init__(self, site, name: str) -> None:
+        self._site = site
+        super().__init__(site.store, name, "desk")
+
     def answer(self, request, sock) -> bool:
         """Runs a booking."""
         if request.path == "/health":
@@ -42,6 +46,7 @@
         if self.misdirected(request, sock):
             return True
         request_id = request.get("request-id")
+        self._site.record.write(f"{self.name} runs {request_id}")
         headers = {
             "Request-Id": request_id,
             "Response-Seal": f"3e1b.07.5a2.600.0.{request_id[-8:]}",
@@ -82,10 +87,9 @@
         if found is None or found[1].get("connection") == "close":
             self._socket.close()
             self._socket = None
-        if status != 200:
-            self._site.record.write(
-                f"client gets {status} for {request_id} with {size} bytes"
-            )
+        self._site.record.write(
+            f"client gets {status} for {request_id} with {size} bytes"
+        )
         return status
 
 
@@ -109,7 +113,7 @@
     """Returns whether too many proper bookings were denied."""
     site.store.configure(make_configuration(7, OLD_LIMIT))
     for index in range(3):
-        Desk(site.store, f"i-{index:08x}", "desk")
+        Desk(site, f"i-{index:08x}")
     gateways = [site.add_gateway(f"front-muscat-a-{i}") for i in (1, 2, 3)]
     for gateway in gateways:
         gateway.wait_ready()
--- a/review/crashing_2.py
+++ b/review/crashing_2.py
@@ -58,6 +58,7 @@
         if self._site.trouble and request.body == CRASHING_BODY:
             self._crash(request_id, sock)
             return False
+        self._site.record.write(f"{self.name} runs {request_id}")
         time.sleep(0.03)
         sock.sendall(self._whole_answer(request_id))
         return True
@@ -102,7 +103,7 @@
     }
 
 
-def book_others(gateway, statuses, ending) -> None:
+def book_others(site, gateway, statuses, ending) -> None:
     """Sends bookings that crash nothing, each with its own content."""
     while not ending.is_set():
         number = next(_IDS)
@@ -116,6 +117,7 @@
             statuses.append(answer.status)
         except OSError:
             statuses.append(0)
+        site.record.write(f"client gets {statuses[-1]} for {request_id}")
         time.sleep(OTHERS_INTERVAL_S)
 
 
@@ -164,7 +166,9 @@
     ending = threading.Event()
     statuses: list[int] = []
     others = [
-        threading.Thread(target=book_others, args=(gateway, statuses, ending))
+        threading.Thread(
+            target=book_others, args=(site, gateway, statuses, ending)
+        )
         for gateway in gateways
     ]
     for other in others:
