--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -49,6 +50,7 @@
     "RequireFence": False,
 }
 _RECEIVE_BYTES = 65536
+_PORTS = range(12000, 32000)
 
 
 class Record:
@@ -165,13 +167,26 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def _bind(sock: socket.socket, port: int = 0) -> None:
+    """Binds a socket to a port, or to any free one if it is 0.
+
+    The kernel gives none of these ports to outgoing connections, which could
+    otherwise take the port of a server that is about to start again.
+    """
+    while not port:
+        with contextlib.suppress(OSError):
+            sock.bind((HOST, random.choice(_PORTS)))
+            return
+    sock.bind((HOST, port))
+
+
 class Server:
     """Serves connections on a port, one thread for each of them."""
 
     def __init__(self, port: int = 0) -> None:
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind((HOST, port))
+        _bind(self._listener, port)
         self._listener.listen(512)
         self.port = self._listener.getsockname()[1]
         self.address = f"{HOST}:{self.port}"
@@ -692,7 +707,7 @@
     sockets = [socket.socket() for _ in range(count)]
     try:
         for sock in sockets:
-            sock.bind((HOST, 0))
+            _bind(sock)
         return [sock.getsockname()[1] for sock in sockets]
     finally:
         for sock in sockets:
