Wait for the first engines of each service by itself

Cause: the placement waits until the number of engines of an empty service hasn't changed for 1.5 s. It kept one number and one time for all services, so that each service restarted the wait of the other one in every round. An engine that flaps restarted the wait of its own service in the same way.

Each service has a wait of its own now.

--- a/caroblug/core/placement/__init__.py
+++ b/caroblug/core/placement/__init__.py
@@ -21,6 +21,7 @@
     "ReportReaders": "_report_readers",
     "RoomNeed": "_paths",
     "RoomReport": "_engine_rooms",
+    "StartupWait": "_startup_wait",
     "choose_path": "_paths",
     "compute_requests_per_chain": "_chain_size",
     "covers_model": "_planner",
--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -12,7 +12,7 @@
 
 from caroblug.core import placement
 from caroblug.core.access import Service
-from caroblug.core.placement import Engine, Move
+from caroblug.core.placement import Engine, Move, StartupWait
 from caroblug.gateway._context import Context
 from caroblug.gateway._engine_reports import record_report
 from caroblug.gateway._fleet import require_model
@@ -35,10 +35,6 @@
 _MAX_PARALLEL_ORDERS = 12
 """Orders sent in parallel. Each takes two short calls."""
 
-_SETTLING_MS = 1500
-"""Time without a new engine after which a fleet without any layers is planned
-for, in ms: a heartbeat interval and some reads of the listing."""
-
 _REPLACEMENT_DELAY_MS = 700
 """Time for which an engine must have been failing before its layers are placed
 on others, in ms. By then a second probe, half a second after the first failure,
@@ -80,8 +76,7 @@
         self._renewal_unanswered = False
         self._stopped = False
         self._max_gateways = 0
-        self._listed_engines = -1
-        self._listed_ms = 0
+        self._startup_waits: dict[str, StartupWait] = {}
 
     @property
     def holds_lease(self) -> bool:
@@ -181,7 +176,13 @@
         configuration = self._context.configuration
         if not self.is_active or configuration is None:
             return
-        for service in configuration.services.values():
+        services = configuration.services
+        self._startup_waits = {
+            name: wait
+            for name, wait in self._startup_waits.items()
+            if name in services
+        }
+        for service in services.values():
             if service.model is not None:
                 self._place_layers(service)
 
@@ -197,7 +198,7 @@
         context = self._context
         now_ms = context.clock.now_ms()
         engines = self._reliable_engines(service, now_ms)
-        if self._is_settling(engines, now_ms):
+        if not self._startup_wait(service.name).is_over(engines, now_ms):
             return
         moves = placement.plan_moves(
             engines, require_model(service), self._requests_per_chain(engines)
@@ -248,18 +249,12 @@
             self._max_gateways, len(data_centres)
         )
 
-    def _is_settling(self, engines: list[Engine], now_ms: int) -> bool:
-        """Returns whether the first engines of a new fleet are still starting.
-
-        A plan for only the engines that start first would fill their memory
-        with layers and leave none for requests.
-        """
-        if any(len(e.holds) for e in engines):
-            return False
-        if len(engines) != self._listed_engines:
-            self._listed_engines = len(engines)
-            self._listed_ms = now_ms
-        return now_ms - self._listed_ms < _SETTLING_MS
+    def _startup_wait(self, service: str) -> StartupWait:
+        """Returns the wait for the first engines of a service."""
+        wait = self._startup_waits.get(service)
+        if wait is None:
+            wait = self._startup_waits[service] = placement.StartupWait()
+        return wait
 
     def _execute_move(self, service: Service, move: Move) -> None:
         """Sends the order of a move if current reports still agree with it."""
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -473,3 +473,59 @@
     orders = [layers for _, layers, _, _ in context.dialect.orders]
     assert len(orders) == 8
     assert set(range(64, 80)) <= set(layers_of(orders[0]))
+
+
+def add_night_service(context, engines):
+    """Adds a second service with empty engines; returns its engines."""
+    known = context.configuration
+    night = attrs.evolve(known.services["pool"], name="night")
+    context.configuration = attrs.evolve(
+        known, services={**known.services, "night": night}
+    )
+    return [
+        attrs.evolve(make_engine(f"night{i}", 0, 0), service="night")
+        for i in range(engines)
+    ]
+
+
+def plan_for(placement, clock, duration_ms):
+    for _ in range(0, duration_ms, 400):
+        placement.renew_lease()
+        placement.plan_once()
+        clock.advance(400)
+
+
+@pytest.mark.parametrize("engines", [(6, 7), (7, 6), (6, 6)])
+def test_services_with_different_numbers_of_engines_get_layers(engines):
+    # Guards against engines that stay empty since each service restarts the
+    # wait of the other one.
+    clock = ManualClock(100_000)
+    context, _, _, placement = make_placement(clock=clock)
+    night = add_night_service(context, engines[1])
+    pool = [make_engine(f"day{i}", 0, 0) for i in range(engines[0])]
+    list_engines(context, *pool, *night)
+
+    plan_for(placement, clock, 4000)
+
+    ordered = set(ordered_addresses(context))
+    assert ordered & {engine.address for engine in pool}
+    assert ordered & {engine.address for engine in night}
+
+
+def test_empty_service_waits_for_its_own_engines_alone():
+    # Guards against a plan for the first engines of a service because another
+    # service has long been complete.
+    clock = ManualClock(100_000)
+    context, _, _, placement = make_placement(clock=clock)
+    night = add_night_service(context, 6)
+    pool = [make_engine(f"day{i}", 0, 0) for i in range(6)]
+    list_engines(context, *pool)
+    plan_for(placement, clock, 4000)
+    context.dialect.orders.clear()
+    list_engines(context, *pool, *night[:3])
+    plan_for(placement, clock, 800)
+    list_engines(context, *pool, *night)
+    plan_for(placement, clock, 1200)
+
+    ordered = set(ordered_addresses(context))
+    assert not ordered & {engine.address for engine in night}
