Keep a baseline of event gaps for each service

Callers saw nothing directly: engines of a slower model were probed every 2 s for as long as a faster model had streams, and while a slower model set the baseline, a slow engine of the faster one wasn't found.

Cause: SlownessDetector kept one baseline for all services, though gaps between events differ from model to model.

Evidence: both new tests fail before.

--- a/caroblug/gateway/_slowness.py
+++ b/caroblug/gateway/_slowness.py
@@ -48,7 +48,7 @@
     def __init__(self, context: Context, running: RunningStreams) -> None:
         self._context = context
         self._running = running
-        self._baseline_gap_ms = 0.0
+        self._baselines_ms: dict[str, float] = {}
         self._probe_spacing = Throttle(_MIN_PROBE_INTERVAL_MS)
 
     def run(self) -> None:
@@ -64,27 +64,40 @@
             backend = self._context.fleet.listing.backends.get(name)
             if backend is not None:
                 gevent.spawn(self._probe, name, backend.address)
-        uses = [use for use in self._running.uses() if use.gap_ms]
-        if not uses:
-            return
-        min_gap_ms = min(use.gap_ms for use in uses)
-        self._update_baseline(min_gap_ms)
+        uses: dict[str, list[EngineUse]] = {}
+        for use in self._running.uses():
+            backend = self._context.fleet.listing.backends.get(use.engine.name)
+            if use.gap_ms and backend is not None:
+                uses.setdefault(backend.service, []).append(use)
+        for service, service_uses in uses.items():
+            self._check_service(service, service_uses, now_ms)
+
+    def _check_service(
+        self, service: str, uses: list[EngineUse], now_ms: int
+    ) -> None:
+        """Probes the engines of one service, and so of one model.
+
+        The gaps between events differ from model to model.
+        """
+        baseline_ms = self._update_baseline(
+            service, min(use.gap_ms for use in uses)
+        )
         for use in uses:
-            if self._is_suspicious(use) and self._probe_spacing.allows(
-                use.engine.name, now_ms
+            name = use.engine.name
+            if (
+                use.gap_ms > baseline_ms * _SUSPICIOUS_GAP_RATIO
+                and self._probe_spacing.allows(name, now_ms)
             ):
-                gevent.spawn(self._probe, use.engine.name, use.engine.address)
+                gevent.spawn(self._probe, name, use.engine.address)
 
-    def _update_baseline(self, gap_ms: float) -> None:
-        """Updates the baseline with the shortest gap of any stream."""
-        if not self._baseline_gap_ms:
-            self._baseline_gap_ms = gap_ms
-        suspicious = gap_ms > self._baseline_gap_ms * _SUSPICIOUS_GAP_RATIO
+    def _update_baseline(self, service: str, gap_ms: float) -> float:
+        """Returns the baseline, updated with the shortest gap of any stream."""
+        baseline_ms = self._baselines_ms.get(service, gap_ms)
+        suspicious = gap_ms > baseline_ms * _SUSPICIOUS_GAP_RATIO
         weight = _SUSPICIOUS_WEIGHT if suspicious else _BASELINE_WEIGHT
-        self._baseline_gap_ms += (gap_ms - self._baseline_gap_ms) * weight
-
-    def _is_suspicious(self, use: EngineUse) -> bool:
-        return use.gap_ms > self._baseline_gap_ms * _SUSPICIOUS_GAP_RATIO
+        baseline_ms += (gap_ms - baseline_ms) * weight
+        self._baselines_ms[service] = baseline_ms
+        return baseline_ms
 
     def _probe(self, name: str, address: tuple[str, int]) -> None:
         context = self._context
@@ -105,5 +118,11 @@
                 "backend_server.pace",
                 backend_server=name,
                 pace=report.pace,
-                usual_gap_ms=round(self._baseline_gap_ms, 1),
+                usual_gap_ms=round(self._usual_gap_ms(name), 1),
             )
+
+    def _usual_gap_ms(self, name: str) -> float:
+        """Returns the baseline of an engine's service; 0 if unknown."""
+        backend = self._context.fleet.listing.backends.get(name)
+        service = backend.service if backend is not None else ""
+        return self._baselines_ms.get(service, 0.0)
--- a/caroblug/gateway/tests/test_slowness.py
+++ b/caroblug/gateway/tests/test_slowness.py
@@ -143,3 +143,42 @@
     fleet.on_slowdown("x", 8.0, now_ms - 500)
 
     assert site.chosen_engines() == {"x", "y"}
+
+
+def test_slower_model_of_another_service_is_not_suspected():
+    # Guards against probes of all engines of a slower model for as long as a
+    # faster one has streams.
+    site = Site(SlowStream(20.0, "x"), SlowStream(60.0, "y"))
+    other = attrs.evolve(
+        site.context.fleet.listing.backends["y"], service="night"
+    )
+    site.context.fleet.update_listing(
+        list_of(site.context.fleet.listing.backends["x"], other), 100_000
+    )
+
+    site.check(12)
+
+    assert not site.has_probed()
+
+
+def test_slow_engine_is_found_while_a_slower_model_has_streams():
+    # Guards against a baseline that another service's gaps have raised.
+    stream = SlowStream(20.0, "x")
+    slower = SlowStream(60.0, "y")
+    site = Site(stream, slower)
+    other = attrs.evolve(
+        site.context.fleet.listing.backends["y"], service="night"
+    )
+    site.context.fleet.update_listing(
+        list_of(site.context.fleet.listing.backends["x"], other), 100_000
+    )
+    site.running.remove(stream)
+    site.check(200)
+    site.running.add(stream)
+    site.check()
+    stream.gap = 45.0
+    site.report_pace("x", 8.0)
+
+    site.check()
+
+    assert site.has_probed()
