Estimate room and reports from the engines of one service

Callers saw (by the tests, not on a deployment): a gateway that hears no other one refused streams of a free service while another service was full, and streams of a service whose engines report no memory could wait or be refused because those of another service do.

Cause: the mean use without peers, and the newest reports that switch admission on, were taken over the engines of all services. Both are now taken over the engines of the search or of the service.

Evidence: test_full_engines_of_another_service_take_no_room and test_reports_of_another_service_let_nobody_be_refused fail before.

--- a/caroblug/core/placement/_engine_rooms.py
+++ b/caroblug/core/placement/_engine_rooms.py
@@ -199,6 +199,13 @@
             return None
         return now_ms - room.report.measured_ms
 
+    def fresh_reports(
+        self, engines: list[Engine], now_ms: int
+    ) -> list[RoomReport]:
+        """Returns the reports of some engines that still count."""
+        reports = [self._fresh_report(e.name, now_ms) for e in engines]
+        return [report for report in reports if report is not None]
+
     def newest(self, now_ms: int, limit: int) -> dict[str, RoomReport]:
         """Returns the newest reports that still count.
 
@@ -332,7 +339,7 @@
         """
         self._parts.begin_round(now_ms)
         if not self._loads.has_peers:
-            self._mean_use = self._compute_mean_use(now_ms)
+            self._mean_use = self._compute_mean_use(engines, now_ms)
 
         def find_use(engine: Engine) -> float | None:
             report = self._fresh_report(engine.name, now_ms)
@@ -386,15 +393,12 @@
         self._parts.begin_round(now_ms)
         return 1.0 / self._parts.share(engine) - 1.0
 
-    def _compute_mean_use(self, now_ms: int) -> float | None:
+    def _compute_mean_use(
+        self, engines: list[Engine], now_ms: int
+    ) -> float | None:
         """Returns the mean reported use; None if no engine has reported."""
-        uses = [
-            room.report.use
-            for room in self._rooms.values()
-            if room.report is not None
-            and room.report.use is not None
-            and now_ms - room.report.measured_ms < _MAX_AGE_MS
-        ]
+        reports = self.fresh_reports(engines, now_ms)
+        uses = [r.use for r in reports if r.use is not None]
         return sum(uses) / len(uses) if uses else None
 
     def _fresh_report(self, name: str, now_ms: int) -> RoomReport | None:
--- a/caroblug/core/placement/tests/test_engine_rooms.py
+++ b/caroblug/core/placement/tests/test_engine_rooms.py
@@ -272,3 +272,12 @@
     site.rooms.retain(set())
 
     assert site.rooms.report_age_ms("x", 1000) is None
+
+
+def test_full_engines_of_another_service_take_no_room():
+    # Guards against requests that are refused at free engines while those of
+    # another service are full, at a gateway that hears no other one.
+    site = Site()
+    site.rooms.on_report("other", RoomReport(0.95, 10, 0, 1000), 1000)
+
+    assert site.has_room(1100)
--- a/caroblug/gateway/_stream_admission.py
+++ b/caroblug/gateway/_stream_admission.py
@@ -159,13 +159,13 @@
         self._interval_s = _SERVE_INTERVAL_S * max(
             1.0, len(engines) / _ENGINES_PER_INTERVAL
         )
-        reports = fleet.rooms.newest(now_ms, len(engines))
+        reports = fleet.rooms.fresh_reports(engines, now_ms)
         self._log.on_update(
-            self._admission, ranks, reports.values(), service.name, now_ms
+            self._admission, ranks, reports, service.name, now_ms
         )
         # Once engines report, admission goes on when reports stop: their use
         # is then estimated.
-        if any(report.use is not None for report in reports.values()):
+        if any(report.use is not None for report in reports):
             self._engines_report = True
 
     def on_arrival(self, request: StreamRequest) -> None:
--- a/caroblug/gateway/tests/test_stream_admission.py
+++ b/caroblug/gateway/tests/test_stream_admission.py
@@ -175,6 +175,23 @@
     assert all(isinstance(path, Path) for path in site.results.values())
 
 
+def test_reports_of_another_service_let_nobody_be_refused():
+    # Guards against refusals for engines without reports because those of
+    # another service report their memory.
+    site = Site(use=None)
+    other = attrs.evolve(make_engine("n1", 0, 80), service="night")
+    site.fleet.update_listing(list_of(*ENGINES, other), site.clock.now_ms())
+    report = RoomReport(0.99, 10, 0, site.clock.now_ms())
+    site.fleet.rooms.on_report("n1", report, site.clock.now_ms())
+    site.fleet.loads.add_request([e.name for e in ENGINES], 200_000)
+
+    for n in range(50):
+        site.ask(site.make_state(name=f"r{n}", priority=2))
+
+    assert len(site.results) == 50
+    assert all(isinstance(path, Path) for path in site.results.values())
+
+
 def test_stream_with_room_begins_at_once():
     site = Site(use=0.5)
 
