Tie reports, orders, health checks and paths to the server they are meant for

Cause: only requests named their server. Reports, health checks, orders and path changes reached whoever listens at the address; the report of the new engine, its start included, was recorded under the old name and readmitted it. A 421 counted as a lack of room of the listed server, which was asked again after 0.3 s, and the other server's load and limits were recorded under its name. An address in a rejection was looked up in the listing, where it may be another engine's by now.

Now everything sent to a server names it. A 421 to a report, health check or order, or an answer that names another server, means that the listed one has ended; it is probed again after 4 s and never readmitted by anyone else. Of two listed servers with one address the later started has it. An engine that restarts under its name has no orders of its former process. Engines of a restored copy of the list prove themselves before a path leads over them.

Tests changed: fakes take the name of the server, which `Dialect` now requires; `_read_report` of test_probe_costs returns a report instead of a bare object. Their checks are as before.

--- a/caroblug/gateway/__init__.py
+++ b/caroblug/gateway/__init__.py
@@ -25,10 +25,12 @@
     PlacementLease,
     RefusedEntry,
     Registry,
+    Replaced,
     RunState,
     Unavailable,
     make_listing,
 )
+from caroblug.gateway._kept_connection import ResponseCheck
 from caroblug.gateway._kept_connections import (
     KeptConnections,
     make_kept_connections,
@@ -61,6 +63,8 @@
     "RawRequest",
     "RefusedEntry",
     "Registry",
+    "Replaced",
+    "ResponseCheck",
     "ResponseHead",
     "RunState",
     "SettingsProblem",
--- a/caroblug/gateway/_backend_states.py
+++ b/caroblug/gateway/_backend_states.py
@@ -13,6 +13,10 @@
 readmitted; one that crashed is back after some seconds."""
 
 _MAX_EJECTION_MS = 2000
+_REPLACED_EJECTION_MS = 4000
+"""Time for which a backend server gets no requests after another one has
+answered at its address, in ms. Its entry is removed within that time."""
+
 _MIN_FULL_BACKOFF_MS = 300
 """Time for which a full engine gets no requests, in ms: long enough for some
 of its streams to end. It doubles with each consecutive rejection, because each
@@ -72,6 +76,7 @@
         leaving_ms: When it was last found to be draining; -1 if never.
         started_ms: Latest start of its process that was listed or reported; 0
             if none was.
+        proved: Whether it has shown at its address that it is the listed one.
     """
 
     in_flight: int = 0
@@ -95,6 +100,7 @@
     layers_reported_ms: int = 0
     leaving_ms: int = -1
     started_ms: int = 0
+    proved: bool = False
 
 
 class BackendStates:
@@ -286,9 +292,41 @@
         """
         self._states[name].ended = True
 
+    def on_replaced(self, name: str, now_ms: int) -> bool:
+        """Records that another server answers at a backend server's address.
+
+        Its process has ended then.
+
+        Returns:
+            Whether this is new.
+        """
+        state = self._states[name]
+        state.proved = False
+        is_new = not state.ended
+        self.on_ended(name)
+        self.eject(name, now_ms)
+        state.ejected_until_ms = now_ms + _REPLACED_EJECTION_MS
+        return is_new
+
+    def on_proved(self, name: str) -> None:
+        """Records that a backend server itself has answered at its address."""
+        self._states[name].proved = True
+
+    def is_proved(self, name: str) -> bool:
+        """Returns whether a backend server is the one at its address."""
+        return self._states[name].proved
+
     def on_started(self, name: str, started_ms: int) -> None:
-        """Records when a process started, as it is listed or reports."""
+        """Records when a process started, as it is listed or reports.
+
+        A later process knows nothing of the orders to an earlier one.
+        """
         state = self._states[name]
+        if 0 < state.started_ms < started_ms:
+            state.ordered_layers = None
+            state.busy_until_ms = 0
+            state.late_order_until_ms = 0
+            state.pace = 1.0
         state.started_ms = max(state.started_ms, started_ms)
 
     def started_ms(self, name: str) -> int:
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -57,6 +57,7 @@
         self._listing = Listing({}, -1)
         self._listed_ms = -1
         self._restored = False
+        self._superseded: frozenset[str] = frozenset()
         self._loads = EngineLoads()
         self._rooms = EngineRooms(self._loads, data_centre, rng)
         self._limits = limits
@@ -120,6 +121,9 @@
         self._listing = listing
         self._listed_ms = now_ms
         self._restored = False
+        self._superseded = _find_superseded(listing)
+        for name in self._superseded:
+            self.on_ended(name)
         for name, backend in listing.backends.items():
             state = self._states[name]
             state.listed_ms = now_ms
@@ -173,7 +177,9 @@
         return [
             b
             for b in self._listing.backends.values()
-            if b.service == service and not self._is_leaving(b)
+            if b.service == service
+            and b.name not in self._superseded
+            and not self._is_leaving(b)
         ]
 
     def on_exit_announced(self, name: str, now_ms: int) -> bool:
@@ -214,7 +220,10 @@
     def find(self, address: tuple[str, int]) -> BackendServer | None:
         """Returns the backend server that is listed at an address."""
         for backend in self._listing.backends.values():
-            if backend.address == address:
+            if (
+                backend.address == address
+                and backend.name not in self._superseded
+            ):
                 return backend
         return None
 
@@ -502,6 +511,24 @@
         return load + 0.1 * remote + self._rng.random() * 0.05
 
 
+def _find_superseded(listing: Listing) -> frozenset[str]:
+    """Returns listed servers whose address a later started one has.
+
+    The entry of a server that has ended stays for some heartbeat intervals,
+    and its address may be assigned to another server meanwhile.
+    """
+    latest: dict[tuple[str, int], BackendServer] = {}
+    superseded = set()
+    for backend in listing.backends.values():
+        other = latest.setdefault(backend.address, backend)
+        if 0 < other.started_ms < backend.started_ms:
+            superseded.add(other.name)
+            latest[backend.address] = backend
+        elif 0 < backend.started_ms < other.started_ms:
+            superseded.add(backend.name)
+    return frozenset(superseded)
+
+
 def warrants_ejection(failure: FailureKind) -> bool:
     """Returns whether a failure suggests that a backend server is gone."""
     return failure in (
--- a/caroblug/gateway/_interfaces.py
+++ b/caroblug/gateway/_interfaces.py
@@ -122,6 +122,14 @@
     message: str
 
 
+@attrs.frozen
+class Replaced(Unavailable):
+    """The result of a call that another server than the intended one refused.
+
+    The address of a server that has ended may be assigned to another one.
+    """
+
+
 @attrs.frozen
 class PlacementLease:
     """The state of the placement lease, as the store granted it.
@@ -305,6 +313,9 @@
             others from this gateway; 0 if it names none.
         leaving: Whether the server says that it is draining.
         slots: Number of requests that it runs at once; None if not reported.
+        misdirected: Whether the server isn't the one that the request names,
+            or doesn't hold the layers that it is to run.
+        server: Name of the server that answered; None if not reported.
     """
 
     request_id: str | None
@@ -318,6 +329,8 @@
     rest_ms: int = 0
     leaving: bool = False
     slots: int | None = None
+    misdirected: bool = False
+    server: str | None = None
 
 
 @attrs.frozen
@@ -354,12 +367,16 @@
 
 
 class OrderOutcome(enum.Enum):
-    """The outcome of an order to an engine."""
+    """The outcome of an order to an engine.
+
+    `REPLACED` means that another engine answers at its address.
+    """
 
     BEGUN = "begun"
     HOLDS = "holds"
     CONFLICT = "conflict"
     REJECTED = "rejected"
+    REPLACED = "replaced"
     UNKNOWN = "unknown"
 
 
@@ -402,15 +419,27 @@
         """
 
     @abc.abstractmethod
-    def read_report(self, address: Address) -> EngineReport | Unavailable:
-        """Reads the report of an engine."""
+    def read_report(
+        self, address: Address, name: str
+    ) -> EngineReport | Unavailable:
+        """Reads the report of an engine.
+
+        Args:
+            address: Address of the engine.
+            name: Name of the engine. Another one that listens at the address
+                gives no report (`Replaced`).
+        """
 
     @abc.abstractmethod
-    def read_health(self, address: Address, path: str) -> bool | Unavailable:
+    def read_health(
+        self, address: Address, name: str, path: str
+    ) -> bool | Unavailable:
         """Performs a health check of a backend server.
 
         Args:
-            address: The backend server.
+            address: Address of the backend server.
+            name: Name of the backend server; that of another one which listens
+                at the address isn't returned (`Replaced`).
             path: Path of its service's health check.
 
         Returns:
@@ -419,12 +448,18 @@
 
     @abc.abstractmethod
     def place(
-        self, address: Address, layers: LayerRange, orders: int, urgent: bool
+        self,
+        address: Address,
+        name: str,
+        layers: LayerRange,
+        orders: int,
+        urgent: bool,
     ) -> OrderOutcome:
         """Orders an engine to hold layers.
 
         Args:
             address: Address of the engine.
+            name: Name of the engine; no other one carries out the order.
             layers: All layers that it is to hold.
             orders: Number of orders that the engine has begun so far. It
                 rejects the order if the number differs, so that a delayed
@@ -434,7 +469,5 @@
         """
 
     @abc.abstractmethod
-    def change_path(
-        self, address: Address, request_id: str, path: Path
-    ) -> OrderOutcome:
-        """Orders an engine to continue a request over another path."""
+    def change_path(self, request_id: str, path: Path) -> OrderOutcome:
+        """Orders the first engine of a path to continue a request over it."""
--- a/caroblug/gateway/_liveness.py
+++ b/caroblug/gateway/_liveness.py
@@ -34,6 +34,7 @@
 
 from caroblug.core.placement import Engine
 from caroblug.gateway._context import Context
+from caroblug.gateway._engine_reports import read_report
 from caroblug.gateway._exchange_results import FailureKind
 from caroblug.gateway._http_client import Exchange
 from caroblug.gateway._interfaces import Unavailable
@@ -282,7 +283,7 @@
 
     def _read_report(self, engine: Engine) -> FailureKind | None:
         """Reads a report on the kept connection; returns the failure."""
-        report = self._context.dialect.read_report(engine.address)
+        report = read_report(self._context, engine.name, engine.address)
         is_failure = isinstance(report, Unavailable)
         return FailureKind.SILENT if is_failure else None
 
--- a/caroblug/gateway/_placement.py
+++ b/caroblug/gateway/_placement.py
@@ -14,7 +14,7 @@
 from caroblug.core.access import Service
 from caroblug.core.placement import Engine, Move, StartupWait
 from caroblug.gateway._context import Context
-from caroblug.gateway._engine_reports import record_report
+from caroblug.gateway._engine_reports import read_report, record_replacement
 from caroblug.gateway._fleet import require_model
 from caroblug.gateway._interfaces import (
     EngineReport,
@@ -289,7 +289,11 @@
         if not self._are_layers_retained(move) or not self.is_active:
             return
         outcome = context.dialect.place(
-            engine.address, move.target, report.orders, move.urgent
+            engine.address,
+            engine.name,
+            move.target,
+            report.orders,
+            move.urgent,
         )
         context.telemetry.count("orders", outcome=outcome.value)
         context.log.write(
@@ -309,6 +313,8 @@
                 engine.name, move.target, now_ms, timeout_ms
             )
             gevent.spawn(self._follow_load, move, now_ms + timeout_ms)
+        elif outcome is OrderOutcome.REPLACED:
+            record_replacement(context, engine.name)
         elif outcome is OrderOutcome.UNKNOWN:
             now_ms = context.clock.now_ms()
             context.fleet.on_report(engine.name, report.holds, now_ms)
@@ -347,11 +353,7 @@
         return True
 
     def _read_report(self, engine: Engine) -> EngineReport | Unavailable:
-        read_ms = self._context.clock.now_ms()
-        report = self._context.dialect.read_report(engine.address)
-        if not isinstance(report, Unavailable):
-            record_report(self._context, engine.name, report, read_ms)
-        return report
+        return read_report(self._context, engine.name, engine.address)
 
     def _follow_load(self, move: Move, deadline_ms: int) -> None:
         """Polls an engine that is loading until it holds its layers.
--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -9,6 +9,7 @@
 from caroblug.gateway._connect_attempts import CONNECT_TIMEOUT_S
 from caroblug.gateway._context import Context
 from caroblug.gateway._crash_suspicions import CrashSuspicions
+from caroblug.gateway._engine_reports import record_replacement
 from caroblug.gateway._exchange_results import (
     ExchangeFailure,
     FailureKind,
@@ -29,6 +30,7 @@
 from caroblug.gateway._server_advice import (
     AT_REST_REASON,
     apply_server_advice,
+    is_from_another_server,
 )
 from caroblug.gateway._shared_retry_budget import SharedRetryBudget
 
@@ -219,6 +221,13 @@
         if isinstance(head, ExchangeFailure):
             return self._on_exchange_failure(pending, process, head)
         metadata = context.dialect.decode_answer(head)
+        if is_from_another_server(
+            pending.admitted.service, backend.name, metadata
+        ):
+            record_replacement(context, backend.name)
+            return AttemptResult(
+                AttemptOutcome.REJECTED, "another server at the address"
+            )
         apply_server_advice(context, backend.name, metadata, sent_ms)
         context.fleet.on_response(
             backend.name, metadata.running, metadata.waiting, clock.now_ms()
--- a/caroblug/gateway/_process_ends.py
+++ b/caroblug/gateway/_process_ends.py
@@ -2,7 +2,8 @@
 
 A lost connection alone doesn't show that. The process has ended if its port
 refuses connections, if its server reports or is listed with a later start, or
-if its entry leaves the list although it wasn't draining. A server that answers
+if its entry leaves the list although it wasn't draining, or if another server
+answers at its address. A server that answers
 nothing may be cut off; what it says once it answers again decides.
 """
 
@@ -12,10 +13,10 @@
 import gevent
 
 from caroblug.gateway._context import Context
-from caroblug.gateway._engine_reports import record_report
+from caroblug.gateway._engine_reports import read_report
 from caroblug.gateway._exchange_results import FailureKind
 from caroblug.gateway._http_client import Address, Exchange
-from caroblug.gateway._interfaces import Unavailable
+from caroblug.gateway._interfaces import Replaced, Unavailable
 
 _CONNECT_TIMEOUT_S = 0.25
 _SILENT_MS = 20_000
@@ -86,11 +87,11 @@
 
     def _check(self, process: ServerProcess) -> ProcessState:
         context = self._context
-        read_ms = context.clock.now_ms()
         if process.reports:
-            report = context.dialect.read_report(process.address)
+            report = read_report(context, process.name, process.address)
+            if isinstance(report, Replaced):
+                return ProcessState.ENDED
             if not isinstance(report, Unavailable):
-                record_report(context, process.name, report, read_ms)
                 return _compare_starts(process, report.started_ms)
             context.fleet.eject(process.name, context.clock.now_ms())
         exchange = Exchange(process.address)
--- a/caroblug/gateway/_room_readers.py
+++ b/caroblug/gateway/_room_readers.py
@@ -12,7 +12,7 @@
 
 from caroblug.core.placement import Engine, ReportReaders
 from caroblug.gateway._context import Context
-from caroblug.gateway._engine_reports import record_report
+from caroblug.gateway._engine_reports import read_report
 from caroblug.gateway._interfaces import Unavailable
 from caroblug.gateway._peers import Peers
 
@@ -120,8 +120,7 @@
         context = self._context
         watch.reading = True
         try:
-            read_ms = context.clock.now_ms()
-            report = context.dialect.read_report(engine.address)
+            report = read_report(context, engine.name, engine.address)
         finally:
             watch.reading = False
         if isinstance(report, Unavailable):
@@ -129,7 +128,6 @@
             context.telemetry.count("room_reads", outcome="failed")
             return
         context.telemetry.count("room_reads", outcome="read")
-        record_report(context, engine.name, report, read_ms)
 
     def _is_reader(self, name: str, rank: int, now_ms: int) -> bool:
         if rank == 0:
--- a/caroblug/gateway/_server_advice.py
+++ b/caroblug/gateway/_server_advice.py
@@ -1,5 +1,6 @@
 """What backend servers say in their responses about the load they accept."""
 
+from caroblug.core.access import Service
 from caroblug.gateway._context import Context
 from caroblug.gateway._exchange_results import ResponseHead
 from caroblug.gateway._interfaces import AnswerMetadata
@@ -10,6 +11,25 @@
 _STATUS_UNAVAILABLE = 503
 
 
+def is_from_another_server(
+    service: Service, name: str, metadata: AnswerMetadata
+) -> bool:
+    """Returns whether a response shows that another server has sent it.
+
+    An engine also answers in this way to a path whose layers it doesn't hold.
+
+    Args:
+        service: Service of the request.
+        name: Name of the backend server that the request was sent to.
+        metadata: The response's decoded head.
+    """
+    if not metadata.misdirected:
+        return False
+    if metadata.server is not None:
+        return metadata.server != name
+    return service.model is None
+
+
 def lacked_room(head: ResponseHead, metadata: AnswerMetadata) -> bool:
     """Returns whether a server rejected a request for lack of room.
 
@@ -28,12 +48,16 @@
 ) -> None:
     """Records what a response says about the load that its server accepts.
 
+    A response to a misdirected request may be that of another server.
+
     Args:
         context: State shared by the gateway's components.
         name: Name of the backend server.
         metadata: The response's decoded head.
         sent_ms: When the request was sent.
     """
+    if metadata.misdirected:
+        return
     now_ms = context.clock.now_ms()
     changed = context.fleet.limits.on_response(
         name, metadata.rate_limit_per_s, sent_ms, now_ms
--- a/caroblug/gateway/_slowness.py
+++ b/caroblug/gateway/_slowness.py
@@ -10,7 +10,7 @@
 import gevent
 
 from caroblug.gateway._context import Context
-from caroblug.gateway._engine_reports import record_report
+from caroblug.gateway._engine_reports import read_report
 from caroblug.gateway._interfaces import Unavailable
 from caroblug.gateway._running_streams import EngineUse, RunningStreams
 from caroblug.gateway._throttle import Throttle
@@ -101,14 +101,12 @@
 
     def _probe(self, name: str, address: tuple[str, int]) -> None:
         context = self._context
-        read_ms = context.clock.now_ms()
-        report = context.dialect.read_report(address)
+        report = read_report(context, name, address)
         context.telemetry.count("pace_questions")
         if isinstance(report, Unavailable):
             # Other checks handle an engine that doesn't respond. Its last
             # known slowdown stays in force.
             return
-        record_report(context, name, report, read_ms)
         now_ms = context.clock.now_ms()
         slow = report.pace >= _MIN_SLOWDOWN
         if context.fleet.on_slowdown(
--- a/caroblug/gateway/_stream_path_repair.py
+++ b/caroblug/gateway/_stream_path_repair.py
@@ -1,6 +1,7 @@
 """Replacement of lost engines on the path of a running stream."""
 
 from caroblug.core.placement import NoPath, Path
+from caroblug.gateway._engine_reports import find_unproved
 from caroblug.gateway._interfaces import OrderOutcome
 from caroblug.gateway._run_results import QUARANTINED_REASON
 from caroblug.gateway._stream_retry_policy import StreamRetryPolicy
@@ -59,6 +60,10 @@
                 # between data centres, for all affected streams at once. A new
                 # run elsewhere that prefills them again is faster.
                 return "part is lost, the next one is far"
+            unproved = find_unproved(state.context, path)
+            if unproved:
+                refused |= unproved
+                continue
             outcome = self._request_path_change(name, path)
             if exchange is not state.exchange:
                 # The run ended meanwhile, and the next run has its own path.
@@ -76,9 +81,7 @@
         state = self._state
         context = state.context
         state.latency.record_incident("path changed", lost)
-        outcome = context.dialect.change_path(
-            path.first.address, state.pending.caller.id, path
-        )
+        outcome = context.dialect.change_path(state.pending.caller.id, path)
         context.telemetry.count("path_changes", outcome=outcome.value)
         context.log.write(
             "stream.path_changed",
--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -9,7 +9,12 @@
 from caroblug.core.placement import Engine, Path
 from caroblug.gateway._connect_attempts import ConnectAttempts
 from caroblug.gateway._crash_suspicions import CrashSuspicions
-from caroblug.gateway._engine_reports import record_load, record_report
+from caroblug.gateway._engine_reports import (
+    find_unproved,
+    read_report,
+    record_load,
+    record_replacement,
+)
 from caroblug.gateway._events import EventPace, OutOfOrderEvent
 from caroblug.gateway._exchange_results import (
     EndOfBody,
@@ -20,7 +25,6 @@
 )
 from caroblug.gateway._interfaces import (
     AnswerMetadata,
-    EngineReport,
     ForwardMetadata,
     RunState,
     Unavailable,
@@ -35,6 +39,7 @@
 from caroblug.gateway._server_advice import (
     AT_REST_REASON,
     apply_server_advice,
+    is_from_another_server,
     lacked_room,
 )
 from caroblug.gateway._stream_path_repair import StreamPathRepair
@@ -142,6 +147,10 @@
         state = self._state
         pending = state.pending
         first = state.path.first.name
+        unproved = find_unproved(self._context, state.path)
+        if unproved:
+            state.excluded_engines |= unproved
+            return RunResult(RunEnd.NOT_SENT, "engines have been replaced")
         left_s = state.left_ms / 1000
         timeout_s = min(self._connect_attempts.timeout_s, left_s)
         problem = state.exchange.connect(timeout_s)
@@ -183,6 +192,12 @@
         first = state.path.first.name
         metadata = self._context.dialect.decode_answer(head)
         apply_server_advice(self._context, first, metadata, self._sent_ms)
+        if is_from_another_server(pending.admitted.service, first, metadata):
+            state.discount_run()
+            state.lost = first
+            state.excluded_engines.add(first)
+            record_replacement(self._context, first)
+            return RunResult(RunEnd.REJECTED, f"another engine than {first}")
         if metadata.run is RunState.NOT_RUN:
             state.discount_run()
             record_load(self._context, first, metadata)
@@ -314,31 +329,35 @@
             gevent.spawn(self._crashes.on_run_lost, state.pending, process)
         return found
 
-    def _read_report(self, engine: Engine) -> EngineReport | Unavailable:
-        read_ms = self._state.now_ms
-        report = self._context.dialect.read_report(engine.address)
-        if not isinstance(report, Unavailable):
-            record_report(self._context, engine.name, report, read_ms)
-        return report
-
     def _on_rejected(
         self, head: ResponseHead, metadata: AnswerMetadata
     ) -> RunResult:
         state = self._state
         reason = f"turned away with {head.status}"
         fleet = self._context.fleet
-        at_fault = fleet.find(metadata.at_fault) if metadata.at_fault else None
-        name = at_fault.name if at_fault else state.path.first.name
+        name = self._find_at_fault(metadata) or state.path.first.name
         state.lost = name
         if name in state.path.names:
             state.excluded_engines.add(name)
         fleet.on_full(name, state.now_ms)
         if lacked_room(head, metadata):
             state.lacked_room = True
-        if at_fault is not None:
-            self._context.engines_to_probe.add(at_fault.name)
+        if metadata.at_fault is not None or metadata.misdirected:
+            self._context.engines_to_probe.add(name)
         return RunResult(RunEnd.REJECTED, f"{reason} by {name}")
 
+    def _find_at_fault(self, metadata: AnswerMetadata) -> str | None:
+        """Returns the engine whose address a rejection names, if it is known.
+
+        Another engine may have been listed at the address of one of the path
+        since.
+        """
+        for part in self._state.path.parts:
+            if part.engine.address == metadata.at_fault:
+                return part.engine.name
+        at_fault = self._context.fleet.find(metadata.at_fault)
+        return at_fault.name if at_fault else None
+
     def _on_read_timeout(self, check_after_s: float) -> RunResult | None:
         """Decides whether a run that has paused ends.
 
@@ -379,7 +398,7 @@
         """
         state = self._state
         first = state.path.first
-        report = self._read_report(first)
+        report = read_report(self._context, first.name, first.address)
         if isinstance(report, Unavailable):
             state.eject_engine(first.name, f"report: {report.message}")
             self._check_stalled(first)
--- a/caroblug/gateway/_suspect_probes.py
+++ b/caroblug/gateway/_suspect_probes.py
@@ -3,8 +3,8 @@
 import gevent
 
 from caroblug.gateway._context import Context
-from caroblug.gateway._engine_reports import record_report
-from caroblug.gateway._interfaces import BackendServer, Unavailable
+from caroblug.gateway._engine_reports import read_report, record_replacement
+from caroblug.gateway._interfaces import BackendServer, Replaced, Unavailable
 from caroblug.gateway._throttle import Throttle
 
 _CHECK_INTERVAL_S = 0.1
@@ -79,9 +79,11 @@
         if service is None:
             return
         healthy = context.dialect.read_health(
-            backend.address, service.health_path
+            backend.address, backend.name, service.health_path
         )
-        if healthy is False:
+        if isinstance(healthy, Replaced):
+            record_replacement(context, backend.name)
+        elif healthy is False:
             context.fleet.on_leaving(backend.name, context.clock.now_ms())
             context.log.write(
                 "backend_server.leaving",
@@ -99,8 +101,7 @@
                     backend.name, None, 0, context.clock.now_ms()
                 )
                 return
-            read_ms = context.clock.now_ms()
-            report = context.dialect.read_report(backend.address)
+            report = read_report(context, backend.name, backend.address)
         finally:
             self._probing.discard(backend.name)
         now_ms = context.clock.now_ms()
@@ -110,7 +111,6 @@
             return
         context.fleet.on_response(backend.name, None, 0, now_ms)
         context.fleet.on_report(backend.name, report.holds, now_ms)
-        record_report(context, backend.name, report, read_ms)
         if context.fleet.listing_age_ms(now_ms) > _STALE_LISTING_MS:
             self._check_draining(backend)
         if not was_failing:
--- a/caroblug/gateway/tests/fakes.py
+++ b/caroblug/gateway/tests/fakes.py
@@ -59,13 +59,13 @@
     def own_headers(self, caller, retry_after_ms):
         raise NotImplementedError
 
-    def read_report(self, address):
+    def read_report(self, address, name):
         return self.reports.get(address, Unavailable("connect"))
 
-    def read_health(self, address, path):
+    def read_health(self, address, name, path):
         raise NotImplementedError
 
-    def place(self, address, layers, orders, urgent):
+    def place(self, address, name, layers, orders, urgent):
         report = self.reports[address]
         if report.orders != orders:
             return OrderOutcome.CONFLICT
@@ -76,7 +76,7 @@
             )
         return self.outcome
 
-    def change_path(self, address, request_id, path):
+    def change_path(self, request_id, path):
         raise NotImplementedError
 
 
--- a/caroblug/gateway/tests/room_model.py
+++ b/caroblug/gateway/tests/room_model.py
@@ -208,7 +208,7 @@
         context.configuration = attrs.evolve(
             context.configuration, services={"pool": self.service}
         )
-        context.dialect.read_report = lambda address: self._addresses[
+        context.dialect.read_report = lambda address, name: self._addresses[
             address
         ].report()
         others = [g for g in self.gateways.values() if g is not gateway]
--- a/caroblug/gateway/tests/test_placement.py
+++ b/caroblug/gateway/tests/test_placement.py
@@ -122,10 +122,12 @@
     engine = make_engine("e1", 0, 0)
     list_engines(context, engine)
     dialect = context.dialect
-    report = dialect.read_report(engine.address)
-    dialect.place(engine.address, LayerRange(3, 9), report.orders, False)
+    report = dialect.read_report(engine.address, "e1")
+    dialect.place(engine.address, "e1", LayerRange(3, 9), report.orders, False)
 
-    late = dialect.place(engine.address, LayerRange(0, 5), report.orders, False)
+    late = dialect.place(
+        engine.address, "e1", LayerRange(0, 5), report.orders, False
+    )
 
     assert late is OrderOutcome.CONFLICT
 
@@ -506,6 +508,7 @@
     list_engines(context, *pool, *night)
 
     plan_for(placement, clock, 4000)
+    placement.stop()
 
     ordered = set(ordered_addresses(context))
     assert ordered & {engine.address for engine in pool}
@@ -526,6 +529,7 @@
     plan_for(placement, clock, 800)
     list_engines(context, *pool, *night)
     plan_for(placement, clock, 1200)
+    placement.stop()
 
     ordered = set(ordered_addresses(context))
     assert not ordered & {engine.address for engine in night}
--- a/caroblug/gateway/tests/test_placement_rounds.py
+++ b/caroblug/gateway/tests/test_placement_rounds.py
@@ -65,13 +65,13 @@
         ]
         return list_of(*backends, end=end)
 
-    def read_report(self, address):
+    def read_report(self, address, name):
         engine = self.engines[address]
         return EngineReport(
             engine.holds, engine.busy, engine.orders, (), 1.0, "big", 0
         )
 
-    def place(self, address, layers, orders, urgent):
+    def place(self, address, name, layers, orders, urgent):
         engine = self.engines[address]
         if engine.busy or engine.orders != orders:
             return OrderOutcome.CONFLICT
--- a/caroblug/gateway/tests/test_probe_costs.py
+++ b/caroblug/gateway/tests/test_probe_costs.py
@@ -4,10 +4,12 @@
 import pytest
 from gevent import event
 
-from caroblug.gateway import Unavailable
+from caroblug.gateway import EngineReport, Unavailable
 from caroblug.gateway._exchange_results import FailureKind
 from caroblug.gateway.tests.test_liveness import FakeStream, Site
 
+REPORT = EngineReport(None, False, 0, (), 1.0, "big", 0)
+
 STEP_MS = 20
 MIN_INTERVAL_MS = 400
 MAX_INTERVAL_MS = 2000
@@ -49,9 +51,9 @@
         self.times.setdefault(engine.name, []).append(now_ms)
         return super()._connect(engine)
 
-    def _read_report(self, address):
+    def _read_report(self, address, name):
         self.reports.append(address)
-        return object() if self.answers_reports else Unavailable("silent")
+        return REPORT if self.answers_reports else Unavailable("silent")
 
     def run_for(self, ms: int) -> None:
         for _ in range(ms // STEP_MS):
--- a/caroblug/gateway/tests/test_process_ends.py
+++ b/caroblug/gateway/tests/test_process_ends.py
@@ -279,7 +279,7 @@
     site.failure = None
     site.context.dialect.reports.clear()
     assert isinstance(
-        site.context.dialect.read_report(site.servers["e1"].address),
+        site.context.dialect.read_report(site.servers["e1"].address, "e1"),
         Unavailable,
     )
 
--- a/caroblug/gateway/tests/test_watches.py
+++ b/caroblug/gateway/tests/test_watches.py
@@ -26,7 +26,7 @@
         super().__init__()
         self._connections = connections
 
-    def read_report(self, address):
+    def read_report(self, address, name):
         answer = self._connections.fetch(address, make_read(), 0.25)
         if isinstance(answer, HttpResponse):
             return REPORT
@@ -95,7 +95,7 @@
     site.check_once()
 
     for _ in range(5):
-        assert site.context.dialect.read_report(server.address) is REPORT
+        assert site.context.dialect.read_report(server.address, "e1") is REPORT
 
     assert server.requests == {1: 5}
 
@@ -104,7 +104,7 @@
     # Guards against streams that stay on an engine that has crashed.
     server, stream = site.add_engine()
     site.check_once()
-    site.context.dialect.read_report(server.address)
+    site.context.dialect.read_report(server.address, "e1")
 
     server.stop()
     wait_until(lambda: stream.lost)
@@ -151,7 +151,7 @@
         exchange.close()
     for number in range(reports):
         server, _ = engines[number % len(engines)]
-        assert site.context.dialect.read_report(server.address) is REPORT
+        assert site.context.dialect.read_report(server.address, "e1") is REPORT
     watched = [s.path.parts[0].engine for _, s in engines]
     for _ in range(stalls):
         for engine in watched:
