Read the limits of callers where they are applied

Cause: a connection read the limits once, when it was accepted, and kept them. The parser now asks for them at each check; a request that began under larger limits may still be that large. A response also asks whether its connection closes when it begins, not when its request did.

Three of the four new tests fail before; the fourth guards the way in which the limits are read now.

Tests changed: RequestReader takes a function in place of two numbers.

--- a/caroblug/gateway/_caller_requests.py
+++ b/caroblug/gateway/_caller_requests.py
@@ -1,8 +1,12 @@
 """Incremental parsing of callers' HTTP requests."""
 
+from collections.abc import Callable
+
 import attrs
 import httptools
 
+from caroblug.core.access import RequestLimits
+
 
 @attrs.define
 class RawRequest:
@@ -60,14 +64,16 @@
 class RequestReader:
     """Parses the byte stream of a connection into requests.
 
+    A request may be as large as the limits allow when it begins or later. Its
+    caller can't know of smaller ones that come into force meanwhile.
+
     Args:
-        header_bytes: Maximum size of request line and headers.
-        body_bytes: Maximum size of a body.
+        limits: Function that returns the limits in force.
     """
 
-    def __init__(self, header_bytes: int, body_bytes: int) -> None:
-        self._header_bytes = header_bytes
-        self._body_bytes = body_bytes
+    def __init__(self, limits: Callable[[], RequestLimits]) -> None:
+        self._limits = limits
+        self._initial_limits = limits()
         self._parser = httptools.HttpRequestParser(self)
         self._complete: list[RawRequest] = []
         self._problem: BadRequest | None = None
@@ -117,7 +123,7 @@
                 return BadRequest(400, "not an HTTP request")
         if self._problem is not None:
             return self._problem
-        if self.in_head and self._head_bytes_received > self._header_bytes:
+        if self.in_head and self._head_bytes_received > self._header_bytes():
             return BadRequest(431, "headers are too long")
         complete, self._complete = self._complete, []
         return complete
@@ -140,12 +146,13 @@
     def on_headers_complete(self) -> None:
         """Checks the limits that are known once the head is complete."""
         self._in_head = False
-        if self._head_bytes_parsed + len(self._target) > self._header_bytes:
+        head_bytes = self._head_bytes_parsed + len(self._target)
+        if head_bytes > self._header_bytes():
             self._problem = BadRequest(431, "headers are too long")
         for name, value in self._headers:
             lower_name = name.lower()
             if lower_name == "content-length" and value.strip().isdigit():
-                if int(value) > self._body_bytes:
+                if int(value) > self._body_bytes():
                     self._problem = BadRequest(413, "body is too long")
             elif lower_name == "expect":
                 self.wants_continue = value.lower() == "100-continue"
@@ -153,7 +160,7 @@
     def on_body(self, data: bytes) -> None:
         """Appends a part of the body and checks its size."""
         self._body += data
-        if len(self._body) > self._body_bytes:
+        if len(self._body) > self._body_bytes():
             self._problem = BadRequest(413, "body is too long")
 
     def on_message_complete(self) -> None:
@@ -170,9 +177,18 @@
         )
         self._reset()
 
+    def _header_bytes(self) -> int:
+        return max(
+            self._initial_limits.header_bytes, self._limits().header_bytes
+        )
+
+    def _body_bytes(self) -> int:
+        return max(self._initial_limits.body_bytes, self._limits().body_bytes)
+
     def _begin(self) -> None:
         if not self._begun:
             self._reset()
+            self._initial_limits = self._limits()
             self._begun = True
             self._in_head = True
             self._began_ms = self._now_ms
--- a/caroblug/gateway/_http_server.py
+++ b/caroblug/gateway/_http_server.py
@@ -51,13 +51,17 @@
     Args:
         sock: Socket of the caller's connection.
         request: The request.
-        closing: Whether to close the connection after the response.
+        closing: Function that returns whether to close the connection after
+            the response; called when the response begins.
     """
 
-    def __init__(self, sock, request: RawRequest, closing: bool) -> None:
+    def __init__(
+        self, sock, request: RawRequest, closing: Callable[[], bool]
+    ) -> None:
         self._socket = sock
         self._bodiless = request.method == "HEAD"
-        self._keep_alive = request.keep_alive and not closing
+        self._keep_alive = request.keep_alive
+        self._closing = closing
         self._begun = False
         self._ended = False
 
@@ -112,6 +116,8 @@
     def _head(self, status: int, headers: list[tuple[str, str]]) -> bytes:
         lines = [f"HTTP/1.1 {status} {_REASON_PHRASES.get(status, 'Status')}"]
         lines.extend(f"{name}: {value}" for name, value in headers)
+        if self._closing():
+            self._keep_alive = False
         if not self._keep_alive:
             lines.append("Connection: close")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
@@ -165,8 +171,7 @@
         self._worker: gevent.Greenlet | None = None
         self._idle_since_ms = clock.now_ms()
         self._ended = False
-        initial = limits()
-        self._reader = RequestReader(initial.header_bytes, initial.body_bytes)
+        self._reader = RequestReader(limits)
 
     @property
     def busy(self) -> bool:
@@ -272,7 +277,7 @@
         """Handles queued requests until the queue is empty."""
         while self._queue:
             request = self._queue.popleft()
-            reply = Reply(self._socket, request, self._closing())
+            reply = Reply(self._socket, request, self._closing)
             try:
                 self._handler(request, reply)
             except CallerDisconnectedError:
@@ -314,7 +319,7 @@
         while self.busy:
             self._worker.join()
         request = RawRequest("GET", "", [], b"", False, 0)
-        reply = Reply(self._socket, request, closing=True)
+        reply = Reply(self._socket, request, closing=lambda: True)
         with contextlib.suppress(CallerDisconnectedError):
             reply.send(problem.status, [], problem.message.encode())
         self._ended = True
--- a/caroblug/gateway/tests/test_caller_requests.py
+++ b/caroblug/gateway/tests/test_caller_requests.py
@@ -3,6 +3,7 @@
 import hypothesis
 import hypothesis.strategies as st
 
+from caroblug.core.access import RequestLimits
 from caroblug.gateway._caller_requests import BadRequest, RequestReader
 
 POST = (
@@ -16,7 +17,8 @@
 
 
 def make_reader(header_bytes=1000, body_bytes=1000):
-    return RequestReader(header_bytes, body_bytes)
+    limits = RequestLimits(header_bytes=header_bytes, body_bytes=body_bytes)
+    return RequestReader(lambda: limits)
 
 
 def test_request_with_a_length():
--- a/caroblug/gateway/tests/test_http_server.py
+++ b/caroblug/gateway/tests/test_http_server.py
@@ -1,5 +1,7 @@
 """Tests of keep-alive, idle and closing connections."""
 
+import contextlib
+
 import gevent
 import pytest
 from gevent import socket
@@ -11,9 +13,9 @@
 REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
-@pytest.fixture
-def keep_alive():
-    """Yields an open connection, the caller's socket, and the clock."""
+@contextlib.contextmanager
+def open_connection(limits):
+    """Provides an open connection, the caller's socket, and the clock."""
     listener = socket.socket()
     listener.bind(("127.0.0.1", 0))
     listener.listen()
@@ -23,7 +25,7 @@
     connection = Connection(
         accepted,
         lambda request, reply: reply.send(200, [], b"served"),
-        RequestLimits,
+        limits,
         clock,
         lambda: False,
     )
@@ -32,6 +34,13 @@
     listener.close()
 
 
+@pytest.fixture
+def keep_alive():
+    """Yields an open connection, the caller's socket, and the clock."""
+    with open_connection(RequestLimits) as opened:
+        yield opened
+
+
 def serve(connection):
     return gevent.spawn(connection.serve)
 
@@ -127,3 +136,67 @@
 
     assert answer.endswith(b"half\r\n")
     assert answer.count(b"HTTP/1.1") == 1
+
+
+def post(size):
+    head = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+    return head % size + b"x" * size
+
+
+def exchange(caller, data):
+    caller.sendall(data)
+    return caller.recv(1000)
+
+
+def test_open_connection_follows_larger_limits():
+    # Guards against requests denied by limits that are no longer in force.
+    limits = [RequestLimits(header_bytes=100, body_bytes=10)]
+    padding = b"GET /x HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 2000
+    with open_connection(lambda: limits[0]) as (connection, caller, _):
+        serve(connection)
+        assert exchange(caller, post(10)).endswith(b"served")
+
+        limits[0] = RequestLimits(header_bytes=4000, body_bytes=1000)
+
+        assert exchange(caller, post(1000)).endswith(b"served")
+        assert exchange(caller, padding + b"\r\n\r\n").endswith(b"served")
+
+
+def test_open_connection_follows_smaller_limits():
+    # Guards against limits that long-lived connections never obey.
+    limits = [RequestLimits(body_bytes=1000)]
+    with open_connection(lambda: limits[0]) as (connection, caller, _):
+        serve(connection)
+        assert exchange(caller, post(1000)).endswith(b"served")
+
+        limits[0] = RequestLimits(body_bytes=10)
+
+        assert exchange(caller, post(1000)).startswith(b"HTTP/1.1 413 ")
+
+
+def test_request_that_begins_before_the_limits_shrink_is_served():
+    # Guards against a denial of what was allowed as the caller sent it.
+    limits = [RequestLimits(body_bytes=1000)]
+    with open_connection(lambda: limits[0]) as (connection, caller, _):
+        connection._feed(post(1000)[:500])
+        limits[0] = RequestLimits(body_bytes=10)
+        serve(connection)
+
+        assert exchange(caller, post(1000)[500:]).endswith(b"served")
+
+
+def test_response_that_begins_while_draining_ends_its_connection(keep_alive):
+    # Guards against a request on a connection that the drain is about to close.
+    connection, caller, _ = keep_alive
+    closing = [False]
+    connection._closing = lambda: closing[0]
+
+    def begin_to_drain(request, reply):
+        closing[0] = True
+        reply.send(200, [], b"served")
+
+    connection._handler = begin_to_drain
+    caller.sendall(REQUEST)
+    serve(connection)
+
+    assert b"Connection: close" in read_all(caller)
