Watch an engine at the address that its streams use

Callers saw nothing on a deployment. Cause, found by looking for addresses that a loop reads once and keeps: the watch of an engine was one for its name and stayed at the address where it had begun. An engine that restarted elsewhere under its name wasn't watched there, and the refused connections of its former address ejected it.

Watches are kept by name and address now. Evidence: test_engine_that_restarts_at_another_address_is_watched_there fails before.

--- a/caroblug/gateway/_liveness.py
+++ b/caroblug/gateway/_liveness.py
@@ -36,7 +36,7 @@
 from caroblug.gateway._context import Context
 from caroblug.gateway._engine_reports import read_report
 from caroblug.gateway._exchange_results import FailureKind
-from caroblug.gateway._http_client import Exchange
+from caroblug.gateway._http_client import Address, Exchange
 from caroblug.gateway._interfaces import Unavailable
 from caroblug.gateway._running_streams import EngineUse, RunningStreams
 from caroblug.gateway._throttle import ProbeSpacing
@@ -92,6 +92,14 @@
 overload, the streams of many live engines stall for seconds."""
 
 
+_Watched = tuple[str, Address]
+
+
+def _watched(engine: Engine) -> _Watched:
+    """Returns what is watched: an engine may restart at another address."""
+    return engine.name, engine.address
+
+
 def _connect(engine: Engine) -> FailureKind | None:
     """Opens and closes a connection; returns the failure, if any."""
     exchange = Exchange(engine.address)
@@ -121,7 +129,7 @@
         self._context = context
         self._running = running
         self._connect = connect
-        self._used_ms: dict[str, int] = {}
+        self._used_ms: dict[_Watched, int] = {}
         self._probe_spacing = ProbeSpacing(
             _MIN_PROBE_INTERVAL_MS, _MAX_PROBE_INTERVAL_MS
         )
@@ -139,7 +147,7 @@
         healthy = []
         for use in self._running.uses():
             name = use.engine.name
-            if name in self._used_ms or self._should_watch(use):
+            if _watched(use.engine) in self._used_ms or self._should_watch(use):
                 self._refresh_watch(use.engine, now_ms)
             if now_ms - self._alive_ms(use) < _stall_threshold_ms(use):
                 healthy.append(use.engine)
@@ -163,9 +171,9 @@
         return use.engine.data_centre == local or use.streams >= _MANY_STREAMS
 
     def _refresh_watch(self, engine: Engine, now_ms: int) -> None:
-        if engine.name not in self._used_ms:
+        if _watched(engine) not in self._used_ms:
             gevent.spawn(self._watch, engine)
-        self._used_ms[engine.name] = now_ms
+        self._used_ms[_watched(engine)] = now_ms
 
     def _watch(self, engine: Engine) -> None:
         """Holds an idle connection to an engine while it is in use."""
@@ -186,7 +194,7 @@
                 self._wait_for_recovery(engine)
         finally:
             connections.release(engine.address)
-            del self._used_ms[engine.name]
+            del self._used_ms[_watched(engine)]
 
     def _watch_connection(self, engine: Engine) -> bool:
         """Waits until the connection ends or the engine isn't in use.
@@ -215,7 +223,7 @@
 
     def _in_use(self, engine: Engine) -> bool:
         now_ms = self._context.clock.now_ms()
-        return now_ms - self._used_ms[engine.name] < _WATCH_RETENTION_MS
+        return now_ms - self._used_ms[_watched(engine)] < _WATCH_RETENTION_MS
 
     def _probe_stalled(
         self, stalled: list[Engine], healthy: list[Engine]
--- a/caroblug/gateway/tests/test_watches.py
+++ b/caroblug/gateway/tests/test_watches.py
@@ -161,3 +161,22 @@
 
     assert site.connections <= 1.5 * requests
     assert all(stream.lost == [] for _, stream in engines)
+
+
+def test_engine_that_restarts_at_another_address_is_watched_there(site):
+    # Guards against a watch that stays at the address where it began.
+    server, stream = site.add_engine()
+    site.check_once()
+    site.running.remove(stream)
+    moved, later = site.add_engine()
+    part = later.path.parts[0]
+    engine = attrs.evolve(part.engine, name="e1")
+    later._path = attrs.evolve(
+        later.path, parts=(attrs.evolve(part, engine=engine),)
+    )
+
+    site.liveness.check_once()
+    wait_until(lambda: moved.connections)
+
+    assert moved.connections == 1
+    assert server.connections == 1
