Follow changed settings of the store, and hold what a process can't change

Callers saw nothing on a deployment. Causes, found by looking for settings that are read once and kept: the store's address and partitions were read at the start only, though changed settings were logged as taken. The name, data centre and addresses of the gateway itself were followed by some components and not by others, so that it told others an address where it didn't listen. What gateways send each other was bounded by the operator's limits on callers.

The registry follows the store now, and a wait at the former address ends. What a running process can't change stays as it is; settings.need_restart names it. Listeners other than that of callers have limits of their own.

--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -7,7 +7,13 @@
 import gevent
 from gevent import event
 
-from caroblug.core.access import DenialReason, Denied, RouteKind, admit
+from caroblug.core.access import (
+    DenialReason,
+    Denied,
+    RequestLimits,
+    RouteKind,
+    admit,
+)
 from caroblug.core.limits import (
     LimitOwner,
     RetryAfter,
@@ -42,7 +48,11 @@
 from caroblug.gateway._quarantine_backup import QuarantineBackup
 from caroblug.gateway._room_readers import RoomReaders
 from caroblug.gateway._running_streams import RunningStreams
-from caroblug.gateway._settings import GatewaySettings, SettingsProblem
+from caroblug.gateway._settings import (
+    GatewaySettings,
+    SettingsProblem,
+    apply_changes,
+)
 from caroblug.gateway._shared_retry_budget import LEND_PATH, SharedRetryBudget
 from caroblug.gateway._slowness import SlownessDetector
 from caroblug.gateway._store_watcher import StoreWatcher
@@ -103,6 +113,7 @@
         reload: Callable[[], GatewaySettings | SettingsProblem],
     ) -> None:
         self._context = context
+        self._registry = registry
         self._reload = reload
         self._errors = UnexpectedErrors(context)
         self._crashes = CrashSuspicions(context)
@@ -148,16 +159,22 @@
         )
         self._terminating = event.Event()
         self._settings_problem = ""
+        self._fixed_settings: tuple[str, ...] = ()
         self._terminated_ms = 0
         self._callers = self._listen(
-            context.settings.callers, self._handle_request
+            context.settings.callers, self._handle_request, context.limits
+        )
+        # The operator's limits are those of callers.
+        self._ready = self._listen(
+            context.settings.ready, self._handle_ready, RequestLimits
         )
-        self._ready = self._listen(context.settings.ready, self._handle_ready)
         self._peer_calls = self._listen(
-            context.settings.peers, self._peers.calls.handle_request
+            context.settings.peers,
+            self._peers.calls.handle_request,
+            RequestLimits,
         )
         self._metrics = self._listen(
-            context.settings.metrics, self._handle_metrics
+            context.settings.metrics, self._handle_metrics, RequestLimits
         )
 
     @property
@@ -230,8 +247,8 @@
     def _reload_settings(self) -> None:
         """Applies changed settings, or keeps the old ones if they are invalid.
 
-        Running requests are not affected. Changed listening addresses take
-        effect at the next start of the process.
+        Running requests are not affected. Some changes take effect at the next
+        start of the process (`FIXED_FIELDS`).
         """
         context = self._context
         settings = self._reload()
@@ -241,18 +258,24 @@
             self._settings_problem = str(settings)
             return
         self._settings_problem = ""
+        settings, fixed = apply_changes(context.settings, settings)
+        if fixed != self._fixed_settings:
+            self._fixed_settings = fixed
+            context.log.write("settings.need_restart", settings=list(fixed))
         if settings == context.settings:
             return
         context.log.write("settings.taken", settings=str(settings))
+        moved = settings.store != context.settings.store
         context.settings = settings
+        self._registry.apply_settings(settings)
+        if moved:
+            self._store_watcher.on_store_moved()
         context.retry_budget.set_bound(
             settings.retry_ratio, settings.retry_extra, settings.retry_window_ms
         )
 
-    def _listen(self, address, handler) -> HttpServer:
-        return HttpServer(
-            address, handler, self._context.limits, self._context.clock
-        )
+    def _listen(self, address, handler, limits) -> HttpServer:
+        return HttpServer(address, handler, limits, self._context.clock)
 
     def _on_terminate(self) -> None:
         if not self._terminating.is_set():
--- a/caroblug/gateway/_interfaces.py
+++ b/caroblug/gateway/_interfaces.py
@@ -11,6 +11,7 @@
 from caroblug.gateway._caller_requests import RawRequest
 from caroblug.gateway._exchange_results import ResponseHead
 from caroblug.gateway._http_client import Address
+from caroblug.gateway._settings import GatewaySettings
 
 
 @attrs.frozen
@@ -168,6 +169,10 @@
     Methods return `Unavailable` if the platform gives no usable answer.
     """
 
+    @abc.abstractmethod
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Follows changed settings from the next call on."""
+
     @abc.abstractmethod
     def read_configuration(self) -> ConfigurationRead | Unavailable:
         """Reads the newest configuration."""
--- a/caroblug/gateway/_settings.py
+++ b/caroblug/gateway/_settings.py
@@ -49,6 +49,41 @@
     first_start: bool = False
 
 
+FIXED_FIELDS = (
+    "instance",
+    "data_centre",
+    "callers",
+    "ready",
+    "metrics",
+    "peers",
+    "first_start",
+)
+"""Settings that a running process can't change: what it is called, and where it
+listens."""
+
+
+def apply_changes(
+    running: GatewaySettings, changed: GatewaySettings
+) -> tuple[GatewaySettings, tuple[str, ...]]:
+    """Returns the settings of a running process after its file has changed.
+
+    Args:
+        running: The settings in force.
+        changed: The settings in the file.
+
+    Returns:
+        The settings to put in force, and the names of those that differ and
+        need a restart.
+    """
+    fixed = {name: getattr(running, name) for name in FIXED_FIELDS}
+    kept = tuple(
+        name
+        for name in FIXED_FIELDS
+        if fixed[name] != getattr(changed, name) and name != "first_start"
+    )
+    return attrs.evolve(changed, **fixed), kept
+
+
 @attrs.frozen
 class SettingsProblem:
     """Describes why settings are invalid.
--- a/caroblug/gateway/_store_watcher.py
+++ b/caroblug/gateway/_store_watcher.py
@@ -221,6 +221,11 @@
             self._peers.on_new_version(confirmed_ms)
         self._peers.reader_ranking.confirm_version(confirmed_ms)
 
+    def on_store_moved(self) -> None:
+        """Ends a wait at the store's former address."""
+        if self._call is not None:
+            self._call.kill(block=False)
+
     def _on_store_recovered(self) -> None:
         """Makes the configuration be read again after an outage of the store.
 
--- a/caroblug/gateway/tests/fakes.py
+++ b/caroblug/gateway/tests/fakes.py
@@ -87,6 +87,9 @@
         self.lease: PlacementLease | Unavailable = PlacementLease(True, 2)
         self.members: tuple[Member, ...] | Unavailable = ()
 
+    def apply_settings(self, settings):
+        """Needs none of them."""
+
     def read_configuration(self):
         return Unavailable("not set")
 
