Bound what servers send in bytes, time and turns

Cause: nothing counted the bytes of an answer, each piece restarted the timeout, the ends of head and event were searched from the start each time, and a read that finds bytes waiting never lets another greenlet run. Status and headers were taken from the parser after it had gone on to what follows.

Head, framing, whole bodies, events and the store's pages have limits now, head and body one timeout each, searches go on where they ended, and other greenlets have a turn after eight reads. The head is fixed when it is complete; nothing behind the answer is believed. A server that exceeds a limit is ejected.

--- a/caroblug/gateway/_events.py
+++ b/caroblug/gateway/_events.py
@@ -13,6 +13,10 @@
 
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)")
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_MAX_EVENT_END_BYTES = 4
+
+MAX_EVENT_BYTES = 1 << 20
+"""Limit on an event. It holds a few tokens of text."""
 
 
 @attrs.frozen
@@ -41,6 +45,11 @@
     found: int | None
 
 
+@attrs.frozen
+class OversizedEvent:
+    """An event that is larger than `MAX_EVENT_BYTES`."""
+
+
 class EventSequence:
     """Splits the bytes of runs into events and enforces their order.
 
@@ -51,7 +60,7 @@
 
     def __init__(self, last_id: int | None = None) -> None:
         self._last_id = last_id
-        self._buffer = b""
+        self._buffer = bytearray()
         self._count = 0
 
     @property
@@ -71,25 +80,36 @@
 
     def begin_run(self) -> None:
         """Discards the incomplete event of the previous run."""
-        self._buffer = b""
+        self._buffer.clear()
 
-    def feed(self, data: bytes) -> list[bytes] | OutOfOrderEvent:
+    def feed(
+        self, data: bytes
+    ) -> list[bytes] | OutOfOrderEvent | OversizedEvent:
         """Parses more bytes of a run.
 
         Args:
             data: Bytes received.
 
         Returns:
-            The events to forward, or the first one that is out of order.
+            The events to forward, or the first one that is out of order or too
+            large.
         """
+        searched = max(0, len(self._buffer) - _MAX_EVENT_END_BYTES + 1)
         self._buffer += data
         forwarded = []
-        while (match := _EVENT_END.search(self._buffer)) is not None:
-            event = self._buffer[: match.end()]
-            self._buffer = self._buffer[match.end() :]
+        begin = 0
+        while True:
+            match = _EVENT_END.search(self._buffer, searched)
+            if match is None:
+                break
+            event = bytes(self._buffer[begin : match.end()])
+            begin = searched = match.end()
             problem = self._accept(event, forwarded)
             if problem is not None:
                 return problem
+        del self._buffer[:begin]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            return OversizedEvent()
         return forwarded
 
     def _accept(
--- a/caroblug/gateway/_exchange_results.py
+++ b/caroblug/gateway/_exchange_results.py
@@ -15,6 +15,7 @@
     CUT_SHORT = "cut_short"
     NOT_HTTP = "not_http"
     WRONG_ANSWER = "wrong_answer"
+    TOO_LONG = "too_long"
 
 
 @attrs.frozen
--- a/caroblug/gateway/_fleet.py
+++ b/caroblug/gateway/_fleet.py
@@ -537,6 +537,7 @@
         FailureKind.RESET,
         FailureKind.SILENT,
         FailureKind.CUT_SHORT,
+        FailureKind.TOO_LONG,
     )
 
 
--- a/caroblug/gateway/_http_client.py
+++ b/caroblug/gateway/_http_client.py
@@ -24,9 +24,29 @@
     ResponseHead,
 )
 from caroblug.gateway._response_extent import ResponseExtent
+from caroblug.utils import MonotonicClock
 
 Address = tuple[str, int]
 
+MAX_HEAD_BYTES = 65_536
+"""Limit on the head of a response, interim responses included."""
+
+MAX_BODY_BYTES = 4 << 20
+"""Limit on a body that is read as a whole. The largest sound one is a page of
+the store with 1 MB of records, in base64."""
+
+_MAX_FRAMING_RATIO = 16
+"""Limit on the bytes of chunk sizes and trailers beyond `MAX_HEAD_BYTES`, for
+each byte of the body. A chunk of one byte has five of them."""
+
+_RECEIVES_PER_TURN = 8
+"""Reads after which other greenlets get their turn. A read from a peer that
+sends all the time never waits."""
+
+_MIN_TIMEOUT_S = 0.001
+_MS_PER_S = 1000
+_CLOCK = MonotonicClock()
+
 _RECEIVE_BYTES = 65536
 MAX_WAITS = 12
 """Bound on a whole exchange, as a multiple of the timeout of each wait."""
@@ -56,11 +76,13 @@
         self._sent = False
         self._keep_alive = False
         self._messages = 0
+        self._receives = 0
         self._extent = ResponseExtent()
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[str, str]] = []
+        self._head: ResponseHead | None = None
+        self._body_bytes = 0
         self._chunks: collections.deque[bytes] = collections.deque()
-        self._head_done = False
         self._done = False
         self._has_framing = False
         self._ended_by_close = False
@@ -82,7 +104,7 @@
         return (
             self._done
             and self._messages == 1
-            and self._extent.is_one_response(self._headers)
+            and self._extent.is_one_response(self._head.headers)
         )
 
     @property
@@ -110,7 +132,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket = sock
         set_socket_options(sock)
-        sock.settimeout(max(0.001, timeout_s))
+        sock.settimeout(max(_MIN_TIMEOUT_S, timeout_s))
         try:
             sock.connect(self._address)
         except ConnectionRefusedError:
@@ -135,7 +157,7 @@
             The failure, or None if the response can be read.
         """
         self._without_body = bodiless
-        self._socket.settimeout(max(0.001, timeout_s))
+        self._socket.settimeout(max(_MIN_TIMEOUT_S, timeout_s))
         try:
             # If the first call fails, no byte has left. That shows that the
             # peer can't have run the request.
@@ -151,38 +173,54 @@
     def read_head(
         self, timeout_s: float
     ) -> ResponseHead | ReadTimeout | ExchangeFailure:
-        """Waits for the head of the response."""
-        while not self._head_done:
-            problem = self._receive(timeout_s)
+        """Waits for the head of the response, for `timeout_s` in all."""
+        until_ms = _deadline_ms(timeout_s)
+        while self._head is None:
+            problem = self._receive(until_ms)
             if problem is not None:
                 return problem
-        status = self._parser.get_status_code()
-        return ResponseHead(status, tuple(self._headers))
+        return self._head
 
     def read_chunk(
         self, timeout_s: float
     ) -> bytes | EndOfBody | ReadTimeout | ExchangeFailure:
-        """Waits for the next chunk of the body."""
+        """Waits for the next chunk of the body, for `timeout_s` in all."""
+        until_ms = _deadline_ms(timeout_s)
         while not self._chunks:
             if self._done:
                 return EndOfBody(self._ended_by_close)
-            problem = self._receive(timeout_s)
+            problem = self._receive(until_ms)
             if problem is not None:
                 return problem
         return self._chunks.popleft()
 
     def read_body(
-        self, timeout_s: float
+        self, timeout_s: float, chunk_s: float | None = None
     ) -> bytes | ReadTimeout | ExchangeFailure:
-        """Reads the complete body, with `timeout_s` for each chunk."""
+        """Reads the complete body, of `MAX_BODY_BYTES` at most.
+
+        Args:
+            timeout_s: Timeout of the whole body, in s.
+            chunk_s: Timeout of the wait for each chunk, in s; `timeout_s` if
+                it is None.
+        """
+        until_ms = _deadline_ms(timeout_s)
         chunks = []
+        size = 0
         while True:
-            chunk = self.read_chunk(timeout_s)
+            left_s = (until_ms - _CLOCK.now_ms()) / _MS_PER_S
+            if left_s < 0 and not self._chunks and not self._done:
+                return ReadTimeout()
+            wait_s = left_s if chunk_s is None else min(chunk_s, left_s)
+            chunk = self.read_chunk(wait_s)
             if isinstance(chunk, EndOfBody):
                 return b"".join(chunks)
             if not isinstance(chunk, bytes):
                 return chunk
             chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_BODY_BYTES:
+                return self._fail(FailureKind.TOO_LONG)
 
     def is_open(self, wait_s: float) -> bool:
         """Waits on an idle connection and returns whether it is still open.
@@ -223,37 +261,45 @@
         self._messages += 1
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds one header."""
-        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        """Adds one header; those behind the head belong to no response."""
+        if self._head is None:
+            self._headers.append(
+                (name.decode("latin-1"), value.decode("latin-1"))
+            )
 
     def on_headers_complete(self) -> None:
-        """Records how the end of the body is delimited."""
-        if self._parser.get_status_code() < 200:
+        """Completes the head, and records how the body is delimited."""
+        status = self._parser.get_status_code()
+        if self._head is not None or status < 200:
             return
         for name, _ in self._headers:
             if name.lower() in ("content-length", "transfer-encoding"):
                 self._has_framing = True
-        self._head_done = True
+        self._head = ResponseHead(status, tuple(self._headers))
         if self._without_body:
             self._done = True
 
     def on_body(self, data: bytes) -> None:
         """Adds a chunk of the body."""
         if not self._done:
+            self._body_bytes += len(data)
             self._chunks.append(bytes(data))
 
     def on_message_complete(self) -> None:
         """Records the end of the response; later bytes are ignored."""
-        if self._parser.get_status_code() < 200:
+        if self._head is None:
+            # An interim response.
             self._headers.clear()
             return
-        self._done = True
-        self._keep_alive = self._parser.should_keep_alive()
+        if not self._done:
+            self._done = True
+            self._keep_alive = self._parser.should_keep_alive()
 
-    def _receive(
-        self, timeout_s: float
-    ) -> ReadTimeout | ExchangeFailure | None:
-        self._socket.settimeout(max(0.001, timeout_s))
+    def _receive(self, until_ms: float) -> ReadTimeout | ExchangeFailure | None:
+        left_ms = until_ms - _CLOCK.now_ms()
+        if left_ms < 0:
+            return ReadTimeout()
+        self._socket.settimeout(max(_MIN_TIMEOUT_S, left_ms / _MS_PER_S))
         try:
             data = self._socket.recv(_RECEIVE_BYTES)
         except TimeoutError:
@@ -263,24 +309,40 @@
         if not data:
             return self._on_closed()
         self._extent.add(data)
+        self._receives += 1
+        if self._receives % _RECEIVES_PER_TURN == 0:
+            gevent.sleep(0)
+        return self._parse(data)
+
+    def _parse(self, data: bytes) -> ExchangeFailure | None:
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self._done:
                 return self._fail(FailureKind.NOT_HTTP)
-        return None
+        return self._fail(FailureKind.TOO_LONG) if self._is_too_long() else None
+
+    def _is_too_long(self) -> bool:
+        """Returns whether head or framing exceed their limits."""
+        if self._done:
+            return False
+        framing_bytes = self._extent.received - self._body_bytes
+        return (
+            framing_bytes
+            > MAX_HEAD_BYTES + self._body_bytes * _MAX_FRAMING_RATIO
+        )
 
     def _on_closed(self) -> ExchangeFailure | None:
         """Handles an orderly close by the peer.
 
         It ends a body that has neither a length nor chunked encoding.
         """
-        if self._head_done and not self._has_framing:
+        if self._head is not None and not self._has_framing:
             self._done = True
             self._ended_by_close = True
             return None
         return self._fail(
-            FailureKind.CUT_SHORT if self._head_done else FailureKind.RESET
+            FailureKind.RESET if self._head is None else FailureKind.CUT_SHORT
         )
 
     def _has_bytes(self) -> bool:
@@ -295,6 +357,10 @@
         return ExchangeFailure(failure, self._sent)
 
 
+def _deadline_ms(timeout_s: float) -> float:
+    return _CLOCK.now_ms() + max(_MIN_TIMEOUT_S, timeout_s) * _MS_PER_S
+
+
 def set_socket_options(sock) -> None:
     """Disables Nagle's algorithm and bounds the wait for a dead peer."""
     sock.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
@@ -316,7 +382,8 @@
     Args:
         address: Host and port.
         request: Head and body.
-        timeout_s: Timeout for each wait. The whole exchange is bounded by
+        timeout_s: Timeout for the head and for each wait for a part of the
+            body. The whole exchange is bounded by
             `MAX_WAITS` times this value, so that a response that trickles in
             byte by byte can't last forever.
         connect_s: Connect timeout; `timeout_s` if it is None.
@@ -350,7 +417,7 @@
     Args:
         exchange: Owner of the connection.
         request: Head and body.
-        head_s: Timeout of each wait until the head is complete, in s.
+        head_s: Timeout of the head, in s.
         chunk_s: Timeout of each wait for a chunk of the body, in s.
 
     Returns:
@@ -364,7 +431,7 @@
         return ExchangeFailure(FailureKind.SILENT, sent=True)
     if isinstance(head, ExchangeFailure):
         return head
-    body = exchange.read_body(chunk_s)
+    body = exchange.read_body(chunk_s * MAX_WAITS, chunk_s)
     if isinstance(body, ReadTimeout):
         return ExchangeFailure(FailureKind.SILENT, sent=True)
     if isinstance(body, ExchangeFailure):
--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -245,6 +245,8 @@
                 AttemptOutcome.TIMED_OUT, "body not whole in time"
             )
         if isinstance(body, ExchangeFailure):
+            if body.failure is FailureKind.TOO_LONG:
+                self._eject(process, body.failure)
             self._crashes.on_run_lost(pending, process)
             return AttemptResult(
                 AttemptOutcome.FAILED, f"body {body.failure.value}"
@@ -256,7 +258,6 @@
                 AttemptOutcome.FAILED, "body ended with the server's process"
             )
         if metadata.request_id != pending.caller.id:
-            # A response to another request says nothing about this one.
             return AttemptResult(
                 AttemptOutcome.FAILED, FailureKind.WRONG_ANSWER.value
             )
@@ -272,21 +273,24 @@
         process: ServerProcess,
         problem: ExchangeFailure,
     ) -> AttemptResult:
-        context = self._context
         if warrants_ejection(problem.failure):
-            for_ms = context.fleet.eject(process.name, context.clock.now_ms())
-            context.log.write(
-                "backend_server.avoided",
-                backend_server=process.name,
-                reason=problem.failure.value,
-                for_ms=for_ms,
-            )
+            self._eject(process, problem.failure)
         if not problem.sent:
             return AttemptResult(AttemptOutcome.NOT_SENT, problem.failure.value)
         pending.ran += 1
         self._crashes.on_run_lost(pending, process)
         return AttemptResult(AttemptOutcome.FAILED, problem.failure.value)
 
+    def _eject(self, process: ServerProcess, failure: FailureKind) -> None:
+        context = self._context
+        for_ms = context.fleet.eject(process.name, context.clock.now_ms())
+        context.log.write(
+            "backend_server.avoided",
+            backend_server=process.name,
+            reason=failure.value,
+            for_ms=for_ms,
+        )
+
     def _find_process(
         self, pending: PendingRequest, backend: BackendServer
     ) -> ServerProcess:
--- a/caroblug/gateway/_response_extent.py
+++ b/caroblug/gateway/_response_extent.py
@@ -16,7 +16,7 @@
 
     def __init__(self) -> None:
         self._received = 0
-        self._head = b""
+        self._head = bytearray()
         self._head_bytes = 0
         self._tail = b""
 
@@ -28,11 +28,12 @@
     def add(self, data: bytes) -> None:
         """Adds received bytes."""
         if not self._head_bytes:
+            searched = max(0, len(self._head) - len(_HEAD_END) + 1)
             self._head += data
-            end = self._head.find(_HEAD_END)
+            end = self._head.find(_HEAD_END, searched)
             if end >= 0:
                 self._head_bytes = end + len(_HEAD_END)
-                self._head = b""
+                self._head.clear()
         self._received += len(data)
         self._tail = (self._tail + data)[-len(_LAST_CHUNK) :]
 
--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -15,7 +15,12 @@
     record_load,
     record_replacement,
 )
-from caroblug.gateway._events import EventPace, OutOfOrderEvent
+from caroblug.gateway._events import (
+    MAX_EVENT_BYTES,
+    EventPace,
+    OutOfOrderEvent,
+    OversizedEvent,
+)
 from caroblug.gateway._exchange_results import (
     EndOfBody,
     ExchangeFailure,
@@ -54,6 +59,10 @@
 takes much less, and a second run still returns its first event within half a
 second."""
 
+_MAX_OVERRUN_MS = 50
+"""Time past the deadline within which the end of a stream is still read while
+its events arrive without a pause, in ms."""
+
 _STALLED_CHECK_S = 0.05
 """Wait for the check of an engine that stalls a run. A port that refuses
 connections does so at once."""
@@ -243,10 +252,17 @@
                     RunEnd.LOST,
                     f"event {events.found} instead of {events.expected}",
                 )
+            if isinstance(events, OversizedEvent):
+                state.eject_engine(state.path.first.name, "endless event")
+                return RunResult(
+                    RunEnd.LOST, f"event of over {MAX_EVENT_BYTES} bytes"
+                )
             if events:
                 if not reply.begun:
                     reply.begin(head.status, list(metadata.headers))
                 self._forward(events)
+            if state.left_ms <= -_MAX_OVERRUN_MS:
+                return RunResult(RunEnd.OUT_OF_TIME, "no time left")
 
     def _find_early_end(self, end: EndOfBody) -> str:
         """Returns why the end of a body isn't the end of the stream, if so."""
@@ -306,7 +322,9 @@
             else:
                 state.eject_engine(first.name, problem.failure.value)
             return RunResult(RunEnd.NOT_SENT, problem.failure.value)
-        if problem.failure is not FailureKind.NOT_HTTP:
+        if problem.failure is FailureKind.TOO_LONG:
+            state.eject_engine(first.name, problem.failure.value)
+        elif problem.failure is not FailureKind.NOT_HTTP:
             self._check_processes()
         return RunResult(RunEnd.LOST, problem.failure.value)
 
