Believe nothing of an answer that has the id of another request

Callers saw: an answer with another request's id that says "not run" let a call that may not be repeated run at a second server; its rest and load were recorded as well. Its id was looked at only after all that.

Cause: the id was checked last, and not at all in rejections. It comes first now, for plain calls and streams. An answer without an id, as some rejections have none, is still that of the connection's only request.

--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -221,6 +221,12 @@
         if isinstance(head, ExchangeFailure):
             return self._on_exchange_failure(pending, process, head)
         metadata = context.dialect.decode_answer(head)
+        if metadata.request_id not in (None, pending.caller.id):
+            # A response to another request says nothing about this one.
+            pending.ran += 1
+            return AttemptResult(
+                AttemptOutcome.FAILED, FailureKind.WRONG_ANSWER.value
+            )
         if is_from_another_server(
             pending.admitted.service, backend.name, metadata
         ):
--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -201,6 +201,8 @@
         first = state.path.first.name
         metadata = self._context.dialect.decode_answer(head)
         apply_server_advice(self._context, first, metadata, self._sent_ms)
+        if metadata.request_id not in (None, pending.caller.id):
+            return RunResult(RunEnd.LOST, "answer to another request")
         if is_from_another_server(pending.admitted.service, first, metadata):
             state.discount_run()
             state.lost = first
