Charge a request with the end of its server however the gateway loses it

Cause: a body that stops wasn't passed on as a lost run, and the greenlet that would find out is killed with the caller's connection. Both are passed on now; the check has a greenlet of its own. A stream is checked when its caller leaves, or its time ends, during a pause of 0.3 s or more, so that callers who give up a stream that is being written cost no reports.

--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -172,9 +172,15 @@
         context = self._context
         pending.tried.add(backend.name)
         exchange = Exchange(backend.address)
+        process = self._find_process(pending, backend)
         context.fleet.begin_request(backend.name)
         try:
-            result = self._exchange(pending, backend, exchange)
+            result = self._exchange(pending, backend, process, exchange)
+        except gevent.GreenletExit:
+            # The caller has left, and this greenlet with it.
+            if exchange.sent:
+                gevent.spawn(self._crashes.on_run_lost, pending, process)
+            raise
         finally:
             exchange.close()
             context.fleet.end_request(backend.name)
@@ -193,11 +199,11 @@
         self,
         pending: PendingRequest,
         backend: BackendServer,
+        process: ServerProcess,
         exchange: Exchange,
     ) -> AttemptResult:
         context = self._context
         clock = context.clock
-        process = self._find_process(pending, backend)
         left_s = pending.left_ms(clock.now_ms()) / 1000
         problem = exchange.connect(min(CONNECT_TIMEOUT_S, left_s))
         if problem is not None:
@@ -247,6 +253,7 @@
         left_s = pending.left_ms(clock.now_ms()) / 1000
         body = exchange.read_body(left_s)
         if isinstance(body, ReadTimeout):
+            gevent.spawn(self._crashes.on_run_lost, pending, process)
             return AttemptResult(
                 AttemptOutcome.TIMED_OUT, "body not whole in time"
             )
--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -119,7 +119,14 @@
         self._abort_reason = ""
         self._state.begin_run(path)
         try:
-            return self._send_and_read(stream)
+            result = self._send_and_read(stream)
+            if result.end is RunEnd.OUT_OF_TIME:
+                self._check_paused()
+            return result
+        except gevent.GreenletExit:
+            # The caller has left, and this greenlet with it.
+            self._check_paused()
+            raise
         finally:
             self._running.remove(stream)
             self._state.end_run()
@@ -330,6 +337,18 @@
             self._check_processes()
         return RunResult(RunEnd.LOST, problem.failure.value)
 
+    def _check_paused(self) -> None:
+        """Checks the processes of a run that nobody reads any more.
+
+        One whose events arrived until now has not lost an engine.
+        """
+        state = self._state
+        paused_ms = state.now_ms - state.last_event_ms
+        if not state.exchange.sent or paused_ms < _PAUSE_CHECK_S * 1000:
+            return
+        for process in state.processes.values():
+            gevent.spawn(self._crashes.on_run_lost, state.pending, process)
+
     def _check_processes(self) -> ProcessState:
         """Ejects the first engine if its process no longer responds.
 
--- a/caroblug/gateway/tests/test_stream_rejections.py
+++ b/caroblug/gateway/tests/test_stream_rejections.py
@@ -108,6 +108,7 @@
         self._engines = engines
         self._port = port
         self._chunks = collections.deque()
+        self.sent = False
 
     def connect(self, timeout_s):
         return None
@@ -118,6 +119,7 @@
             answers.popleft()
             return ExchangeFailure(FailureKind.RESET, sent=False)
         self._engines.requests.append(self._port)
+        self.sent = True
         return None
 
     def read_head(self, timeout_s):
@@ -389,3 +391,30 @@
 
     assert pending.ran == 1
     assert pending.reply.status == 502
+
+
+@pytest.mark.parametrize(("paused_ms", "checked"), [(1000, ["e1"]), (100, [])])
+def test_stream_whose_caller_leaves_during_a_pause_is_checked(
+    monkeypatch, paused_ms, checked
+):
+    # Guards against crashes without end by a stream whose callers leave before
+    # the gateway sees that it has lost its engine.
+    gateway = Gateway(monkeypatch, make_engine("e1", 0, LAYERS))
+    names = []
+    monkeypatch.setattr(
+        gateway.crashes,
+        "on_run_lost",
+        lambda pending, process: names.append(process.name),
+    )
+
+    def leave(self, timeout_s):
+        gateway.context.clock.advance(paused_ms)
+        raise gevent.GreenletExit
+
+    monkeypatch.setattr(EngineExchange, "read_head", leave)
+
+    with pytest.raises(gevent.GreenletExit):
+        gateway.stream()
+
+    gevent.spawn(lambda: None).join()
+    assert names == checked
