Follow no advice in an answer to another request

Callers saw: a stream's answer with another request's id could make an engine seem to drain, or name a limit. Cause: advice was applied before the id was checked. Evidence: test_advice_in_an_answer_to_another_request_is_not_followed fails before.

--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -207,7 +207,6 @@
         pending = state.pending
         first = state.path.first.name
         metadata = self._context.dialect.decode_answer(head)
-        apply_server_advice(self._context, first, metadata, self._sent_ms)
         if metadata.request_id not in (None, pending.caller.id):
             return RunResult(RunEnd.LOST, "answer to another request")
         if is_from_another_server(pending.admitted.service, first, metadata):
@@ -216,6 +215,7 @@
             state.excluded_engines.add(first)
             record_replacement(self._context, first)
             return RunResult(RunEnd.REJECTED, f"another engine than {first}")
+        apply_server_advice(self._context, first, metadata, self._sent_ms)
         if metadata.run is RunState.NOT_RUN:
             state.discount_run()
             record_load(self._context, first, metadata)
--- a/caroblug/gateway/tests/test_stream_rejections.py
+++ b/caroblug/gateway/tests/test_stream_rejections.py
@@ -418,3 +418,15 @@
 
     gevent.spawn(lambda: None).join()
     assert names == checked
+
+
+def test_advice_in_an_answer_to_another_request_is_not_followed(monkeypatch):
+    # Guards against an engine that seems to drain because of a foreign answer.
+    gateway = Gateway(monkeypatch, make_engine("e1", 0, LAYERS))
+    gateway.context.dialect.decode_answer = lambda head: AnswerMetadata(
+        "other", True, RunState.RUN, None, None, 0, (), leaving=True
+    )
+
+    gateway.stream()
+
+    assert not gateway.context.fleet.announced_exits()
