Bound the bytes of the decision log's buffer

Callers choose ids, hosts and paths, each as long as their headers. While standard output isn't read, 2,000 lines with paths of 16 KB took up to 200 MB (escapes take six characters), and denied requests had no rate limit.

The buffer is bounded to 1 MiB, a line to 16 KiB, a text to 1,024 characters, and request.denied to 100 lines a second, like request. Lines that don't fit are counted in left_out as before.

test_long_texts_of_callers_do_not_fill_the_memory and test_line_of_many_texts_is_left_out failed before.

--- a/caroblug/gateway/_decision_log.py
+++ b/caroblug/gateway/_decision_log.py
@@ -21,8 +21,16 @@
 """Limit on the lines buffered while standard output is not read. It amounts to
 0.6 MB at 300 bytes a line."""
 
+_MAX_BUFFERED_BYTES = 1 << 20
+_MAX_LINE_BYTES = 16384
+_MAX_TEXT_CHARACTERS = 1024
+"""Limits on the buffer, a line and a text in it. Callers choose ids, hosts and
+paths, which may be as long as their headers."""
+
 _MAX_LINES_PER_S = {
+    "connection.evicted": 10,
     "request": 100,
+    "request.denied": 100,
     "admission.admitted": 20,
     "admission.refused": 20,
     "admission.waits": 20,
@@ -55,6 +63,7 @@
         self._clock = clock
         self._fd = fd
         self._lines: collections.deque[bytes] = collections.deque()
+        self._buffered_bytes = 0
         self._dropped = 0
         self._second = 0
         self._lines_in_second: collections.Counter[str] = collections.Counter()
@@ -84,15 +93,21 @@
 
     def enqueue(self, message: dict) -> None:
         """Adds a message from eliot to the buffer; drops it if that is full."""
-        if len(self._lines) >= _MAX_BUFFERED_LINES:
+        if (
+            len(self._lines) >= _MAX_BUFFERED_LINES
+            or self._buffered_bytes >= _MAX_BUFFERED_BYTES
+        ):
+            self._dropped += 1
+            return
+        line = _encode(
+            {**message, "instance": self._instance, "left_out": self._dropped}
+        )
+        if len(line) > _MAX_LINE_BYTES:
             self._dropped += 1
             return
-        message["instance"] = self._instance
-        if self._dropped:
-            message["left_out"] = self._dropped
-            self._dropped = 0
-        text = json.dumps(message, default=str, separators=(",", ":"))
-        self._lines.append(text.encode() + b"\n")
+        self._dropped = 0
+        self._lines.append(line)
+        self._buffered_bytes += len(line)
 
     def flush(self) -> None:
         """Writes as much as standard output accepts without blocking."""
@@ -106,7 +121,9 @@
                 # The output is closed: drop the lines and go on serving.
                 self._dropped += len(self._lines)
                 self._lines.clear()
+                self._buffered_bytes = 0
                 return
+            self._buffered_bytes -= written
             if written < len(line):
                 self._lines[0] = line[written:]
                 return
@@ -137,3 +154,14 @@
             self._lines_in_second.clear()
         self._lines_in_second[kind] += 1
         return self._lines_in_second[kind] <= limit
+
+
+def _encode(message: dict) -> bytes:
+    """Returns a message as a line, its long texts shortened."""
+    fields = {
+        key: value[:_MAX_TEXT_CHARACTERS] if isinstance(value, str) else value
+        for key, value in message.items()
+        if key != "left_out" or value
+    }
+    text = json.dumps(fields, default=str, separators=(",", ":"))
+    return text.encode() + b"\n"
--- a/caroblug/gateway/tests/test_decision_log.py
+++ b/caroblug/gateway/tests/test_decision_log.py
@@ -77,3 +77,26 @@
 
     assert log.dropped == 1
     os.close(writer)
+
+
+def test_long_texts_of_callers_do_not_fill_the_memory():
+    # Guards against paths and ids of kilobytes while the log is not read.
+    log, reader, _, _ = make_log()
+    for number in range(5000):
+        path = f"/{number}" + "\u00e9" * 16_000
+        log.enqueue({"message_type": "request.denied", "path": path})
+        log.flush()
+    assert sum(map(len, log._lines)) <= 1_100_000
+    assert log._buffered_bytes == sum(map(len, log._lines))
+    assert all(len(line["path"]) <= 1024 for line in read_lines(reader)[:-1])
+
+
+def test_line_of_many_texts_is_left_out():
+    # Guards against lists that callers make as long as their headers.
+    log, reader, _, _ = make_log()
+    log.enqueue({"message_type": "x", "parts": ["p" * 20] * 2000})
+    log.enqueue({"message_type": "y"})
+    log.flush()
+
+    (line,) = read_lines(reader)
+    assert (line["message_type"], line["left_out"]) == ("y", 1)
