Bound the gateways that messages name

A gateway knows 4,096 others at most, with names of 256 characters, and answers a message from one too many with 400, without keeping anything of it.

--- a/caroblug/gateway/_peer_members.py
+++ b/caroblug/gateway/_peer_members.py
@@ -12,6 +12,12 @@
 data centre with a hundred gateways, each one is named to a gateway at least
 every few rounds."""
 
+_MAX_MEMBERS = 4096
+"""Gateways that are known at most. A fleet has some hundreds, but anything that
+reaches the port may name others."""
+
+_MAX_NAME_CHARACTERS = 256
+
 
 class PeerMembers:
     """The other gateways, and which of them run in the local data centre.
@@ -44,13 +50,21 @@
 
     def add(self, member: Member, now_ms: int) -> None:
         """Adds a gateway, or records that it is still there."""
-        if member.name == self._own_name:
+        if member.name == self._own_name or not self._has_place(member.name):
             return
         self._addresses[member.name] = member.address
         self._seen_ms[member.name] = now_ms
         if member.data_centre:
             self._data_centres[member.name] = member.data_centre
 
+    def _has_place(self, name: str) -> bool:
+        """Returns whether a gateway is known or may be added."""
+        if name in self._addresses:
+            return True
+        if len(name) > _MAX_NAME_CHARACTERS:
+            return False
+        return len(self._addresses) < _MAX_MEMBERS
+
     def add_reported(self, member: Member, now_ms: int) -> None:
         """Adds a gateway that another one names.
 
@@ -62,8 +76,8 @@
 
     def on_message(self, name: str, data_centre: str, now_ms: int) -> None:
         """Records that a gateway has sent a message from a data centre."""
-        self._data_centres[name] = data_centre
         if name in self._addresses:
+            self._data_centres[name] = data_centre
             self._seen_ms[name] = now_ms
 
     def is_remote(self, name: str) -> bool:
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -332,6 +332,8 @@
         name = message["name"]
         host, port = message["address"]
         self._add_member(Member(name, (str(host), int(port))))
+        if name not in self._members:
+            raise ValueError(f"gateway {name[:64]!r} is one too many")
         self._apply_peer_state(name, message)
         answer = self._build_message(name)
         self._on_exported(answer)
