Bound what callers make a gateway hold, on all its ports

Callers saw a gateway end: 80 bodies of legal size, each a byte short, took it from 32 to 325 MB where 160 are allowed; trailers without end took 920, heads of many short lines 258, requests behind a slow one 427, answers that nobody reads 312, and 1,500 connections took 1,516 of 1,400 descriptors. The gateway didn't read the limits of its machine, and each part bounded one request at most, none all of them.

One owner, HeldResources, now counts what each connection holds where it is taken: the connection, bytes received, header lines as the objects they become, bodies, requests that run, answers that are being written, unread bytes behind them, and large answers that are being read. All ports share one budget, half of MemoryMb and of the sockets. Once it is spent, the connection that has held most for longest is closed; a request that runs is not, and one that has not run gets 503 with Retry-After.

- Requests behind one that runs stay unread, in a buffer of the kernel of bounded size; the close of their caller is seen by POLLRDHUP.
- Trailers are discarded, and counted with chunk sizes and extensions.
- Route, key and size are checked before the body is read; the caller gets the answer although it is still sending, since the connection is read on for a second.
- A caller that sends all the time leaves turns to others.
- A body stays in pieces: growing it in one block, and joining it, left gaps in the heap that took up to 195 MB for 59 MB held.
The parser and its reader refer to each other, which kept the input of closed connections until the next collection; both are separated at the end.
- A head of legal size was refused with 431, as each line was counted with a byte too many.
- The names in Connection were split once for each header line.

--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -6,6 +6,11 @@
 from caroblug.lazy import make_lazy_exports
 
 _MODULES = {
+    "CONNECTION_BYTES": "_held_resources",
+    "HeldResources": "_held_resources",
+    "Holding": "_held_resources",
+    "RUN_BYTES": "_held_resources",
+    "ResourceBounds": "_held_resources",
     "AccountRule": "_shares",
     "AccountWeights": "_account_weights",
     "ConcurrencyLimiter": "_concurrency_limiter",
--- a/caroblug/gateway/__init__.py
+++ b/caroblug/gateway/__init__.py
@@ -8,7 +8,12 @@
     ResponseHead,
 )
 from caroblug.gateway._gateway import Gateway, make_gateway
-from caroblug.gateway._http_client import Address, fetch, format_request
+from caroblug.gateway._http_client import (
+    Address,
+    fetch,
+    format_parts,
+    format_request,
+)
 from caroblug.gateway._initial_settings import read_initial_settings
 from caroblug.gateway._interfaces import (
     AnswerMetadata,
@@ -73,6 +78,7 @@
     "compress_data",
     "decompress_data",
     "fetch",
+    "format_parts",
     "format_request",
     "make_gateway",
     "make_kept_connections",
--- a/caroblug/gateway/_context.py
+++ b/caroblug/gateway/_context.py
@@ -12,10 +12,13 @@
 )
 from caroblug.core.admission import Admission
 from caroblug.core.limits import (
+    Holding,
+    ResourceBounds,
     RetryAfter,
     WindowedRetryBudget,
     find_retry_classes,
 )
+from caroblug.gateway._caller_resources import CallerResources
 from caroblug.gateway._decision_log import DecisionLog
 from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._interfaces import Dialect
@@ -27,6 +30,16 @@
 from caroblug.gateway._telemetry import Telemetry
 from caroblug.utils import Clock
 
+_CALLERS_MEMORY_SHARE = 0.5
+"""Share of the machine's memory for what callers make the process hold. The
+rest is for the program and its tables."""
+
+_CALLERS_SOCKET_SHARE = 0.5
+"""Share of the sockets for callers. Each request takes another one, towards a
+backend server."""
+
+_BYTES_PER_MB = 1 << 20
+
 
 @attrs.define
 class Context:
@@ -50,6 +63,7 @@
             configuration gives them.
         connections: Kept connections, which the dialect uses as well.
         admissions: Admission control by service, from its first stream on.
+        resources: What callers make the process hold, on all its ports.
     """
 
     settings: GatewaySettings
@@ -68,6 +82,12 @@
     stream_ranks: dict[str, StreamRanks] = attrs.field(factory=dict)
     connections: KeptConnections = attrs.field(factory=make_kept_connections)
     admissions: dict[str, Admission] = attrs.field(factory=dict)
+    resources: CallerResources = attrs.Factory(
+        lambda self: CallerResources(
+            self.clock, self.resource_bounds, self.on_evicted
+        ),
+        takes_self=True,
+    )
 
     def limits(self) -> RequestLimits:
         """Returns the limits on requests of callers."""
@@ -75,6 +95,25 @@
             return RequestLimits()
         return self.configuration.limits
 
+    def resource_bounds(self) -> ResourceBounds:
+        """Returns what callers may make the process hold."""
+        settings = self.settings
+        return ResourceBounds(
+            settings.memory_mb * _BYTES_PER_MB * _CALLERS_MEMORY_SHARE,
+            settings.max_sockets * _CALLERS_SOCKET_SHARE,
+        )
+
+    def on_evicted(self, holding: Holding, held_ms: int) -> None:
+        """Records that a connection is closed for what it holds."""
+        self.telemetry.count("connections_evicted")
+        self.log.write(
+            "connection.evicted",
+            held_bytes=holding.held_bytes,
+            held_ms=held_ms,
+            all_bytes=self.resources.held.held_bytes,
+            connections=self.resources.held.connections,
+        )
+
     def ranks_of(self, service: str) -> tuple[int, ...]:
         """Returns the ranks of a service's streams, the most urgent first."""
         ranks = self.stream_ranks.get(service)
--- a/caroblug/gateway/_crash_suspicions.py
+++ b/caroblug/gateway/_crash_suspicions.py
@@ -446,8 +446,10 @@
         (pending.account or "").encode(),
         pending.request.method.encode(),
         pending.request.target.encode(),
-        pending.request.body,
     ):
         digest.update(len(part).to_bytes(4, "big"))
         digest.update(part)
+    digest.update(pending.request.body_bytes.to_bytes(4, "big"))
+    for piece in pending.request.pieces:
+        digest.update(piece)
     return digest.hexdigest()
--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -8,6 +8,7 @@
 from gevent import event
 
 from caroblug.core.access import (
+    Admitted,
     DenialReason,
     Denied,
     RequestLimits,
@@ -26,10 +27,13 @@
 from caroblug.gateway._data_ages import DataAges
 from caroblug.gateway._decision_log import DecisionLog
 from caroblug.gateway._fleet import Fleet
+from caroblug.gateway._http_client import Address
 from caroblug.gateway._http_server import (
     CallerDisconnectedError,
+    Handler,
     HttpServer,
     Reply,
+    RequestScreen,
 )
 from caroblug.gateway._interfaces import CallerRequest, Dialect, Registry
 from caroblug.gateway._kept_connections import KeptConnections
@@ -39,6 +43,7 @@
 from caroblug.gateway._peers import Peers
 from caroblug.gateway._pending_request import (
     LEAVING_RETRY_AFTER_MS,
+    NO_CAPACITY_RETRY_AFTER_MS,
     UNREADY_RETRY_AFTER_MS,
     GatewayResponses,
     PendingRequest,
@@ -97,6 +102,31 @@
 _START_POLL_S = 0.005
 
 
+_INTERNAL_LIMITS = RequestLimits(body_bytes=1 << 20)
+"""Limits of messages from other gateways, readiness checks and reads of
+metrics. A message decodes to many times its size; the lists of a large fleet
+come as answers."""
+
+
+class _CallerScreen(RequestScreen):
+    """Refuses callers' requests by route and key before their body comes.
+
+    Args:
+        gateway: The gateway.
+    """
+
+    def __init__(self, gateway: "Gateway") -> None:
+        self._gateway = gateway
+
+    def refuse_known(self, head: RawRequest, reply: Reply) -> bool:
+        """Refuses a request without a known route or key."""
+        return self._gateway.refuse_known(head, reply)
+
+    def refuse_overload(self, head: RawRequest, reply: Reply) -> None:
+        """Refuses a request for which there is no memory."""
+        self._gateway.refuse_overload(head, reply)
+
+
 class Gateway:
     """One instance of the gateway program.
 
@@ -161,20 +191,21 @@
         self._settings_problem = ""
         self._fixed_settings: tuple[str, ...] = ()
         self._terminated_ms = 0
-        self._callers = self._listen(
-            context.settings.callers, self._handle_request, context.limits
-        )
-        # The operator's limits are those of callers.
-        self._ready = self._listen(
-            context.settings.ready, self._handle_ready, RequestLimits
+        self._callers = HttpServer(
+            context.settings.callers,
+            self._handle_request,
+            context.limits,
+            context.clock,
+            context.resources,
+            _CallerScreen(self),
         )
+        self._ready = self._listen(context.settings.ready, self._handle_ready)
         self._peer_calls = self._listen(
             context.settings.peers,
             self._peers.calls.handle_request,
-            RequestLimits,
         )
         self._metrics = self._listen(
-            context.settings.metrics, self._handle_metrics, RequestLimits
+            context.settings.metrics, self._handle_metrics
         )
 
     @property
@@ -274,8 +305,15 @@
             settings.retry_ratio, settings.retry_extra, settings.retry_window_ms
         )
 
-    def _listen(self, address, handler, limits) -> HttpServer:
-        return HttpServer(address, handler, limits, self._context.clock)
+    def _listen(self, address: Address, handler: Handler) -> HttpServer:
+        """Returns a server for others than callers."""
+        return HttpServer(
+            address,
+            handler,
+            lambda: _INTERNAL_LIMITS,
+            self._context.clock,
+            self._context.resources,
+        )
 
     def _on_terminate(self) -> None:
         if not self._terminating.is_set():
@@ -322,20 +360,8 @@
     def _serve_request(
         self, request: RawRequest, caller: CallerRequest, reply: Reply
     ) -> None:
-        context = self._context
-        if caller.bad is not None:
-            self._deny(request, caller, reply, 400, caller.bad)
-            return
-        decision = admit(
-            context.configuration,
-            caller.host,
-            request.path,
-            caller.key,
-            context.rng,
-        )
-        if isinstance(decision, Denied):
-            status = _DENIAL_STATUSES[decision.reason]
-            self._deny(request, caller, reply, status, decision.reason.value)
+        decision = self._decide(request, caller, reply)
+        if decision is None:
             return
         budget_ms = decision.route.timeout_ms
         if caller.deadline_ms is not None:
@@ -356,6 +382,42 @@
         else:
             self._calls.serve(pending)
 
+    def _decide(
+        self, request: RawRequest, caller: CallerRequest, reply: Reply
+    ) -> Admitted | None:
+        """Returns where a request goes, or None if it has been denied."""
+        context = self._context
+        if caller.bad is not None:
+            self._deny(request, caller, reply, 400, caller.bad)
+            return None
+        decision = admit(
+            context.configuration,
+            caller.host,
+            request.path,
+            caller.key,
+            context.rng,
+        )
+        if isinstance(decision, Denied):
+            status = _DENIAL_STATUSES[decision.reason]
+            self._deny(request, caller, reply, status, decision.reason.value)
+            return None
+        return decision
+
+    def refuse_known(self, head: RawRequest, reply: Reply) -> bool:
+        """Denies a request whose body has not come yet, if it can't be served.
+
+        Returns:
+            Whether it was denied.
+        """
+        caller = self._context.dialect.decode_request(head)
+        return self._decide(head, caller, reply) is None
+
+    def refuse_overload(self, head: RawRequest, reply: Reply) -> None:
+        """Refuses a request for which there is no memory."""
+        caller = self._context.dialect.decode_request(head)
+        after_ms = self._context.retry_after.ms(NO_CAPACITY_RETRY_AFTER_MS)
+        self._deny(head, caller, reply, 503, "out of memory", after_ms)
+
     def _would_outlive_exit(self, pending: PendingRequest) -> bool:
         """Returns whether the exit could cut a request that began late."""
         if not self._terminating.is_set():
@@ -377,10 +439,10 @@
         reply: Reply,
         status: int,
         reason: str,
+        after_ms: int | None = None,
     ) -> None:
         context = self._context
-        after_ms = None
-        if status == 503:
+        if status == 503 and after_ms is None:
             after_ms = context.retry_after.ms(UNREADY_RETRY_AFTER_MS)
         known = context.configuration
         context.telemetry.count("denied", status=str(status), reason=reason)
@@ -405,7 +467,11 @@
         del request
         kind = ("Content-Type", "text/plain; version=0.0.4")
         self._ages.update_metrics()
-        reply.send(200, [kind], self._context.telemetry.expose())
+        held = self._context.resources.held
+        telemetry = self._context.telemetry
+        telemetry.gauge("callers_held_bytes", held.held_bytes)
+        telemetry.gauge("callers_connections", held.connections)
+        reply.send(200, [kind], telemetry.expose())
 
 
 def make_gateway(
--- a/caroblug/gateway/_http_client.py
+++ b/caroblug/gateway/_http_client.py
@@ -10,11 +10,13 @@
 
 import collections
 import socket as stdlib_socket
+from collections.abc import Callable
 
 import gevent
 import httptools
 from gevent import socket
 
+from caroblug import listening
 from caroblug.gateway._exchange_results import (
     EndOfBody,
     ExchangeFailure,
@@ -35,6 +37,9 @@
 """Limit on a body that is read as a whole. The largest sound one is a page of
 the store with 1 MB of records, in base64."""
 
+_SMALL_BODY_BYTES = 65_536
+"""Size up to which a body is read without a reservation of memory."""
+
 _MAX_FRAMING_RATIO = 16
 """Limit on the bytes of chunk sizes and trailers beyond `MAX_HEAD_BYTES`, for
 each byte of the body. A chunk of one byte has five of them."""
@@ -132,6 +137,11 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket = sock
         set_socket_options(sock)
+        sock.setsockopt(
+            stdlib_socket.SOL_SOCKET,
+            stdlib_socket.SO_RCVBUF,
+            listening.RECEIVE_BUFFER_BYTES,
+        )
         sock.settimeout(max(_MIN_TIMEOUT_S, timeout_s))
         try:
             sock.connect(self._address)
@@ -143,13 +153,16 @@
         return None
 
     def send(
-        self, data: bytes, timeout_s: float, bodiless: bool = False
+        self,
+        parts: tuple[bytes, ...],
+        timeout_s: float,
+        bodiless: bool = False,
     ) -> ExchangeFailure | None:
         """Sends the complete request.
 
         Args:
-            data: Head and body.
-            timeout_s: Timeout for sending.
+            parts: Head and body.
+            timeout_s: Timeout for sending all of them.
             bodiless: Whether the response has no body regardless of its
                 headers, as for HEAD.
 
@@ -157,13 +170,18 @@
             The failure, or None if the response can be read.
         """
         self._without_body = bodiless
+        until_ms = _deadline_ms(timeout_s)
         self._socket.settimeout(max(_MIN_TIMEOUT_S, timeout_s))
         try:
             # If the first call fails, no byte has left. That shows that the
             # peer can't have run the request.
-            count = self._socket.send(data)
+            count = self._socket.send(parts[0])
             self._sent = True
-            self._socket.sendall(memoryview(data)[count:])
+            self._socket.sendall(memoryview(parts[0])[count:])
+            for part in parts[1:]:
+                left_s = (until_ms - _CLOCK.now_ms()) / _MS_PER_S
+                self._socket.settimeout(max(_MIN_TIMEOUT_S, left_s))
+                self._socket.sendall(part)
         except OSError:
             # The peer may have responded and closed the connection before it
             # read the whole body. That response can still be read.
@@ -195,7 +213,10 @@
         return self._chunks.popleft()
 
     def read_body(
-        self, timeout_s: float, chunk_s: float | None = None
+        self,
+        timeout_s: float,
+        chunk_s: float | None = None,
+        take_room: Callable[[], bool] = lambda: True,
     ) -> bytes | ReadTimeout | ExchangeFailure:
         """Reads the complete body, of `MAX_BODY_BYTES` at most.
 
@@ -203,7 +224,10 @@
             timeout_s: Timeout of the whole body, in s.
             chunk_s: Timeout of the wait for each chunk, in s; `timeout_s` if
                 it is None.
+            take_room: Reserves memory for a large body, and returns whether
+                it could; called once, before the body gets large.
         """
+        has_room = False
         until_ms = _deadline_ms(timeout_s)
         chunks = []
         size = 0
@@ -221,6 +245,10 @@
             size += len(chunk)
             if size > MAX_BODY_BYTES:
                 return self._fail(FailureKind.TOO_LONG)
+            if size > _SMALL_BODY_BYTES and not has_room:
+                has_room = take_room()
+                if not has_room:
+                    return ReadTimeout()
 
     def is_open(self, wait_s: float) -> bool:
         """Waits on an idle connection and returns whether it is still open.
@@ -253,6 +281,10 @@
         """Closes the connection, which makes the peer abort the request."""
         if self._socket is not None:
             self._socket.close()
+        # The parser refers to this object, which would keep a large body until
+        # the next collection of cycles.
+        self._parser = None
+        self._chunks.clear()
 
     # Callbacks of httptools.
 
@@ -423,7 +455,7 @@
     Returns:
         The response, or why there is none.
     """
-    problem = exchange.send(request, head_s)
+    problem = exchange.send((request,), head_s)
     if problem is not None:
         return problem
     head = exchange.read_head(head_s)
@@ -453,9 +485,27 @@
         headers: Pairs of name and value.
         body: Body; a Content-Length header is added if it is needed.
     """
+    return b"".join(format_parts(method, target, headers, (body,)))
+
+
+def format_parts(
+    method: str,
+    target: str,
+    headers: list[tuple[str, str]],
+    pieces: tuple[bytes, ...],
+) -> tuple[bytes, ...]:
+    """Returns a request in parts, of which the first one holds the head.
+
+    Args:
+        method: HTTP method.
+        target: Path and query.
+        headers: Pairs of name and value.
+        pieces: Body; a Content-Length header is added if it is needed.
+    """
+    body_bytes = sum(map(len, pieces))
     lines = [f"{method} {target} HTTP/1.1"]
     lines.extend(f"{name}: {value}" for name, value in headers)
-    if body or method not in ("GET", "HEAD"):
-        lines.append(f"Content-Length: {len(body)}")
-    head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("latin-1") + body
+    if body_bytes or method not in ("GET", "HEAD"):
+        lines.append(f"Content-Length: {body_bytes}")
+    head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    return (head + pieces[0], *pieces[1:])
--- a/caroblug/gateway/_interfaces.py
+++ b/caroblug/gateway/_interfaces.py
@@ -398,8 +398,8 @@
         request: RawRequest,
         caller: CallerRequest,
         metadata: ForwardMetadata,
-    ) -> bytes:
-        """Returns a caller's request encoded for a backend server.
+    ) -> tuple[bytes, ...]:
+        """Returns a caller's request encoded for a backend server, in parts.
 
         Args:
             request: The request as received.
--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -17,7 +17,7 @@
     ResponseHead,
 )
 from caroblug.gateway._fleet import warrants_ejection
-from caroblug.gateway._http_client import Exchange
+from caroblug.gateway._http_client import MAX_BODY_BYTES, Exchange
 from caroblug.gateway._interfaces import (
     AnswerMetadata,
     BackendServer,
@@ -215,8 +215,8 @@
             # Another gateway may have reported a crash meanwhile.
             return _QUARANTINED
         pending.on_send(self._context)
-        data = self._encode(pending, backend)
-        problem = exchange.send(data, left_s, self._is_bodiless(pending))
+        parts = self._encode(pending, backend)
+        problem = exchange.send(parts, left_s, self._is_bodiless(pending))
         if problem is not None:
             return self._on_exchange_failure(pending, process, problem)
         head = exchange.read_head(self._response_timeout_s(pending))
@@ -250,8 +250,7 @@
                 AttemptOutcome.REJECTED, f"turned away with {head.status}"
             )
         pending.ran += 1
-        left_s = pending.left_ms(clock.now_ms()) / 1000
-        body = exchange.read_body(left_s)
+        body = self._read_body(pending, exchange)
         if isinstance(body, ReadTimeout):
             gevent.spawn(self._crashes.on_run_lost, pending, process)
             return AttemptResult(
@@ -280,6 +279,28 @@
             )
         return AttemptResult(AttemptOutcome.ANSWERED, "", head, metadata, body)
 
+    def _read_body(
+        self, pending: PendingRequest, exchange: Exchange
+    ) -> bytes | ReadTimeout | ExchangeFailure:
+        """Reads the body of a response.
+
+        A large one waits until there is memory for it. It is accounted for
+        with the caller's connection while it is written.
+        """
+        resources = self._context.resources
+        reserved = []
+
+        def take_room() -> bool:
+            if resources.take_room(MAX_BODY_BYTES, pending.end_ms):
+                reserved.append(MAX_BODY_BYTES)
+            return bool(reserved)
+
+        left_s = pending.left_ms(self._context.clock.now_ms()) / 1000
+        try:
+            return exchange.read_body(left_s, take_room=take_room)
+        finally:
+            resources.give_room(sum(reserved))
+
     def _on_exchange_failure(
         self,
         pending: PendingRequest,
@@ -318,7 +339,9 @@
             reports=False,
         )
 
-    def _encode(self, pending: PendingRequest, backend: BackendServer) -> bytes:
+    def _encode(
+        self, pending: PendingRequest, backend: BackendServer
+    ) -> tuple[bytes, ...]:
         forward_metadata = ForwardMetadata(
             backend=backend.name,
             left_ms=pending.left_ms(self._context.clock.now_ms()),
--- a/caroblug/gateway/_settings.py
+++ b/caroblug/gateway/_settings.py
@@ -28,6 +28,8 @@
         retry_window_ms: Time window in which requests and retries are counted.
         lease_least_ms: Shortest lease that the store grants.
         store_partitions: Partitions of each topic of the store.
+        memory_mb: Memory of the machine that the process may use.
+        max_sockets: Sockets that the process may have open.
         first_start: Whether no gateway of the system has run before. Otherwise
             retries that earlier processes spent may lie in the current window.
     """
@@ -46,6 +48,8 @@
     retry_window_ms: int = 10000
     lease_least_ms: int = 1000
     store_partitions: int = 1
+    memory_mb: int = 1024
+    max_sockets: int = 4096
     first_start: bool = False
 
 
@@ -111,6 +115,8 @@
     "retry_window_ms": (1, _MAX_MS),
     "lease_least_ms": (1, _MAX_MS),
     "store_partitions": (1, 100_000),
+    "memory_mb": (64, 16_777_216),
+    "max_sockets": (32, 16_777_216),
 }
 
 
--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -493,7 +493,7 @@
             state.processes[engine.name],
         ).join(_STALLED_CHECK_S)
 
-    def _encode(self) -> bytes:
+    def _encode(self) -> tuple[bytes, ...]:
         state = self._state
         pending = state.pending
         forward_metadata = ForwardMetadata(
--- a/caroblug/gateway/tests/test_caller_requests.py
+++ b/caroblug/gateway/tests/test_caller_requests.py
@@ -104,3 +104,69 @@
     assert not reader.in_head
     reader.feed(POST[-2:], 5)
     assert not reader.partial
+
+
+def test_head_of_the_largest_size_is_accepted():
+    # Guards against lines that are counted as longer than they were sent.
+    head = b"GET / HTTP/1.1\r\nHost:h\r\n"
+    lines = b"a:b\r\n" * ((1000 - len(head) - 2) // 5)
+    (request,) = make_reader(header_bytes=1000).feed(head + lines + b"\r\n", 0)
+
+    assert len(request.headers) == 1 + len(lines) // 5
+
+
+def test_trailers_are_no_headers():
+    # Guards against trailers that pass for headers of the request.
+    trailers = CHUNKED[:-2] + b"Authorization: Bearer k\r\n\r\n"
+    (request,) = make_reader().feed(trailers, 0)
+
+    assert request.get("authorization") is None
+
+
+@hypothesis.given(
+    st.sampled_from([b"a:b\r\n", b"a: " + b"b" * 400, b"b" * 300]),
+    st.integers(1, 400),
+)
+def test_trailers_without_end_are_refused(piece, size):
+    # Guards against trailers that exhaust the gateway's memory.
+    reader = make_reader()
+    reader.feed(CHUNKED[:-2], 0)
+    stream = piece * 1000
+    for start in range(0, len(stream), size):
+        found = reader.feed(stream[start : start + size], 0)
+        if isinstance(found, BadRequest):
+            return
+        assert reader.held_bytes < 5000
+    raise AssertionError("nothing was refused")
+
+
+def test_chunk_extension_without_end_is_refused():
+    # Guards against a chunk size that goes on for ever.
+    reader = make_reader()
+    reader.feed(CHUNKED[: CHUNKED.index(b"3\r\n") + 1], 0)
+    found = [reader.feed(b";" + b"x" * 99, 0) for _ in range(20)]
+
+    assert any(isinstance(one, BadRequest) for one in found)
+
+
+def test_header_lines_count_with_their_objects():
+    # Guards against short lines that take many times their characters.
+    reader = make_reader()
+    reader.feed(b"GET / HTTP/1.1\r\n" + b"a:b\r\n" * 100, 0)
+
+    assert reader.held_bytes > 100 * 160
+
+
+def test_body_in_many_pieces_is_whole():
+    body = bytes(range(256)) * 200
+    reader = make_reader(body_bytes=len(body))
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+    reader.feed(head % len(body), 0)
+    found = []
+    for start in range(0, len(body), 777):
+        found = reader.feed(body[start : start + 777], 0)
+
+    assert len(found[0].pieces) > 1
+    assert found[0].body == body
+    assert found[0].body_bytes == len(body)
+    assert reader.held_bytes == 0
--- a/caroblug/gateway/tests/test_http_client.py
+++ b/caroblug/gateway/tests/test_http_client.py
@@ -48,7 +48,7 @@
     accepted.wait()
     gevent.sleep(0.05)
 
-    problem = exchange.send(b"request", 5)
+    problem = exchange.send((b"request",), 5)
 
     assert problem == ExchangeFailure(FailureKind.RESET, sent=False)
     listener.stop(timeout=0)
--- a/caroblug/gateway/tests/test_http_server.py
+++ b/caroblug/gateway/tests/test_http_server.py
@@ -4,17 +4,19 @@
 
 import gevent
 import pytest
-from gevent import socket
+from gevent import event, socket
 
 from caroblug.core.access import RequestLimits
-from caroblug.gateway._http_server import Connection
+from caroblug.core.limits import ResourceBounds
+from caroblug.gateway._caller_resources import CallerResources
+from caroblug.gateway._http_server import Connection, RequestScreen
 from caroblug.utils import ManualClock
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
 @contextlib.contextmanager
-def open_connection(limits):
+def open_connection(limits, **more):
     """Provides an open connection, the caller's socket, and the clock."""
     listener = socket.socket()
     listener.bind(("127.0.0.1", 0))
@@ -28,6 +30,7 @@
         limits,
         clock,
         lambda: False,
+        **more,
     )
     yield connection, caller, clock
     caller.close()
@@ -200,3 +203,124 @@
     serve(connection)
 
     assert b"Connection: close" in read_all(caller)
+
+
+def test_requests_behind_a_slow_one_wait_unread(keep_alive):
+    # Guards against requests that are kept in memory long before their turn.
+    connection, caller, _ = keep_alive
+    go_on = event.Event()
+    served = []
+
+    def handle(request, reply):
+        served.append(request.target)
+        go_on.wait()
+        reply.send(200, [], request.target.encode())
+
+    connection._handler = handle
+    serve(connection)
+    for number in range(3000):
+        caller.sendall(REQUEST.replace(b"/x", b"/%d" % number))
+        if number % 100 == 0:
+            gevent.sleep(0)
+    gevent.sleep(0.05)
+    held_bytes = connection._resources.held.held_bytes
+    go_on.set()
+    caller.shutdown(socket.SHUT_WR)
+    answers = read_all(caller)
+
+    assert held_bytes < 200_000
+    assert served == [f"/{number}" for number in range(len(served))]
+    assert answers.startswith(b"HTTP/1.1 200 ")
+
+
+def test_caller_that_leaves_behind_unread_data_stops_its_request(keep_alive):
+    # Guards against work for a caller that has gone, as its close is unread.
+    connection, caller, _ = keep_alive
+    ended = event.Event()
+
+    def handle(request, reply):
+        try:
+            gevent.sleep(60)
+        finally:
+            ended.set()
+
+    connection._handler = handle
+    serve(connection)
+    caller.sendall(REQUEST)
+    gevent.sleep(0.01)
+    caller.sendall(REQUEST * 3)
+    gevent.sleep(0.01)
+    caller.close()
+
+    assert ended.wait(10)
+
+
+def test_connection_that_takes_too_much_is_refused():
+    # Guards against a promise that an evicted request has not run, unkept.
+    resources = CallerResources(
+        ManualClock(100_000), lambda: ResourceBounds(100_000, 10)
+    )
+    with open_connection(RequestLimits, resources=resources) as opened:
+        connection, caller, _ = opened
+        serve(connection)
+        caller.sendall(b"POST /x HTTP/1.1\r\nContent-Length: 200000\r\n\r\n")
+        caller.sendall(b"x" * 150_000)
+        answer = read_all(caller)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: " in answer
+    assert b"Connection: close" in answer
+
+
+class _RefuseAll(RequestScreen):
+    def refuse_known(self, head, reply):
+        reply.send(401, [], b"")
+        return True
+
+    def refuse_overload(self, head, reply):
+        raise NotImplementedError
+
+
+def test_request_that_is_known_to_be_refused_is_not_read():
+    # Guards against bodies that are received for nothing.
+    with open_connection(RequestLimits, screen=_RefuseAll()) as opened:
+        connection, caller, _ = opened
+        serve(connection)
+        caller.sendall(
+            b"POST /x HTTP/1.1\r\nExpect: 100-continue\r\n"
+            b"Content-Length: 200000\r\n\r\n"
+        )
+        assert read_all(caller).startswith(b"HTTP/1.1 401 ")
+
+
+def test_endless_sender_leaves_turns_to_others():
+    # Guards against a connection that is read without a pause.
+    limits = RequestLimits(body_bytes=1 << 50)
+    pieces = [b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"]
+    with open_connection(lambda: limits) as opened:
+        connection, _, _ = opened
+        connection._receive = lambda: pieces.pop() if pieces else b"1\r\nx\r\n"
+        greenlet = serve(connection)
+        for _ in range(3):
+            gevent.sleep(0)
+        assert not greenlet.dead
+        greenlet.kill()
+
+
+def test_connections_beyond_the_bound_close_the_oldest():
+    # Guards against newcomers that find no place beside idle connections.
+    clock = ManualClock(100_000)
+    resources = CallerResources(clock, lambda: ResourceBounds(10**9, 2))
+    with contextlib.ExitStack() as stack:
+        callers = []
+        for _ in range(4):
+            opened = stack.enter_context(
+                open_connection(RequestLimits, resources=resources)
+            )
+            serve(opened[0])
+            callers.append(opened[1])
+            clock.advance(10)
+        gevent.sleep(0.01)
+        assert resources.held.connections == 2
+        assert [read_all(caller) for caller in callers[:2]] == [b"", b""]
+        callers[3].sendall(REQUEST)
+        assert callers[3].recv(1000).endswith(b"served")
--- a/caroblug/gateway/tests/test_stream_rejections.py
+++ b/caroblug/gateway/tests/test_stream_rejections.py
@@ -160,7 +160,7 @@
             list_of(*engines), self.context.clock.now_ms()
         )
         dialect = self.context.dialect
-        dialect.encode_request = lambda *args: b"request"
+        dialect.encode_request = lambda *args: (b"request",)
         dialect.decode_answer = self._decode_answer
         dialect.own_headers = lambda caller, after_ms: [("after", after_ms)]
         self.engines = Engines()
--- a/caroblug/listening.py
+++ b/caroblug/listening.py
@@ -11,11 +11,15 @@
 BACKLOG = 1024
 """Maximum number of connections that wait to be accepted."""
 
+RECEIVE_BUFFER_BYTES = 128 * 1024
+"""Kernel buffer for what a caller has sent and the program has not read. It
+counts towards the memory of the machine."""
+
 _listeners: dict[tuple[str, int], socket.socket] = {}
 
 
-def open_listener(address: tuple[str, int]) -> None:
-    """Opens a listening socket and stores it for `take_listener`.
+def make_listener(address: tuple[str, int]) -> socket.socket:
+    """Returns a listening socket whose connections buffer a bounded amount.
 
     Args:
         address: Host and port.
@@ -26,12 +30,28 @@
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit the size of the buffer.
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         listener.bind(address)
         listener.listen(BACKLOG)
     except OSError:
         listener.close()
         raise
-    _listeners[address] = listener
+    return listener
+
+
+def open_listener(address: tuple[str, int]) -> None:
+    """Opens a listening socket and stores it for `take_listener`.
+
+    Args:
+        address: Host and port.
+
+    Raises:
+        OSError: If the address cannot be bound.
+    """
+    _listeners[address] = make_listener(address)
 
 
 def take_listener(address: tuple[str, int]) -> socket.socket | None:
