Bound what callers make an entry or a side process hold

Callers saw an entry end: 60 bodies of legal size, each a byte short, took it to 514 MB where 256 are allowed, heads of long lines all three programs to 408, and first frames of peers that had not shown the shared key to 517, since a length of 16 MB was accepted from anybody. 1,100 connections took 1,111 of 1,000 descriptors. Four callers with endless trailers kept an entry from being ready, and bodies of many small objects kept it from its engines: the server parsed what it had refused, byte by byte, and decoded one body after the other without a pause.

The same owner as in the gateway, now in caroblug/caller_resources.py, counts the connections of the HTTP port where their bytes are read, and those of peers until they are authenticated. memory_mb and max_sockets are new settings; half of each is for callers.

- A head has 64 KiB at most, a frame before the shared key is shown 4 KiB.
- A body is decoded when there is memory for what it may decode to, one large body at a time and in half of the turns.
- The rest of a refused body is not parsed; the connection is read on for a second, so that the caller gets the answer.
- A response must be read within 30 s.

The estimate of decoded sizes is checked against tracemalloc for six forms of bodies.

--- a/caroblug/entry/_api.py
+++ b/caroblug/entry/_api.py
@@ -5,7 +5,9 @@
 
 import falcon
 
+from caroblug.caller_resources import CallerResources
 from caroblug.entry._admission import StreamAdmission
+from caroblug.entry._body_decoding import BodyDecoder
 from caroblug.entry._completions import CompletionsResource
 from caroblug.entry._models import ModelsResource
 from caroblug.entry._plain_service_client import PlainServiceClient
@@ -25,17 +27,19 @@
     admission: StreamAdmission,
     clock: Clock,
     metrics: Metrics,
+    resources: CallerResources,
 ) -> falcon.App:
     """Returns the Falcon application that serves callers."""
     app = falcon.App()
     app.add_error_handler(Exception, _handle_exception)
     app.add_error_handler(falcon.HTTPNotFound, _handle_not_found)
+    decoder = BodyDecoder(resources, clock)
     for path, chat in (
         ("/v1/chat/completions", True),
         ("/v1/completions", False),
     ):
         resource = CompletionsResource(
-            guard, streams, admission, clock, metrics, chat=chat
+            guard, streams, admission, clock, metrics, decoder, chat=chat
         )
         app.add_route(path, resource)
     app.add_route("/v1/models", ModelsResource(guard))
--- a/caroblug/entry/_completions.py
+++ b/caroblug/entry/_completions.py
@@ -9,12 +9,12 @@
 
 from caroblug.core.state import Bundle
 from caroblug.entry._admission import Permit, StreamAdmission
+from caroblug.entry._body_decoding import BodyDecoder
 from caroblug.entry._refusals import refusal_body, write_refusal
 from caroblug.entry._request_guard import RequestGuard
 from caroblug.entry._requests import (
     Completion,
     make_stream_request,
-    parse_completion,
 )
 from caroblug.entry._response_formats import (
     ChatFormat,
@@ -48,6 +48,7 @@
         admission: Admission control.
         clock: Source of time.
         metrics: Where requests and refusals are counted.
+        decoder: Decodes bodies.
         chat: Whether responses have the chat format.
     """
 
@@ -58,9 +59,11 @@
         admission: StreamAdmission,
         clock: Clock,
         metrics: Metrics,
+        decoder: BodyDecoder,
         *,
         chat: bool,
     ) -> None:
+        self._decoder = decoder
         self._guard = guard
         self._streams = streams
         self._admission = admission
@@ -109,7 +112,7 @@
         body = self._guard.read_body(request, bundle.limits.body_bytes)
         if isinstance(body, Refused):
             return body
-        completion = parse_completion(body)
+        completion = self._decoder.decode(body)
         if isinstance(completion, Refused):
             return completion
         return _ParsedRequest(completion, len(body))
--- a/caroblug/entry/_request_guard.py
+++ b/caroblug/entry/_request_guard.py
@@ -13,6 +13,9 @@
     "this instance is not ready",
     retry_after_ms=_RETRY_AFTER_MS,
 )
+_INCOMPLETE_BODY = Refused(
+    RefusalType.BAD_REQUEST, "the body ended before it was complete"
+)
 
 
 class RequestGuard:
@@ -48,9 +51,12 @@
         return head, account
 
     def read_body(self, request: falcon.Request, limit: int) -> bytes | Refused:
-        """Returns the body, or a refusal if it is over `limit` bytes."""
+        """Returns the body, or a refusal if it isn't one of `limit` bytes."""
         if (request.content_length or 0) <= limit:
-            body = request.bounded_stream.read(limit + 1)
+            try:
+                body = request.bounded_stream.read(limit + 1)
+            except OSError:
+                return _INCOMPLETE_BODY
             if len(body) <= limit:
                 return body
         return body_too_large(limit)
--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -6,6 +6,7 @@
 import falcon
 import gevent
 
+from caroblug.caller_resources import CallerResources
 from caroblug.core.limits import RetryBudget, RetryRule
 from caroblug.core.routing import LatencyTable, covers_layers, make_chooser
 from caroblug.core.state import Head
@@ -61,6 +62,11 @@
         self.metrics: Metrics = make_metrics()
         self._clock = MonotonicClock()
         self._started_ms = self._clock.now_ms()
+        self.resources = CallerResources(
+            self._clock,
+            settings.make_resource_bounds,
+            lambda holding, held_ms: self.metrics.count("connections_evicted"),
+        )
         self.lifetime = Lifetime(
             self._clock, settings.drain_ms, settings.linger_ms
         )
@@ -77,6 +83,7 @@
             self._clock,
             self.metrics,
             settings.make_session_timing(),
+            self.resources,
         )
         self.fleet = make_fleet(
             settings,
@@ -154,7 +161,10 @@
         self.lifetime.install_signal_handlers()
         self.network.start(settings.host, settings.peer_port)
         http = NodeHttpServer(
-            settings.host, settings.http_port, self._make_app()
+            settings.host,
+            settings.http_port,
+            self._make_app(),
+            self.resources,
         )
         http.start()
         self.fleet.start(self.lifetime.leave)
@@ -205,6 +215,7 @@
             self.limits.admission,
             self._clock,
             self.metrics,
+            self.resources,
         )
         add_node_routes(app, self.metrics, lambda: self.ready)
         add_status_route(
--- a/caroblug/gateway/_context.py
+++ b/caroblug/gateway/_context.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from caroblug.caller_resources import CallerResources
 from caroblug.core.access import (
     Configuration,
     RequestLimits,
@@ -18,7 +19,6 @@
     WindowedRetryBudget,
     find_retry_classes,
 )
-from caroblug.gateway._caller_resources import CallerResources
 from caroblug.gateway._decision_log import DecisionLog
 from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._interfaces import Dialect
--- a/caroblug/gateway/_http_server.py
+++ b/caroblug/gateway/_http_server.py
@@ -14,6 +14,10 @@
 from gevent import server, socket
 
 from caroblug import listening
+from caroblug.caller_resources import (
+    CallerResources,
+    ClosableConnection,
+)
 from caroblug.core.access import RequestLimits
 from caroblug.core.limits import RUN_BYTES
 from caroblug.gateway._caller_requests import (
@@ -21,10 +25,6 @@
     RawRequest,
     RequestReader,
 )
-from caroblug.gateway._caller_resources import (
-    CallerResources,
-    ClosableConnection,
-)
 from caroblug.gateway._http_client import set_socket_options
 from caroblug.utils import Clock
 
--- a/caroblug/gateway/tests/test_http_server.py
+++ b/caroblug/gateway/tests/test_http_server.py
@@ -6,9 +6,9 @@
 import pytest
 from gevent import event, socket
 
+from caroblug.caller_resources import CallerResources
 from caroblug.core.access import RequestLimits
 from caroblug.core.limits import ResourceBounds
-from caroblug.gateway._caller_resources import CallerResources
 from caroblug.gateway._http_server import Connection, RequestScreen
 from caroblug.utils import ManualClock
 
--- a/caroblug/node/_http.py
+++ b/caroblug/node/_http.py
@@ -5,8 +5,11 @@
 
 import attrs
 import falcon
-from gevent import pool, pywsgi, socket
+from gevent import pool, socket
 
+from caroblug import listening
+from caroblug.caller_resources import CallerResources
+from caroblug.node._accounted_connections import AccountedServer
 from caroblug.node._lifetime import report_broken_invariant
 from caroblug.utils import Metrics
 
@@ -105,24 +108,6 @@
     app.add_route("/status", _StatusResource(status))
 
 
-class _DirectSendHandler(pywsgi.WSGIHandler):
-    """Sends small chunks with a single `send` call.
-
-    `sendall` of a gevent socket queries the kernel's buffer size and slices
-    the data on each call, which doubles the cost of a streamed token.
-    """
-
-    def _sendall(self, data: bytearray) -> None:
-        """Sends a chunk; falls back to gevent for a partial or failed send."""
-        try:
-            sent = self.socket.send(data)
-        except OSError:
-            sent = 0
-        self.response_length += sent
-        if sent < len(data):
-            super()._sendall(data[sent:])
-
-
 class _InFlightCounter:
     """Counts the requests whose response is not complete yet.
 
@@ -178,16 +163,23 @@
         host: IP address to listen on.
         port: TCP port to listen on.
         app: The application.
+        resources: Accounts for the connections of the process.
     """
 
-    def __init__(self, host: str, port: int, app: falcon.App) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        app: falcon.App,
+        resources: CallerResources,
+    ) -> None:
         self._app = _InFlightCounter(app)
-        self._server = pywsgi.WSGIServer(
+        self._server = AccountedServer(
             make_listener(host, port),
             self._app,
+            resources,
             log=None,
             error_log=None,
-            handler_class=_DirectSendHandler,
             spawn=pool.Pool(),
         )
 
@@ -219,6 +211,10 @@
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # Accepted connections inherit the size of the buffer.
+    listener.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, listening.RECEIVE_BUFFER_BYTES
+    )
     listener.bind((host, port))
     listener.listen(_BACKLOG)
     return listener
--- a/caroblug/node/_settings.py
+++ b/caroblug/node/_settings.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from caroblug.core.limits import ResourceBounds
 from caroblug.transport import SessionTiming
 from caroblug.utils import (
     SettingProblem,
@@ -15,6 +16,9 @@
 
 MIN_KEY_CHARACTERS = 32
 _MAX_SHARED_KEYS = 2
+_BYTES_PER_MB = 1 << 20
+_CALLERS_SHARE = 0.5
+"""Share of memory and sockets for callers; the rest is for the program."""
 
 
 @attrs.frozen(kw_only=True)
@@ -57,6 +61,10 @@
         linger_ms: Minimum time from SIGTERM to the exit, in which others
             notice that the instance is leaving. An entry accepts requests
             until then, because the load balancer notices `/readyz` late.
+        memory_mb: Memory of the machine that the process may use, in MB. Half
+            of it is for what callers make the process hold.
+        max_sockets: Sockets that the process may have open. Half of them are
+            for connections of callers and of peers not yet authenticated.
     """
 
     instance: str = name("Name of this instance, unique in the fleet.")
@@ -102,6 +110,12 @@
         "Maximum time for running work to finish after SIGTERM.", 120_000
     )
     linger_ms: int = duration_ms("Minimum time from SIGTERM to the exit.", 1000)
+    memory_mb: int = count(
+        128, 16_777_216, "Memory that the process may use, in MB.", 1024
+    )
+    max_sockets: int = count(
+        64, 16_777_216, "Sockets that the process may have open.", 4096
+    )
 
     @property
     def reachable_host(self) -> str:
@@ -113,6 +127,13 @@
         """Port that peers connect to."""
         return self.advertised_port or self.peer_port
 
+    def make_resource_bounds(self) -> ResourceBounds:
+        """Returns what callers may make the process hold."""
+        return ResourceBounds(
+            self.memory_mb * _BYTES_PER_MB * _CALLERS_SHARE,
+            self.max_sockets * _CALLERS_SHARE,
+        )
+
     def make_session_timing(self) -> SessionTiming:
         """Returns the heartbeat and probe timing of peer connections."""
         return SessionTiming(
--- a/caroblug/side/_server.py
+++ b/caroblug/side/_server.py
@@ -5,6 +5,7 @@
 import falcon
 import gevent
 
+from caroblug.caller_resources import CallerResources
 from caroblug.core.recovery import StageFailure
 from caroblug.core.routing import report_interval_ms
 from caroblug.core.state import Head, Quarantine, Sharing
@@ -61,6 +62,11 @@
         self.settings = settings
         self.metrics: Metrics = make_metrics()
         self._clock = MonotonicClock()
+        self.resources = CallerResources(
+            self._clock,
+            settings.make_resource_bounds,
+            lambda holding, held_ms: self.metrics.count("connections_evicted"),
+        )
         self.lifetime = Lifetime(
             self._clock, settings.drain_ms, settings.linger_ms
         )
@@ -78,6 +84,7 @@
             self._clock,
             self.metrics,
             settings.make_session_timing(),
+            self.resources,
         )
         self.fleet = make_fleet(
             settings,
@@ -119,7 +126,9 @@
         add_status_route(
             app, lambda: self.fleet.status(self.ready, self._count_running())
         )
-        http = NodeHttpServer(settings.host, settings.http_port, app)
+        http = NodeHttpServer(
+            settings.host, settings.http_port, app, self.resources
+        )
         http.start()
         self.fleet.start(self.lifetime.leave)
         if self._engine is not None:
--- a/caroblug/transport/_framing.py
+++ b/caroblug/transport/_framing.py
@@ -21,6 +21,9 @@
 from caroblug.gen.wire import ttypes as wire
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+MAX_HANDSHAKE_BYTES = 4096
+"""Limit on a frame of a peer that has not shown the shared key yet."""
+
 NONCE_BYTES = 16
 PROTOCOL_VERSION = 1
 _MAC_BYTES = 16
@@ -96,9 +99,15 @@
     return b"".join(parts)
 
 
-def read_payload(sock: socket.socket) -> tuple[bytes, bytes] | None:
+def read_payload(
+    sock: socket.socket, max_bytes: int = MAX_FRAME_BYTES
+) -> tuple[bytes, bytes] | None:
     """Returns the payload and MAC of the next frame.
 
+    Args:
+        sock: Socket of the connection.
+        max_bytes: Limit on the length of the payload.
+
     Returns:
         None if the connection has ended.
 
@@ -109,7 +118,7 @@
     if header is None:
         return None
     length, mac = _HEADER.unpack(header)
-    if length > MAX_FRAME_BYTES:
+    if length > max_bytes:
         raise FrameError(f"frame of {length} bytes exceeds the limit")
     payload = read_exactly(sock, length)
     if payload is None:
--- a/caroblug/transport/_links.py
+++ b/caroblug/transport/_links.py
@@ -68,14 +68,17 @@
             framing.pack_payload(payload, self._outgoing.compute_mac(payload))
         )
 
-    def read(self) -> bytes | None:
+    def read(self, max_bytes: int = framing.MAX_FRAME_BYTES) -> bytes | None:
         """Returns the next payload, or None if the connection has ended.
 
+        Args:
+            max_bytes: Limit on the length of the payload.
+
         Raises:
             FrameError: If the frame is too long or not authentic.
             OSError: If the connection fails.
         """
-        received = framing.read_payload(self.sock)
+        received = framing.read_payload(self.sock, max_bytes)
         if received is None:
             return None
         self._incoming.verify(*received)
@@ -106,7 +109,7 @@
     peer_hello = _read_hello(sock, own_hello)
     key = framing.derive_key(shared_key, own_hello, peer_hello)
     link = _make_link(sock, own_hello, peer_hello, key, now_ms)
-    if link.read() is None:
+    if link.read(framing.MAX_HANDSHAKE_BYTES) is None:
         raise framing.FrameError(
             "peer closed the connection during the handshake"
         )
@@ -144,7 +147,7 @@
     key = framing.derive_key(shared_key, peer_hello, own_hello)
     link = _make_link(sock, own_hello, peer_hello, key, now_ms)
     send_proof(link)
-    if link.read() is None:
+    if link.read(framing.MAX_HANDSHAKE_BYTES) is None:
         raise framing.FrameError(
             "peer closed the connection during the handshake"
         )
@@ -177,7 +180,7 @@
 def _read_hello(
     sock: socket.socket, own_hello: wire.Hello | None
 ) -> wire.Hello:
-    received = framing.read_payload(sock)
+    received = framing.read_payload(sock, framing.MAX_HANDSHAKE_BYTES)
     if received is None:
         raise framing.FrameError(
             "peer closed the connection during the handshake"
--- a/caroblug/transport/_peers.py
+++ b/caroblug/transport/_peers.py
@@ -13,6 +13,7 @@
 import gevent
 from gevent import server, socket
 
+from caroblug.caller_resources import CallerResources, ClosableConnection
 from caroblug.gen.wire import ttypes as wire
 from caroblug.transport import _framing as framing
 from caroblug.transport import _links
@@ -25,12 +26,39 @@
 _DIAL_TIMEOUT_MS = 1000
 _HANDSHAKE_TIMEOUT_S = 5.0
 _MAX_OUTBOX_MESSAGES = 100_000
+_MAX_ACCEPT = 16
+"""Connections that are accepted before other greenlets get their turn."""
+
 _TICK_MS = 50
 _SHORT_PAUSE_MS = 150
 _MS_PER_S = 1000
 _PAUSED_REASON = "this process was paused"
 
 
+class _Newcomer(ClosableConnection):
+    """A connection of a peer that is not authenticated yet.
+
+    Args:
+        sock: Its socket.
+        resources: Accounts for all connections of the process.
+    """
+
+    def __init__(self, sock: socket.socket, resources: CallerResources) -> None:
+        self._socket = sock
+        self._resources = resources
+        self._holding = resources.open(self)
+        resources.make_room()
+
+    def evict(self) -> None:
+        """Closes the connection."""
+        self.end_handshake()
+        self._socket.close()
+
+    def end_handshake(self) -> None:
+        """Ends the accounting, as the peer is authenticated or refused."""
+        self._resources.held.close(self._holding)
+
+
 class PeerNetwork:
     """The sessions of one instance with its peers.
 
@@ -41,6 +69,8 @@
         clock: Source of time.
         metrics: Registry that counts frames, connections and lost peers.
         timing: Heartbeat intervals and timeouts of the sessions.
+        resources: Accounts for connections of peers that are not
+            authenticated yet.
     """
 
     def __init__(
@@ -51,7 +81,9 @@
         clock: Clock,
         metrics: Metrics,
         timing: SessionTiming,
+        resources: CallerResources | None = None,
     ) -> None:
+        self._resources = resources or CallerResources(clock)
         self._hello = hello
         self._shared_key = shared_key
         self._handler = handler
@@ -80,6 +112,7 @@
     def start(self, host: str, port: int) -> int:
         """Starts to listen for peers and returns the port."""
         self._server = server.StreamServer((host, port), self._accept)
+        self._server.max_accept = _MAX_ACCEPT
         self._server.start()
         self._hello.host = self._hello.host or host
         self._hello.port = self._hello.port or self._server.server_port
@@ -239,6 +272,7 @@
             return session.make_hello(self._hello)
 
         timeout = gevent.Timeout(_HANDSHAKE_TIMEOUT_S, TimeoutError("slow"))
+        newcomer = _Newcomer(sock, self._resources)
         try:
             with timeout:
                 link = _links.handshake_as_acceptor(
@@ -251,6 +285,8 @@
             self._metrics.count("peers_refused")
             sock.close()
             return
+        finally:
+            newcomer.end_handshake()
         if self._sessions.get(link.peer.instance) is not known:
             link.close()
             return
@@ -418,8 +454,15 @@
     clock: Clock,
     metrics: Metrics,
     timing: SessionTiming | None = None,
+    resources: CallerResources | None = None,
 ) -> PeerNetwork:
     """Returns a network that does not listen yet."""
     return PeerNetwork(
-        hello, shared_key, handler, clock, metrics, timing or SessionTiming()
+        hello,
+        shared_key,
+        handler,
+        clock,
+        metrics,
+        timing or SessionTiming(),
+        resources,
     )
