Leave memory for the program on small machines

Half of 64 MB for callers, with a program of some 40, would exceed the limit. 64 MB stay for the program, and callers get 8 MB and 8 connections at least; a machine whose settings name fewer descriptors than are reserved for files still gets a gateway that starts. Tests read the limits and change them at run time.

--- a/caroblug/gateway/_context.py
+++ b/caroblug/gateway/_context.py
@@ -31,8 +31,13 @@
 from caroblug.utils import Clock
 
 _CALLERS_MEMORY_SHARE = 0.5
-"""Share of the machine's memory for what callers make the process hold. The
-rest is for the program and its tables."""
+_PROGRAM_MEMORY_MB = 64
+"""Share of the machine's memory for what callers make the process hold, and the
+memory that stays for the program and its tables on a small machine."""
+
+_MIN_CALLERS_MEMORY_MB = 8
+_MIN_CALLERS_CONNECTIONS = 8
+"""What callers get on a machine that is too small for the program."""
 
 _CALLERS_SOCKET_SHARE = 0.5
 """Share of the sockets for callers. Each request takes another one, towards a
@@ -97,10 +102,14 @@
 
     def resource_bounds(self) -> ResourceBounds:
         """Returns what callers may make the process hold."""
-        settings = self.settings
+        memory_mb = min(
+            self.settings.memory_mb * _CALLERS_MEMORY_SHARE,
+            self.settings.memory_mb - _PROGRAM_MEMORY_MB,
+        )
+        connections = self.settings.max_sockets * _CALLERS_SOCKET_SHARE
         return ResourceBounds(
-            settings.memory_mb * _BYTES_PER_MB * _CALLERS_MEMORY_SHARE,
-            settings.max_sockets * _CALLERS_SOCKET_SHARE,
+            max(memory_mb, _MIN_CALLERS_MEMORY_MB) * _BYTES_PER_MB,
+            max(connections, _MIN_CALLERS_CONNECTIONS),
         )
 
     def on_evicted(self, holding: Holding, held_ms: int) -> None:
--- a/caroblug/gateway/_settings.py
+++ b/caroblug/gateway/_settings.py
@@ -115,8 +115,8 @@
     "retry_window_ms": (1, _MAX_MS),
     "lease_least_ms": (1, _MAX_MS),
     "store_partitions": (1, 100_000),
-    "memory_mb": (64, 16_777_216),
-    "max_sockets": (32, 16_777_216),
+    "memory_mb": (1, 16_777_216),
+    "max_sockets": (1, 16_777_216),
 }
 
 
--- a/caroblug/gateway/tests/test_settings_reload.py
+++ b/caroblug/gateway/tests/test_settings_reload.py
@@ -112,3 +112,15 @@
     """A configuration of which only the limits matter."""
 
     limits: object
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "callers_mb"), [(1000, 500), (160, 80), (96, 32), (32, 8)]
+)
+def test_limits_of_the_machine_apply_at_once(site, memory_mb, callers_mb):
+    # Guards against callers who hold what the machine doesn't have any more.
+    site.change(memory_mb=memory_mb, max_sockets=300)
+
+    bounds = site.context.resource_bounds()
+    assert bounds.memory_bytes == callers_mb * (1 << 20)
+    assert bounds.connections == 150
