Keep no metrics for services that callers make up

Each name in /services/NAME got a counter and a latency histogram at the entry for good, whether the service exists or not, so that one account could fill the memory with requests that are refused. Services that are not in the bundle now share one label.

standins/tests/test_unruly_callers.py:: test_services_that_do_not_exist_leave_no_metrics failed before.

--- a/caroblug/entry/_services.py
+++ b/caroblug/entry/_services.py
@@ -11,6 +11,10 @@
 from caroblug.utils import CALLER_ERRORS, Clock, Metrics, RefusalType, Refused
 
 _RETRY_AFTER_MS = 1000
+_UNKNOWN_SERVICE = "unknown"
+"""Label of calls to services that are not in the bundle. Their names come from
+callers, and each label is kept."""
+
 _FORWARDED_HEADERS = ("content-type", "accept")
 
 
@@ -58,9 +62,14 @@
                 self._metrics.count_account_failure(account)
         else:
             _write_reply(response, outcome)
-        self._metrics.count("calls", service=name, group=group, outcome=label)
+        service = name if name in head.bundle.services else _UNKNOWN_SERVICE
+        self._metrics.count(
+            "calls", service=service, group=group, outcome=label
+        )
         elapsed_ms = self._clock.now_ms() - received_ms
-        self._metrics.record_ms("call", elapsed_ms, service=name, group=group)
+        self._metrics.record_ms(
+            "call", elapsed_ms, service=service, group=group
+        )
 
     def _call(
         self,
--- a/standins/tests/test_unruly_callers.py
+++ b/standins/tests/test_unruly_callers.py
@@ -152,3 +152,15 @@
     head = _head(site, b"Content-Length: %d\r\n" % len(prompt))
     makers = [in_pieces(head + prompt) for _ in range(30)]
     crowd_in(site, "entry-a", makers)
+
+
+def test_services_that_do_not_exist_leave_no_metrics(site):
+    # Guards against an entry for each name that callers make up.
+    for number in range(200):
+        path = f"/services/made-up-{number}/x"
+        assert site.call("entry-a", "school-1", "GET", path).status == 404
+    port = site.processes["entry-a"].http_port
+    metrics = site.http(port, "GET", "/metrics").body
+
+    assert b"made-up" not in metrics
+    assert b'service="unknown"' in metrics
