Count the requests that wait behind another as objects

Requests that came in one piece with the one that runs were kept uncounted: 400 of 18 bytes take some 200 KB, on each connection, for as long as the first one runs. They now count with their objects, and a connection on which 64 KiB wait may be closed for them although its request runs.

test_requests_that_wait_count_with_their_objects failed before (24,577 bytes counted, where 400 requests take more than 160,000). A crowd of 600 such callers at a gateway process didn't show the fault, as its slow streams were refused soon; that test was not kept.

--- a/caroblug/gateway/_caller_requests.py
+++ b/caroblug/gateway/_caller_requests.py
@@ -7,6 +7,9 @@
 
 from caroblug.core.access import RequestLimits
 
+_REQUEST_BYTES = 512
+"""Memory of a request without headers and body."""
+
 _HEADER_LINE_BYTES = 256
 """Memory of a header line beside its characters: a pair of strings."""
 
@@ -70,7 +73,7 @@
             len(name) + len(value) + _HEADER_LINE_BYTES
             for name, value in self.headers
         )
-        return len(self.target) + head_bytes + self.body_bytes
+        return _REQUEST_BYTES + len(self.target) + head_bytes + self.body_bytes
 
     def get(self, name: str) -> str | None:
         """Returns the first value of a header.
--- a/caroblug/gateway/_http_server.py
+++ b/caroblug/gateway/_http_server.py
@@ -47,8 +47,8 @@
 """Time for which a connection is read on after its last response. A close with
 unread data would take the response from the caller."""
 
-_MAX_UNREAD_BYTES = 16384
-"""Unread data behind a running request up to which it is not interrupted."""
+_MAX_WAITING_BYTES = 65536
+"""What may wait behind a running request without its interruption."""
 
 _UNREAD_CHECK_S = 0.1
 """Interval at which a connection whose caller has sent more than the request
@@ -270,6 +270,7 @@
         self._responded = False
         self._reader = RequestReader(limits)
         self._unparsed = b""
+        self._queued_bytes = 0
         self._running_bytes = 0
         self._unsent_bytes = 0
         self._unread_bytes = 0
@@ -379,19 +380,21 @@
         A request that runs is not interrupted, unless its response is complete
         and not read, or its caller has sent much more behind it.
         """
+        waiting_bytes = (
+            len(self._unparsed) + self._queued_bytes + self._unread_bytes
+        )
         self._resources.held.set_pinned(
             self._holding,
             self._running_bytes > 0
             and not self._unsent_bytes
-            and self._unread_bytes <= _MAX_UNREAD_BYTES,
+            and waiting_bytes <= _MAX_WAITING_BYTES,
         )
         self._resources.set_bytes(
             self._holding,
-            len(self._unparsed)
+            waiting_bytes
             + self._reader.held_bytes
             + self._running_bytes
-            + self._unsent_bytes
-            + self._unread_bytes,
+            + self._unsent_bytes,
         )
 
     def _receive(self) -> bytes | None:
@@ -475,6 +478,7 @@
             self._refuse(found)
             return
         self._queue.extend(found)
+        self._queued_bytes += sum(request.held_bytes for request in found)
         if self._queue and not self.busy:
             self._worker = gevent.spawn(self._work)
         elif self._reader.partial and not self._reader.in_head:
@@ -504,6 +508,7 @@
         """Handles queued requests until the queue is empty."""
         while self._queue:
             request = self._queue.popleft()
+            self._queued_bytes -= request.held_bytes
             reply = Reply(self._socket, request, self._closing, self._on_unsent)
             try:
                 self._run(request, reply)
@@ -516,6 +521,7 @@
             if not reply.reusable:
                 self._ended = True
                 self._queue.clear()
+                self._queued_bytes = 0
                 self._shut_down_writing()
                 return
             self._idle_since_ms = self._clock.now_ms()
--- a/caroblug/gateway/tests/test_http_server.py
+++ b/caroblug/gateway/tests/test_http_server.py
@@ -324,3 +324,18 @@
         assert [read_all(caller) for caller in callers[:2]] == [b"", b""]
         callers[3].sendall(REQUEST)
         assert callers[3].recv(1000).endswith(b"served")
+
+
+def test_requests_that_wait_count_with_their_objects(keep_alive):
+    # Guards against tiny requests that take many times their bytes.
+    connection, _, _ = keep_alive
+    connection._handler = lambda request, reply: gevent.sleep(60)
+    before = connection._resources.held.held_bytes
+
+    connection._feed(b"GET / HTTP/1.1\r\n\r\n" * 400)
+    gevent.sleep(0)
+
+    taken = connection._resources.held.held_bytes - before
+    assert taken > 400 * 400
+    assert not connection._holding.pinned
+    connection.close()
