Ask the kernel for a caller's end also in a patched process

test_caller_that_leaves_behind_unread_data_stops_its_request failed in three of three whole runs and passed by itself 40 of 40 times: the collection imports stand-ins that patch the process, and gevent's select.poll knows no POLLRDHUP, so that the caller's close was never seen. The gateway isn't patched, so that it was not affected. The poll of the kernel is now used in either case.

The test failed before with pytest -k unread_data_stops, which collects all tests, and passes now.

--- a/caroblug/gateway/_http_server.py
+++ b/caroblug/gateway/_http_server.py
@@ -6,6 +6,7 @@
 import fcntl
 import select
 import struct
+import sys
 import termios
 from collections.abc import Callable
 
@@ -194,6 +195,18 @@
 Handler = Callable[[RawRequest, Reply], None]
 
 
+def _make_kernel_poll():
+    """Returns a poll object of the kernel.
+
+    Where gevent has patched the process, `select.poll` knows no POLLRDHUP. An
+    unpatched one need not import what patches it.
+    """
+    patches = sys.modules.get("gevent.monkey")
+    if patches is None:
+        return select.poll()
+    return patches.get_original("select", "poll")()
+
+
 class RequestScreen(abc.ABC):
     """Refuses requests before they are complete."""
 
@@ -456,7 +469,7 @@
         return any(state & ended for _, state in self._poll(select.POLLRDHUP))
 
     def _poll(self, events: int) -> list[tuple[int, int]]:
-        ready = select.poll()
+        ready = _make_kernel_poll()
         ready.register(self._socket.fileno(), events)
         return ready.poll(0)
 
