--- a/caroblug/gateway/_http_server.py
+++ b/caroblug/gateway/_http_server.py
@@ -479,7 +479,7 @@
         try:
             size = fcntl.ioctl(self._socket.fileno(), termios.FIONREAD, size)
         except OSError:
-            # The kernel doesn't tell: it may keep a full buffer.
+            # The kernel doesn't report it: the buffer may be full.
             return listening.RECEIVE_BUFFER_BYTES
         return struct.unpack("i", size)[0]
 
--- a/caroblug/gateway/tests/test_http_server.py
+++ b/caroblug/gateway/tests/test_http_server.py
@@ -234,7 +234,7 @@
 
 
 def test_caller_that_leaves_behind_unread_data_stops_its_request(keep_alive):
-    # Guards against work for a caller that has gone, as its close is unread.
+    # Guards against work for a closed connection whose unread data hides it.
     connection, caller, _ = keep_alive
     ended = event.Event()
 
--- a/caroblug/node/_accounted_connections.py
+++ b/caroblug/node/_accounted_connections.py
@@ -102,7 +102,7 @@
             raise HeadTooLongError(f"head is over {_MAX_HEAD_BYTES} bytes")
 
     def on_response(self) -> None:
-        """Records that the response has begun."""
+        """Records that a part of the response was sent."""
         self._responded = True
 
     def on_unsent(self, count: int) -> None:
@@ -189,8 +189,7 @@
         try:
             super().handle()
         except (HeadTooLongError, OSError):
-            # The connection was closed meanwhile, or its caller is not worth
-            # more: nothing was read that could be answered.
+            # The connection was closed, or its request line exceeds the limit.
             return
         finally:
             self._connection.close()
