Let running streams wait for an engine that restarts

Callers of an entry got 503 "no chain of engines covers every layer" in the middle of a stream when all engines of a layer were restarting, though one was back a second later, and an engine that had failed under a stream stayed excluded for it even after a restart.

A stream that has begun waits up to 5 s now, continues with the first engine that becomes available, and uses a failed one again once it has restarted and no other is left. A wait counts as one failure, and a request that has not run is refused at once, as before.

--- a/caroblug/entry/_directory.py
+++ b/caroblug/entry/_directory.py
@@ -1,5 +1,6 @@
 """Directory of the side processes, built from their load reports."""
 
+import itertools
 from collections.abc import Collection
 
 import attrs
@@ -36,12 +37,19 @@
         self._plain_services: dict[str, PlainServiceView] = {}
         self._listed_leaving: frozenset[str] = frozenset()
         self._expires_ms: dict[str, int] = {}
+        self._starts: dict[str, int] = {}
+        self._start_numbers = itertools.count(1)
 
     def __len__(self) -> int:
         return len(self._engines) + len(self._plain_services)
 
-    def on_report(self, report: wire.LoadReport) -> None:
-        """Updates the directory from a load report."""
+    def on_report(self, report: wire.LoadReport) -> bool:
+        """Updates the directory from a load report.
+
+        Returns:
+            Whether an engine has become available by it.
+        """
+        before = self.last_start(report.instance)
         leaving = report.leaving or report.instance in self._listed_leaving
         self._expires_ms[report.instance] = report_expiry_ms(
             report, self._clock.now_ms(), self._report_age_ms
@@ -55,6 +63,7 @@
             )
         elif report.instance in self._engines:
             self._engines[report.instance].leaving = True
+        return self.last_start(report.instance) > before
 
     def on_listed(self, leaving: Collection[str]) -> None:
         """Marks instances that the platform lists as leaving.
@@ -76,6 +85,16 @@
         self._engines.pop(instance, None)
         self._plain_services.pop(instance, None)
         self._expires_ms.pop(instance, None)
+        self._starts.pop(instance, None)
+
+    def last_start(self, instance: str) -> int:
+        """Returns when an engine last became available.
+
+        Returns:
+            A number that grows with each engine that becomes available; 0 if
+            the engine isn't known.
+        """
+        return self._starts.get(instance, 0)
 
     def engines(self, model: str) -> list[EngineView]:
         """Returns the engines of a model whose last report has not expired."""
@@ -120,6 +139,8 @@
 
     def _update_engine(self, report: wire.LoadReport, leaving: bool) -> None:
         previous = self._engines.get(report.instance)
+        if not leaving and (previous is None or previous.leaving):
+            self._starts[report.instance] = next(self._start_numbers)
         self._engines[report.instance] = EngineView(
             report.instance,
             report.host,
--- a/caroblug/entry/_server.py
+++ b/caroblug/entry/_server.py
@@ -48,6 +48,7 @@
 _SIDE_ROLE = "side"
 _ENGINE_DISCOVERY_TIMEOUT_MS = 10_000
 _RETRY_REFILL_PERIOD_S = 60
+_OVERDUE_CHECK_S = 0.25
 
 
 class EntryServer(PeerHandler):
@@ -170,6 +171,7 @@
         self.fleet.start(self.lifetime.leave)
         gevent.spawn(self._watch_instances)
         gevent.spawn(self._probe_links)
+        gevent.spawn(self._abort_overdue_streams)
         self.limits.start()
         log_state("program.started", port=settings.http_port)
         self.lifetime.wait(lambda: None, lambda: http.in_flight > 0)
@@ -181,7 +183,8 @@
         self.fleet.on_frame(peer, frame)
         self.limits.on_frame(peer, frame)
         for report in frame.reports or ():
-            self.directory.on_report(report)
+            if self.directory.on_report(report):
+                self.streams.on_engine_started()
             self.subset.on_report(report)
             self.metrics.gauge("known_sides", len(self.directory))
         for probe in frame.probes or ():
@@ -261,6 +264,11 @@
             gevent.sleep(self.settings.probe_ms / 1000)
             self.latency_prober.probe()
 
+    def _abort_overdue_streams(self) -> None:
+        while True:
+            gevent.sleep(_OVERDUE_CHECK_S)
+            self.streams.abort_overdue()
+
 
 def _make_recovery_policy(settings: EntrySettings) -> RecoveryPolicy:
     budget = RetryBudget(
--- a/caroblug/entry/_streams.py
+++ b/caroblug/entry/_streams.py
@@ -27,6 +27,10 @@
 
 _STREAM_NAME_BYTES = 8
 _RETRY_AFTER_MS = 1000
+_ENGINE_WAIT_MS = 5000
+"""Time for which a running stream waits for an engine. One that crashed is back
+after some seconds, and its caller would otherwise lose what has been run."""
+
 _UNREAD_LIMIT_REACHED = Refused(
     RefusalType.LIMIT_REACHED,
     "the caller does not read its answer",
@@ -45,6 +49,8 @@
         wire_name: Name of the stream at the stages. An attempt with a full
             prefill uses another name, so that no stage responds from state
             that it retains.
+        excluded: Instances that have failed, each with its last start in the
+            directory at that time.
     """
 
     def __init__(self, name: str, request: StreamRequest, end_ms: int) -> None:
@@ -55,7 +61,7 @@
         length = len(request.prompt) + request.max_tokens
         self.tokens = EntryStream(request.prompt, length)
         self.chain: Chain | None = None
-        self.excluded: set[str] = set()
+        self.excluded: dict[str, int] = {}
         self.failures = 0
         self.output: queue.Queue = queue.Queue()
         self.on_end: Callable[[], None] = _do_nothing
@@ -76,6 +82,19 @@
     FULL_PREFILL = "full_prefill"
 
 
+@attrs.frozen
+class _EngineWait:
+    """A running stream's wait for an engine.
+
+    Attributes:
+        end_ms: When the stream is aborted.
+        fresh: Whether it restarts with a full prefill.
+    """
+
+    end_ms: int
+    fresh: bool
+
+
 @attrs.frozen
 class RecoveryPolicy:
     """Policy for the recovery of streams.
@@ -126,6 +145,7 @@
         self._policy = policy
         self._quarantine = quarantine
         self._streams: dict[str, RunningStream] = {}
+        self._waits: dict[RunningStream, _EngineWait] = {}
 
     def __len__(self) -> int:
         return len(self._streams)
@@ -165,6 +185,7 @@
         """Ends a stream at every stage; idempotent."""
         if self._streams.pop(stream.wire_name, None) is None:
             return
+        self._waits.pop(stream, None)
         stream.on_end()
         self._switch_chain(stream, None)
         if stream.tokens.complete:
@@ -209,10 +230,10 @@
                 self._picker.on_broken_link(
                     refusal.instance, refusal.unreachable
                 )
-                stream.excluded.add(refusal.unreachable)
+                self._exclude(stream, refusal.unreachable)
                 self._recover(stream)
             case _:
-                stream.excluded.add(refusal.instance)
+                self._exclude(stream, refusal.instance)
                 self._recover(stream)
 
     def on_peer_lost(self, instance: str) -> None:
@@ -220,9 +241,27 @@
         self._picker.on_peer_lost(instance)
         for stream in list(self._streams.values()):
             if instance in stream.chain.instances:
-                stream.excluded.add(instance)
+                self._exclude(stream, instance)
                 self._recover(stream)
 
+    def on_engine_started(self) -> None:
+        """Continues the streams that wait for an engine, where they can."""
+        for stream, wait in list(self._waits.items()):
+            chain = self._find_chain(stream, fresh=wait.fresh)
+            if chain is not None:
+                self._continue(stream, chain, fresh=wait.fresh)
+
+    def abort_overdue(self) -> None:
+        """Aborts the streams that have waited too long for an engine."""
+        now_ms = self._clock.now_ms()
+        for stream, wait in list(self._waits.items()):
+            if now_ms >= wait.end_ms:
+                self._abort(stream, _no_chain(ExecutionStatus.UNKNOWN))
+
+    def _exclude(self, stream: RunningStream, instance: str) -> None:
+        """Excludes an instance that has failed from a stream's next chains."""
+        stream.excluded[instance] = self._directory.last_start(instance)
+
     def _hand_over(self, stream: RunningStream, instance: str) -> None:
         """Moves a stream from a draining stage to another engine.
 
@@ -236,26 +275,55 @@
         if chain is None:
             self._metrics.count("hand_ons_without_chain")
             return
-        stream.excluded = excluded
+        self._exclude(stream, instance)
         self._metrics.count("streams_handed_on")
         self._open(stream, chain)
 
     def _recover(self, stream: RunningStream, *, fresh: bool = False) -> None:
+        if stream in self._waits:
+            return
         refused = self._check_recovery(stream)
         if refused is not None:
             self._abort(stream, refused)
             return
         fresh = fresh or self._policy.strategy is RecoveryStrategy.FULL_PREFILL
+        chain = self._find_chain(stream, fresh=fresh)
+        if chain is None:
+            self._metrics.count("streams_waiting_for_engines")
+            end_ms = self._clock.now_ms() + _ENGINE_WAIT_MS
+            self._waits[stream] = _EngineWait(end_ms, fresh)
+            return
+        self._continue(stream, chain, fresh=fresh)
+
+    def _find_chain(
+        self, stream: RunningStream, *, fresh: bool
+    ) -> Chain | None:
+        """Returns a chain to continue a stream at, or None if there is none.
+
+        Engines that have failed are used again only if they have restarted
+        since, and no other one is available.
+        """
+        request = stream.request
         chain = None
         if not fresh:
             chain = self._picker.replace_stages(
-                stream.chain, stream.request.model, stream.excluded
+                stream.chain, request.model, stream.excluded
             )
         if chain is None:
-            chain = self._picker.pick(stream.request, stream.excluded)
+            chain = self._picker.pick(request, stream.excluded)
         if chain is None:
-            self._abort(stream, _no_chain(ExecutionStatus.UNKNOWN))
-            return
+            last_start = self._directory.last_start
+            failed = [
+                instance
+                for instance, start in stream.excluded.items()
+                if last_start(instance) <= start
+            ]
+            chain = self._picker.pick(request, failed)
+        return chain
+
+    def _continue(
+        self, stream: RunningStream, chain: Chain, *, fresh: bool
+    ) -> None:
         self._metrics.count("streams_recovered")
         self._open(stream, chain, fresh=fresh)
 
@@ -301,6 +369,7 @@
             fresh: Whether to restart with a full prefill, without the state
                 that stages retain.
         """
+        self._waits.pop(stream, None)
         if fresh:
             del self._streams[stream.wire_name]
             self._switch_chain(stream, None)
--- a/caroblug/entry/tests/test_slow_reader.py
+++ b/caroblug/entry/tests/test_slow_reader.py
@@ -9,24 +9,11 @@
     RecoveryPolicy,
     RecoveryStrategy,
 )
+from caroblug.entry.tests.fakes import EmptyQuarantine, FakeNetwork
 from caroblug.gen.wire import ttypes as wire
 from caroblug.utils import ManualClock, Refused, make_metrics
 
 
-class _FakeNetwork:
-    def __init__(self):
-        self.sent = []
-
-    def send(self, to, *messages):
-        self.sent.extend((to.instance, message) for message in messages)
-
-    def is_connected(self, instance):
-        return True
-
-    def add_in_flight(self, instance, change=1):
-        pass
-
-
 class _FakePicker:
     def pick(self, request, excluded):
         return Chain((Stage("side-a", "127.0.0.1", 1, 0, 8),))
@@ -35,17 +22,6 @@
         return None
 
 
-class _EmptyQuarantine:
-    def refusal(self, fingerprint, ran):
-        return None
-
-    def isolate_until(self, fingerprint):
-        return 0
-
-    def on_progress(self, fingerprint, length):
-        pass
-
-
 def _make_policy():
     rule = RetryRule(3, 0.1, 1.0)
     budget = RetryBudget(rule, rule)
@@ -59,7 +35,7 @@
     would hold its slot until the engine has generated the whole response.
     """
     clock = ManualClock(0)
-    network = _FakeNetwork()
+    network = FakeNetwork()
     streams = EntryStreams(
         wire.StageRef("entry-a", "127.0.0.1", 2, 0, 0),
         network,
@@ -68,7 +44,7 @@
         clock,
         make_metrics(),
         _make_policy(),
-        _EmptyQuarantine(),
+        EmptyQuarantine(),
     )
     request = StreamRequest(
         client_account="school-1",
