Ignore what peers say of servers and services that aren't known

Anything that reaches the port for gateways could fill a gateway's memory or hang it with messages of legal size: entries were made for each server name that a message says is draining, slow or without an answer to an order, for each service with retries, and a budget for each service that a loan is asked for. The table of announced exits was built anew for each name, so that one message with 12,000 of them kept the gateway for minutes. Data centres, digests and the names in suspicions had any length, and were kept for each sender or record.

Names are now looked up in the list of servers and the configuration first, and have a length. An answer's list is applied before what it says of its servers.

--- a/caroblug/gateway/_account_messages.py
+++ b/caroblug/gateway/_account_messages.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 from caroblug.core.admission import Admission
+from caroblug.gateway._peer_members import read_name
 
 _MAX_ACCOUNTS = 16
 """Largest accounts that a message names, of all services together."""
@@ -58,7 +59,7 @@
     """
     for service, admission in admissions.items():
         used = {}
-        for rank, account, tokens in reported.get(service, ()):
+        for rank, account, tokens in reported.get(service, ())[:_MAX_ACCOUNTS]:
             if math.isfinite(tokens) and 0 <= tokens <= _MAX_TOKENS:
-                used[int(rank), str(account)] = float(tokens)
+                used[int(rank), read_name(account)] = float(tokens)
         admission.shares.update_peer(gateway, used, now_ms)
--- a/caroblug/gateway/_crash_suspicions.py
+++ b/caroblug/gateway/_crash_suspicions.py
@@ -22,6 +22,7 @@
 )
 from caroblug.gateway._context import Context
 from caroblug.gateway._part_quarantine import PartQuarantine, prompt_key
+from caroblug.gateway._peer_members import MAX_NAME_CHARACTERS
 from caroblug.gateway._pending_request import PendingRequest
 from caroblug.gateway._process_ends import (
     LostRun,
@@ -316,6 +317,8 @@
             suspicion = Suspicion(
                 str(digest), "", str(crash), 0, True, _SUSPICION_TTL_MS
             )
+            if self._is_too_long(suspicion):
+                continue
             if is_prompt_key(suspicion.fingerprint):
                 self._parts.merge_cleared(suspicion)
             elif self._suspicions.on_suspicion(suspicion, now_ms):
@@ -368,6 +371,8 @@
                 False,
                 min(int(remaining_ms), QUARANTINE_MS),
             )
+            if self._is_too_long(suspicion):
+                continue
             if is_prompt_key(suspicion.fingerprint):
                 self._parts.merge(suspicion)
             elif self._was_served_since(suspicion, now_ms):
@@ -377,6 +382,18 @@
             else:
                 self._record(suspicion, own=False)
 
+    def _is_too_long(self, suspicion: Suspicion) -> bool:
+        """Returns whether a gateway's suspicion has names that aren't kept."""
+        names = (
+            suspicion.fingerprint,
+            suspicion.client_account,
+            suspicion.crash,
+        )
+        too_long = max(map(len, names)) > MAX_NAME_CHARACTERS
+        if too_long:
+            self._context.telemetry.count("suspicions_ignored")
+        return too_long
+
     def _was_served_since(self, suspicion: Suspicion, now_ms: int) -> bool:
         """Returns whether a request was answered here after its last crash.
 
--- a/caroblug/gateway/_peer_members.py
+++ b/caroblug/gateway/_peer_members.py
@@ -16,7 +16,23 @@
 """Gateways that are known at most. A fleet has some hundreds, but anything that
 reaches the port may name others."""
 
-_MAX_NAME_CHARACTERS = 256
+MAX_NAME_CHARACTERS = 256
+"""Length of what is kept of a name in a message of another gateway."""
+
+
+def read_name(value: object) -> str:
+    """Returns a name in a message of another gateway.
+
+    Raises:
+        ValueError: If it is too long.
+    """
+    name = str(value)
+    if len(name) > MAX_NAME_CHARACTERS:
+        raise ValueError(
+            f"{name[:64]!r}... has {len(name)} characters,"
+            f" {MAX_NAME_CHARACTERS} are allowed"
+        )
+    return name
 
 
 class PeerMembers:
@@ -61,7 +77,7 @@
         """Returns whether a gateway is known or may be added."""
         if name in self._addresses:
             return True
-        if len(name) > _MAX_NAME_CHARACTERS:
+        if len(name) > MAX_NAME_CHARACTERS:
             return False
         return len(self._addresses) < _MAX_MEMBERS
 
--- a/caroblug/gateway/_peers.py
+++ b/caroblug/gateway/_peers.py
@@ -22,7 +22,7 @@
     LeaseHolderTracker,
 )
 from caroblug.gateway._peer_calls import PeerCalls
-from caroblug.gateway._peer_members import PeerMembers
+from caroblug.gateway._peer_members import PeerMembers, read_name
 from caroblug.gateway._reader_ranking import ReaderRanking
 from caroblug.gateway._server_state_messages import ServerStateMessages
 from caroblug.utils import DECODE_ERRORS
@@ -322,16 +322,16 @@
         """Adds gateways that a peer names."""
         now_ms = self._context.clock.now_ms()
         for name, (host, port, data_centre) in members.items():
-            address = (str(host), int(port))
+            address = (read_name(host), int(port))
             self._members.add_reported(
-                Member(str(name), address, str(data_centre)), now_ms
+                Member(str(name), address, read_name(data_centre)), now_ms
             )
 
     def _handle_message(self, message: dict) -> dict:
         """Applies another gateway's message and returns the answer to it."""
         name = message["name"]
         host, port = message["address"]
-        self._add_member(Member(name, (str(host), int(port))))
+        self._add_member(Member(name, (read_name(host), int(port))))
         if name not in self._members:
             raise ValueError(f"gateway {name[:64]!r} is one too many")
         self._apply_peer_state(name, message)
@@ -380,6 +380,8 @@
 
     def _handle_answer(self, answer: dict, name: str) -> None:
         context = self._context
+        # The rest names servers of the list.
+        self._apply_list(answer)
         self._apply_peer_state(name, answer)
         packed = answer.get("packed_configuration")
         if packed and int(answer["version"]) > self._version():
@@ -392,15 +394,19 @@
                     context.clock.now_ms()
                     - int(answer.get("version_age_ms", UNKNOWN_AGE_MS))
                 )
+
+    def _apply_list(self, answer: dict) -> None:
+        """Adopts the list of servers, if another gateway has sent it."""
         packed_list = answer.get("packed_list")
-        if packed_list:
-            listing = self._registry.decode_listing(
-                decompress_text(packed_list), int(answer["list_end"])
-            )
-            if not isinstance(listing, Unavailable):
-                age_ms = int(answer["list_age_ms"])
-                listed_ms = context.clock.now_ms() - age_ms
-                context.fleet.update_listing(listing, listed_ms)
+        if not packed_list:
+            return
+        listing = self._registry.decode_listing(
+            decompress_text(packed_list), int(answer["list_end"])
+        )
+        if not isinstance(listing, Unavailable):
+            age_ms = int(answer["list_age_ms"])
+            listed_ms = self._context.clock.now_ms() - age_ms
+            self._context.fleet.update_listing(listing, listed_ms)
 
     # State reported by peers.
 
@@ -409,7 +415,9 @@
 
     def _apply_peer_state(self, name: str, message: dict) -> None:
         self._members.on_message(
-            name, str(message["data_centre"]), self._context.clock.now_ms()
+            name,
+            read_name(message["data_centre"]),
+            self._context.clock.now_ms(),
         )
         # Gateways of the previous version don't send members.
         self._apply_members(message.get("members", {}))
@@ -424,14 +432,11 @@
             self._reader_ranking.confirm_version(
                 self._context.clock.now_ms() - age_ms
             )
-        self._retries_left[name] = {
-            str(service): int(left)
-            for service, left in message.get("repeats", {}).items()
-        }
+        self._apply_retries_left(name, message.get("repeats", {}))
         self._crashes.merge(message["crashes"])
         # Gateways of the previous version send neither of the following.
         self._crashes.merge_cleared(message.get("cleared_crashes", []))
-        self._crash_digests[name] = str(message.get("crash_digest", ""))
+        self._crash_digests[name] = read_name(message.get("crash_digest", ""))
         now_ms = self._context.clock.now_ms()
         accounts = message.get("accounts", {})
         apply_accounts(self._context.admissions, name, accounts, now_ms)
@@ -462,8 +467,22 @@
         elif age_ms < self._server_state.list_age_ms():
             self._fetch_from.add(name)
 
+    def _apply_retries_left(self, name: str, left: dict) -> None:
+        known = self._context.configuration
+        services = known.services if known is not None else ()
+        self._retries_left[name] = {
+            service: int(count)
+            for service, count in left.items()
+            if service in services
+        }
+
     def _apply_loads(self, name: str, loads: dict) -> None:
-        tokens = {str(key): float(value) for key, value in loads.items()}
+        backends = self._context.fleet.listing.backends
+        tokens = {
+            engine: float(value)
+            for engine, value in loads.items()
+            if engine in backends
+        }
         self._received_ms[name] = self._context.clock.now_ms()
         loads = self._context.fleet.loads
         loads.update_peer(
--- a/caroblug/gateway/_server_state_messages.py
+++ b/caroblug/gateway/_server_state_messages.py
@@ -52,16 +52,29 @@
         }
 
     def apply(self, message: dict) -> None:
-        """Applies the fields of a message from another gateway."""
+        """Applies the fields of a message from another gateway.
+
+        What it says of servers that aren't listed here is ignored. Such names
+        could be any number of made-up ones.
+        """
         self._apply_suspects(message["suspects"])
         self._apply_engine_reports(message["told"])
-        self._apply_leaving(message["leaving"])
+        self._apply_leaving(self._listed(message["leaving"]))
         # Gateways of the previous version don't send these fields.
-        self._apply_limits(message.get("limits", {}))
-        self._apply_exits(message.get("exits", {}))
-        self._apply_slowdowns(message.get("paces", {}))
-        self._apply_unanswered_orders(message.get("unanswered", {}))
-        self._apply_rooms(message.get("rooms", {}))
+        self._apply_limits(self._listed(message.get("limits", {})))
+        self._apply_exits(self._listed(message.get("exits", {})))
+        self._apply_slowdowns(self._listed(message.get("paces", {})))
+        self._apply_unanswered_orders(
+            self._listed(message.get("unanswered", {}))
+        )
+        self._apply_rooms(self._listed(message.get("rooms", {})))
+
+    def _listed(self, fields: dict) -> dict:
+        """Returns those fields whose names are of listed servers."""
+        backends = self._context.fleet.listing.backends
+        return {
+            name: value for name, value in fields.items() if name in backends
+        }
 
     def _apply_engine_reports(self, told: dict) -> None:
         """Applies what engines have reported to a peer about their layers."""
@@ -140,7 +153,10 @@
 
         The report alone is not trusted, as the peer may itself be cut off.
         """
-        self._context.engines_to_probe.update(str(name) for name in names)
+        backends = self._context.fleet.listing.backends
+        self._context.engines_to_probe.update(
+            name for name in names if name in backends
+        )
 
     def _apply_rooms(self, rooms: dict) -> None:
         """Applies what engines have reported to a peer about their memory."""
--- a/caroblug/gateway/_shared_retry_budget.py
+++ b/caroblug/gateway/_shared_retry_budget.py
@@ -92,6 +92,9 @@
         context = self._context
         # Gateways of the previous version send no class.
         retry_class = RetryClass(int(message.get("class", RetryClass.OTHER)))
+        known = context.configuration
+        if known is None or message["service"] not in known.services:
+            return {"lent": 0}
         lent = context.retry_budget.lend(
             str(message["service"]),
             int(message["wanted"]),
--- a/caroblug/gateway/tests/test_peers.py
+++ b/caroblug/gateway/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from caroblug.gateway._compression import compress_text
 from caroblug.gateway._interfaces import Member
 from caroblug.gateway._peers import LeaseState
 from caroblug.gateway.tests.test_fleet import make_engine
@@ -151,3 +152,56 @@
     peers._exchange("g2")
 
     assert not peers._exchanging
+
+
+def test_state_of_servers_that_come_with_the_list_is_applied():
+    # Guards against what a new gateway isn't told of servers it didn't know.
+    context, _, peers, _ = make_placement("g1")
+    other, _, others, _ = make_placement("g2")
+    list_engines(other, make_engine("e1", 0, 40), make_engine("e2", 0, 40))
+    listing = other.fleet.listing
+    peers._registry.decode_listing = lambda raw, end: listing
+    peers._add_member(Member("g2", ("10.0.0.1", 1)))
+    answer = {
+        **others._build_message("g1"),
+        "leaving": {"e1": 0},
+        "packed_list": compress_text(listing.raw),
+    }
+
+    peers._handle_answer(answer, "g2")
+
+    assert [b.name for b in context.fleet.backends("pool")] == ["e2"]
+
+
+def test_names_of_unlisted_servers_are_not_kept():
+    # Guards against entries for each server that a message makes up.
+    context, _, peers, _ = make_placement("g1")
+    list_engines(context, make_engine("e1", 0, 40))
+    known = set(context.fleet._states)
+    names = dict.fromkeys(("made-up", "e1"), 0)
+    receive_peer_state(
+        peers,
+        "g2",
+        LeaseState.NONE,
+        loads=names,
+        leaving=names,
+        exits=names,
+        unanswered=names,
+        suspects=list(names),
+        repeats=names,
+    )
+
+    assert set(context.fleet._states) == known
+    assert context.engines_to_probe == {"e1"}
+    assert context.fleet.loads._reported["g2"] == {"e1": 0.0}
+    assert peers._retries_left["g2"] == {}
+
+
+def test_suspicion_with_a_long_name_is_ignored():
+    # Guards against records whose number is bounded, but not their size.
+    _, _, peers, _ = make_placement("g1")
+    rows = [["f" * 300, "anna", "e1/1", 60_000], ["f", "anna", "e1/1", 60_000]]
+    receive_peer_state(peers, "g2", LeaseState.NONE, crashes=rows)
+
+    assert peers._crashes._suspicions.count_crashes("f" * 300, 0) == 0
+    assert len(peers._crashes._suspicions) == 1
--- a/caroblug/gateway/tests/test_shared_retry_budget.py
+++ b/caroblug/gateway/tests/test_shared_retry_budget.py
@@ -136,3 +136,15 @@
     ]
 
     assert all(begun)
+
+
+def test_loan_request_for_an_unknown_service_leaves_no_entry():
+    # Guards against a budget for each service that a message makes up.
+    site = Site()
+    tracked = len(site.windows["g0"]._services)
+    for number in range(100):
+        message = {"service": f"made-up-{number}", "wanted": 1}
+        answer = site.budgets["g0"].handle_loan_request(message)
+        assert answer == {"lent": 0}
+
+    assert len(site.windows["g0"]._services) == tracked
