Bound callers' connections by the limit of the process

Callers of a gateway whose own limit on descriptors (ulimit -n) is below its machine's got no answer: connections were bounded by MaxFds alone, so that a crowd took all descriptors of the process, none was left to accept or to reach a server, and an ordinary request timed out.

--- a/caroblug/caller_resources.py
+++ b/caroblug/caller_resources.py
@@ -1,6 +1,9 @@
 """Closes callers' connections when the process holds too much for them."""
 
 import abc
+import functools
+import resource
+import sys
 from collections.abc import Callable
 
 import gevent
@@ -10,6 +13,18 @@
 
 _ROOM_POLL_S = 0.02
 
+_FILE_DESCRIPTORS = 64
+"""Descriptors of a process that are no sockets: files, pipes, polls."""
+
+
+@functools.cache
+def count_process_sockets() -> int:
+    """Returns how many sockets the limit of the process allows, at least 1."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return sys.maxsize
+    return max(1, limit - _FILE_DESCRIPTORS)
+
 
 class ClosableConnection(abc.ABC):
     """A connection that can be closed to release what it holds."""
--- a/caroblug/gateway/_context.py
+++ b/caroblug/gateway/_context.py
@@ -4,7 +4,10 @@
 
 import attrs
 
-from caroblug.caller_resources import CallerResources
+from caroblug.caller_resources import (
+    CallerResources,
+    count_process_sockets,
+)
 from caroblug.core.access import (
     Configuration,
     RequestLimits,
@@ -106,7 +109,8 @@
             self.settings.memory_mb * _CALLERS_MEMORY_SHARE,
             self.settings.memory_mb - _PROGRAM_MEMORY_MB,
         )
-        connections = self.settings.max_sockets * _CALLERS_SOCKET_SHARE
+        sockets = min(self.settings.max_sockets, count_process_sockets())
+        connections = sockets * _CALLERS_SOCKET_SHARE
         return ResourceBounds(
             max(memory_mb, _MIN_CALLERS_MEMORY_MB) * _BYTES_PER_MB,
             max(connections, _MIN_CALLERS_CONNECTIONS),
--- a/caroblug/node/_settings.py
+++ b/caroblug/node/_settings.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from caroblug.caller_resources import count_process_sockets
 from caroblug.core.limits import ResourceBounds
 from caroblug.transport import SessionTiming
 from caroblug.utils import (
@@ -64,7 +65,8 @@
         memory_mb: Memory of the machine that the process may use, in MB. Half
             of it is for what callers make the process hold.
         max_sockets: Sockets that the process may have open. Half of them are
-            for connections of callers and of peers not yet authenticated.
+            for connections of callers and of peers not yet authenticated. A
+            lower limit of the process on its descriptors takes its place.
     """
 
     instance: str = name("Name of this instance, unique in the fleet.")
@@ -129,9 +131,10 @@
 
     def make_resource_bounds(self) -> ResourceBounds:
         """Returns what callers may make the process hold."""
+        sockets = min(self.max_sockets, count_process_sockets())
         return ResourceBounds(
             self.memory_mb * _BYTES_PER_MB * _CALLERS_SHARE,
-            self.max_sockets * _CALLERS_SHARE,
+            sockets * _CALLERS_SHARE,
         )
 
     def make_session_timing(self) -> SessionTiming:
