--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -28,13 +28,7 @@
 from caroblug.gateway._decision_log import DecisionLog
 from caroblug.gateway._fleet import Fleet
 from caroblug.gateway._http_client import Address
-from caroblug.gateway._http_server import (
-    CallerDisconnectedError,
-    Handler,
-    HttpServer,
-    Reply,
-    RequestScreen,
-)
+from caroblug.gateway._http_server import Handler, HttpServer
 from caroblug.gateway._interfaces import CallerRequest, Dialect, Registry
 from caroblug.gateway._kept_connections import KeptConnections
 from caroblug.gateway._limit_permits import PERMIT_PATH, LimitPermits
@@ -51,6 +45,11 @@
 from caroblug.gateway._placement import PlacementController
 from caroblug.gateway._plain_calls import PlainCallHandler
 from caroblug.gateway._quarantine_backup import QuarantineBackup
+from caroblug.gateway._responses import (
+    CallerDisconnectedError,
+    Reply,
+    RequestScreen,
+)
 from caroblug.gateway._room_readers import RoomReaders
 from caroblug.gateway._running_streams import RunningStreams
 from caroblug.gateway._settings import (
--- a/caroblug/gateway/_peer_calls.py
+++ b/caroblug/gateway/_peer_calls.py
@@ -7,8 +7,8 @@
 from caroblug.gateway._context import Context
 from caroblug.gateway._exchange_results import ExchangeFailure
 from caroblug.gateway._http_client import Address, fetch, format_request
-from caroblug.gateway._http_server import Reply
 from caroblug.gateway._interfaces import Unavailable
+from caroblug.gateway._responses import Reply
 from caroblug.utils import DECODE_ERRORS, load_json, shorten
 
 Handler = Callable[[dict], dict]
--- a/caroblug/gateway/_pending_request.py
+++ b/caroblug/gateway/_pending_request.py
@@ -5,8 +5,8 @@
 from caroblug.core.access import Admitted
 from caroblug.gateway._caller_requests import RawRequest
 from caroblug.gateway._context import Context
-from caroblug.gateway._http_server import Reply
 from caroblug.gateway._interfaces import CallerRequest
+from caroblug.gateway._responses import Reply
 from caroblug.gateway._stream_latency import StreamLatency
 
 NO_CAPACITY_RETRY_AFTER_MS = 700
--- a/caroblug/gateway/tests/test_http_server.py
+++ b/caroblug/gateway/tests/test_http_server.py
@@ -9,7 +9,8 @@
 from caroblug.caller_resources import CallerResources
 from caroblug.core.access import RequestLimits
 from caroblug.core.limits import ResourceBounds
-from caroblug.gateway._http_server import Connection, RequestScreen
+from caroblug.gateway._http_server import Connection
+from caroblug.gateway._responses import RequestScreen
 from caroblug.utils import ManualClock
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
--- a/caroblug/gateway/tests/test_unruly_connections.py
+++ b/caroblug/gateway/tests/test_unruly_connections.py
@@ -10,7 +10,8 @@
 from caroblug.caller_resources import CallerResources
 from caroblug.core.access import RequestLimits
 from caroblug.core.limits import ResourceBounds
-from caroblug.gateway._http_server import HttpServer, RequestScreen
+from caroblug.gateway._http_server import HttpServer
+from caroblug.gateway._responses import RequestScreen
 from caroblug.utils import MonotonicClock
 
 LIMITS = RequestLimits(header_bytes=4000, body_bytes=200_000)
