Bound the keys that callers make a side process remember

A side process kept an entry for each new Idempotency-Key for half an hour, and its cache of outcomes kept those without a body for good, since it counted the bytes of bodies alone. One client account with short calls could fill the memory of all owners of a service.

A quarter of the memory is for keys now. A key can't be forgotten before its time, or its call might run twice, so that new ones are refused: 429, not run, with the time until the account's oldest keys are forgotten. An account may add a key while it holds fewer than are free, which leaves a part to the others. Known keys are answered as before. Cached outcomes count with their headers and the memory of an entry.

No process was filled with keys, which would take minutes.

--- a/caroblug/core/limits/__init__.py
+++ b/caroblug/core/limits/__init__.py
@@ -25,6 +25,8 @@
     "HomeEntries": "_home_entries",
     "ItemQueue": "_fair_queue",
     "PartSuspicions": "_part_suspicions",
+    "KEY_BYTES": "_key_quota",
+    "KeyQuota": "_key_quota",
     "LimitOwner": "_server_limits",
     "LimitReport": "_server_limits",
     "ServerAvailability": "_server_availability",
--- a/caroblug/core/state/_owner.py
+++ b/caroblug/core/state/_owner.py
@@ -227,6 +227,10 @@
         """Number of entries that are queued for the log."""
         return len(self._queue)
 
+    def knows(self, key: bytes) -> bool:
+        """Returns whether a key is remembered."""
+        return key in self._live or self._fold.lookup(key) is not None
+
     def admit(
         self,
         now_ms: int,
--- a/caroblug/side/_at_most_once.py
+++ b/caroblug/side/_at_most_once.py
@@ -5,6 +5,7 @@
 
 from gevent import event
 
+from caroblug.core.limits import KEY_BYTES, KeyQuota
 from caroblug.core.state import (
     CallOutcome,
     Conflict,
@@ -44,6 +45,9 @@
 _MS_PER_S = 1000
 _SERVICE_TIMEOUT_MS = 60_000
 _WRITER_ID_BYTES = 6
+_BYTES_PER_MB = 1 << 20
+_KEYS_MEMORY_SHARE = 0.25
+"""Share of the memory for remembered keys. Half of it is for connections."""
 
 
 class AtMostOnceCaller(PlainCaller):
@@ -54,6 +58,8 @@
         journal: Journal of the intents and outcomes of this service.
         metrics: Registry that counts admissions and verdicts.
         retention_ms: How long the log retains its records.
+        quota: Decides which accounts may add a key.
+        clock: Source of time.
     """
 
     def __init__(
@@ -62,8 +68,12 @@
         journal: CallJournal,
         metrics: Metrics,
         retention_ms: int,
+        quota: KeyQuota,
+        clock: Clock,
     ) -> None:
         self._retention_ms = retention_ms
+        self._quota = quota
+        self._clock = clock
         self._direct = direct
         self._journal = journal
         self._metrics = metrics
@@ -100,11 +110,16 @@
         request = digest_parts(
             call.method.encode(), call.path.encode(), call.body or b""
         )
+        wait_ms = self._find_quota_wait_ms(call.client_account, key)
+        if wait_ms:
+            self._metrics.count("calls_admitted", outcome="over_quota")
+            return _refuse_over_quota(call, wait_ms)
         admitted = self._journal.admit(key, request, call.deadline_ms)
         self._metrics.count(
             "calls_admitted", outcome=type(admitted).__name__.lower()
         )
         if isinstance(admitted, Started):
+            self._quota.on_added(call.client_account, self._clock.now_ms())
             return self._start(call, key, request, admitted.id)
         if isinstance(admitted, Joined):
             return self._join(call, admitted.id)
@@ -118,6 +133,18 @@
             return _refuse_undecided(call)
         return self._refuse_unavailable(call)
 
+    def _find_quota_wait_ms(self, client_account: str, key: bytes) -> int:
+        """Returns the time until an account may use a key; 0 if it may now."""
+        journal = self._journal
+        if journal.knows(key):
+            return 0
+        return self._quota.wait_ms(
+            client_account,
+            journal.known_keys,
+            self._clock.now_ms(),
+            journal.window_ms,
+        )
+
     def _start(
         self, call: wire.PlainCall, key: bytes, request: bytes, intent: IntentId
     ) -> wire.PlainReply:
@@ -275,6 +302,16 @@
     )
 
 
+def _refuse_over_quota(call: wire.PlainCall, wait_ms: int) -> wire.PlainReply:
+    return refuse_call(
+        call,
+        RefusalType.LIMIT_REACHED,
+        "the account has used too many keys; this call did not run",
+        ExecutionStatus.NO,
+        wait_ms,
+    )
+
+
 def _refuse_undecided(call: wire.PlainCall) -> wire.PlainReply:
     return refuse_call(
         call,
@@ -303,7 +340,13 @@
         ServiceRule().remember_ms,
     )
     direct = DirectCaller(plain.host, plain.port, _SERVICE_TIMEOUT_MS)
+    key_memory_bytes = settings.memory_mb * _BYTES_PER_MB * _KEYS_MEMORY_SHARE
     caller = AtMostOnceCaller(
-        direct, journal, metrics, settings.log_retention_ms
+        direct,
+        journal,
+        metrics,
+        settings.log_retention_ms,
+        KeyQuota(int(key_memory_bytes / KEY_BYTES)),
+        clock,
     )
     return PlainCallHandler(plain.service, caller, network, metrics)
--- a/caroblug/side/_journal.py
+++ b/caroblug/side/_journal.py
@@ -33,6 +33,9 @@
 _MAX_RETRY_JITTER_S = 0.2
 _MAX_INTERVAL_MS = 500
 _MAX_CACHED_BYTES = 4 * 1024 * 1024
+_CACHED_OUTCOME_BYTES = 1024
+"""Memory of a cached outcome beside its body and headers."""
+
 _MS_PER_S = 1000
 
 
@@ -113,6 +116,20 @@
         gevent.spawn(self._follow_forever)
         gevent.spawn(self._write_forever)
 
+    def knows(self, key: bytes) -> bool:
+        """Returns whether a key is remembered."""
+        return self._owner.knows(key)
+
+    @property
+    def known_keys(self) -> int:
+        """Number of keys that are remembered or about to be."""
+        return len(self._fold) + len(self._owner)
+
+    @property
+    def window_ms(self) -> int:
+        """Time for which a key is remembered."""
+        return self._owner.window_ms
+
     def admit(self, key: bytes, request: bytes, within_ms: int) -> Admitted:
         """Decides whether a call may run; queues the intent of a new call.
 
@@ -180,10 +197,10 @@
 
     def _cache_outcome(self, outcome: CallOutcome) -> None:
         self._cached_outcomes[outcome.id] = outcome
-        self._cached_bytes += len(outcome.body)
+        self._cached_bytes += _count_cached_bytes(outcome)
         while self._cached_bytes > _MAX_CACHED_BYTES:
             _, oldest = self._cached_outcomes.popitem(last=False)
-            self._cached_bytes -= len(oldest.body)
+            self._cached_bytes -= _count_cached_bytes(oldest)
 
     def _write_forever(self) -> None:
         while True:
@@ -305,6 +322,11 @@
         self._owner.window_ms = window_ms
 
 
+def _count_cached_bytes(outcome: CallOutcome) -> int:
+    headers = sum(len(name) + len(value) for name, value in outcome.headers)
+    return _CACHED_OUTCOME_BYTES + headers + len(outcome.body)
+
+
 def make_journal(
     log: LogService,
     service: str,
--- a/caroblug/side/tests/test_journal.py
+++ b/caroblug/side/tests/test_journal.py
@@ -17,7 +17,7 @@
 _TIMEOUT_S = 20
 
 
-class _FakeLog(LogService):
+class FakeLog(LogService):
     """A log in memory; a read with a wait blocks for the whole test."""
 
     def __init__(self):
@@ -46,7 +46,7 @@
         return RecordBatch(tuple(records), offset + len(records), end)
 
 
-def _start_journal(log):
+def start_journal(log):
     journal = make_journal(
         log,
         "booking",
@@ -81,24 +81,24 @@
     The response to a successful append is lost. The journal must read the log
     back, find its batch and not append it again.
     """
-    log = _FakeLog()
-    journal = _start_journal(log)
+    log = FakeLog()
+    journal = start_journal(log)
     log.lose_responses = True
     assert _wait_verdict(journal, _admit(journal, 1)) is Verdict.WON
     assert len(log.records) == 1
 
 
 def test_intent_is_given_up_at_once_if_the_append_fails():
-    log = _FakeLog()
-    journal = _start_journal(log)
+    log = FakeLog()
+    journal = start_journal(log)
     log.down = True
     assert _wait_verdict(journal, _admit(journal, 1)) is Verdict.GIVEN_UP
     assert not journal.ready
 
 
 def test_concurrent_calls_share_an_append():
-    log = _FakeLog()
-    journal = _start_journal(log)
+    log = FakeLog()
+    journal = start_journal(log)
     intents = [_admit(journal, number) for number in range(50)]
     verdicts = {_wait_verdict(journal, intent) for intent in intents}
     assert verdicts == {Verdict.WON}
