Read bodies in chunks at entries, with a limit on their framing

A completion whose body came in chunks got 400 ("not JSON"), and a call of a plain service was passed on with an empty body: the body was read by its Content-Length alone.

The framing is parsed byte by byte, so that such a connection gives others their turn at each read. A connection stays open behind a body that was read to its end.

--- a/caroblug/entry/_request_guard.py
+++ b/caroblug/entry/_request_guard.py
@@ -4,7 +4,7 @@
 
 from caroblug.core.state import Head
 from caroblug.entry._authentication import authenticate
-from caroblug.node import BundleFollower, Lifetime
+from caroblug.node import BundleFollower, Lifetime, read_to_limit
 from caroblug.utils import RefusalType, Refused
 
 _RETRY_AFTER_MS = 1000
@@ -52,9 +52,20 @@
 
     def read_body(self, request: falcon.Request, limit: int) -> bytes | Refused:
         """Returns the body, or a refusal if it isn't one of `limit` bytes."""
-        if (request.content_length or 0) <= limit:
+        encoding = request.get_header("Transfer-Encoding", default="")
+        chunked = encoding.lower() == "chunked"
+        if encoding and not chunked:
+            return Refused(
+                RefusalType.BAD_REQUEST,
+                f"the transfer encoding {encoding!r} is not supported",
+            )
+        if chunked or (request.content_length or 0) <= limit:
             try:
-                body = request.bounded_stream.read(limit + 1)
+                body = (
+                    read_to_limit(request.stream.read, limit)
+                    if chunked
+                    else request.bounded_stream.read(limit + 1)
+                )
             except OSError:
                 return _INCOMPLETE_BODY
             if len(body) <= limit:
--- a/caroblug/node/__init__.py
+++ b/caroblug/node/__init__.py
@@ -1,6 +1,7 @@
 """Shared parts of entry and side: settings, bundles, HTTP and lifetime."""
 
 from caroblug.node._bundles import BUNDLE_STREAM, BundleFollower
+from caroblug.node._chunked_input import read_to_limit
 from caroblug.node._fleet import Fleet, make_fleet
 from caroblug.node._http import (
     NodeHttpServer,
@@ -27,5 +28,6 @@
     "add_status_route",
     "make_listener",
     "make_fleet",
+    "read_to_limit",
     "run_program",
 ]
--- a/caroblug/node/_accounted_connections.py
+++ b/caroblug/node/_accounted_connections.py
@@ -9,6 +9,7 @@
 
 from caroblug.caller_resources import CallerResources, ClosableConnection
 from caroblug.core.limits import RUN_BYTES
+from caroblug.node._chunked_input import ChunkedInput
 
 _MAX_HEAD_BYTES = 65_536
 """Limit on the request line and the headers together."""
@@ -53,6 +54,7 @@
         self._socket = sock
         self._resources = resources
         self._received_bytes = 0
+        self._head_bytes = 0
         self._unsent_bytes = 0
         self._in_head = False
         self._running = False
@@ -61,6 +63,11 @@
         self._holding = resources.open(self)
         resources.make_room()
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes received since the head of the request, framing included."""
+        return self._received_bytes - self._head_bytes
+
     def begin_request(self) -> None:
         """Begins to read a request."""
         self._received_bytes = 0
@@ -71,6 +78,7 @@
     def end_head(self) -> None:
         """Records that the head of the request is complete."""
         self._in_head = False
+        self._head_bytes = self._received_bytes
         self._running = True
         self._account()
 
@@ -148,6 +156,7 @@
         self._socket = sock
         self._connection = connection
         self._reads = 0
+        self.chunked_input: ChunkedInput | None = None
 
     def readable(self) -> bool:
         """Returns that data can be read."""
@@ -157,10 +166,14 @@
         """Reads once into a buffer."""
         self._connection.begin_read()
         self._reads += 1
-        if self._reads % _READS_PER_TURN == 0:
+        chunked_input = self.chunked_input
+        # The framing of chunks is parsed byte by byte.
+        if chunked_input is not None or self._reads % _READS_PER_TURN == 0:
             gevent.sleep(0)
         count = self._socket.recv_into(buffer)
         self._connection.end_read(count)
+        if chunked_input is not None:
+            chunked_input.check_framing(self._connection.body_bytes)
         return count
 
 
@@ -181,8 +194,8 @@
 
     def __init__(self, sock, address, server) -> None:
         self._connection = server.take_connection(sock)
-        reader = _AccountedReader(sock, self._connection)
-        super().__init__(sock, address, server, io.BufferedReader(reader))
+        self._reader = _AccountedReader(sock, self._connection)
+        super().__init__(sock, address, server, io.BufferedReader(self._reader))
 
     def handle(self) -> None:
         """Handles requests until the connection ends."""
@@ -205,6 +218,15 @@
         self._connection.end_head()
         return valid
 
+    def get_environ(self) -> dict:
+        """Returns the environment of a request, with its body."""
+        environ = super().get_environ()
+        if self.wsgi_input.chunked_input:
+            self.wsgi_input = ChunkedInput(self.rfile, self.wsgi_input.socket)
+            self._reader.chunked_input = self.wsgi_input
+            environ["wsgi.input"] = self.wsgi_input
+        return environ
+
     def handle_one_response(self) -> None:
         """Runs the application for one request."""
         try:
@@ -222,9 +244,14 @@
         try:
             super().run_application()
         finally:
+            self._reader.chunked_input = None
             body = self.wsgi_input
-            rest = (body.content_length or 0) - body.position
-            if body.chunked_input or rest > _MAX_SKIPPED_BYTES:
+            if isinstance(body, ChunkedInput):
+                abandoned = not body.complete
+            else:
+                rest = (body.content_length or 0) - body.position
+                abandoned = rest > _MAX_SKIPPED_BYTES
+            if abandoned:
                 self.close_connection = True
                 self.wsgi_input = _AbandonedInput()
 
--- a/standins/tests/test_unruly_callers.py
+++ b/standins/tests/test_unruly_callers.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import socket
 import struct
 
 import pytest
@@ -164,3 +165,45 @@
 
     assert b"made-up" not in metrics
     assert b'service="unknown"' in metrics
+
+
+def _largest_body() -> bytes:
+    """Returns a completion request that fills the limit with spaces."""
+    body = {"model": MODEL, "prompt": "a star", "max_tokens": 4}
+    return json.dumps(body).encode().ljust(BODY_BYTES)
+
+
+def _status_of(site, name: str, pieces) -> bytes:
+    """Sends a request in pieces and returns the start of its answer."""
+    address = ("127.0.0.1", site.processes[name].http_port)
+    with socket.create_connection(address, timeout=30) as caller:
+        for piece in pieces:
+            caller.sendall(piece)
+        return caller.recv(12)
+
+
+def test_largest_body_is_served_in_calm(site):
+    # Guards against a limit that refuses a request of legal size.
+    head = _head(site, b"Content-Length: %d\r\n" % BODY_BYTES)
+    answer = _status_of(site, "entry-a", in_pieces(head + _largest_body()))
+    assert answer == b"HTTP/1.1 200"
+
+
+def test_largest_body_in_chunks_with_a_trailer_is_served_in_calm(site):
+    # Guards against a limit that refuses a request of legal size.
+    head = _head(site, b"Transfer-Encoding: chunked\r\n")
+    chunks = (
+        b"%x\r\n%b\r\n" % (len(piece), piece)
+        for piece in in_pieces(_largest_body())
+    )
+    end = [b"0\r\nX-Checksum: 5\r\n\r\n"]
+    pieces = itertools.chain([head], chunks, end)
+    assert _status_of(site, "entry-a", pieces) == b"HTTP/1.1 200"
+
+
+@pytest.mark.parametrize("name", _NODES)
+def test_long_head_is_served_in_calm(site, name):
+    # Guards against a limit that refuses a request of legal size.
+    lines = b"".join(b"X-%d: %b\r\n" % (n, b"x" * 7000) for n in range(9))
+    head = b"GET /readyz HTTP/1.1\r\nHost: h\r\n" + lines + b"\r\n"
+    assert _status_of(site, name, [head]) == b"HTTP/1.1 200"
