Refuse a part of an answer whose engine reset a long upload

Callers saw: an engine reads 20 KB of an upload of 3 MiB, sends a 200 without a length and a part of its body, and closes the connection. The part arrived as a complete stream, or as a complete plain answer; the same with a 500.

Cause: the reset ends a write of the upload, and the kernel reports it only once. Reads then return what had arrived, and after it the end of the stream, as an orderly close does. A body without a length ends with the connection, so that the part was taken for all of it. If the whole upload fits into the kernel's buffers, a reset behind an orderly close of the server's direction isn't reported at all.

Fix: such a body is complete only if the whole request was written, the connection was not reset and nothing sent is unacknowledged: the server has then received all of it. Answers with a length or chunks that come early are delivered as before.

--- a/caroblug/gateway/_http_client.py
+++ b/caroblug/gateway/_http_client.py
@@ -17,6 +17,7 @@
 from gevent import socket
 
 from caroblug import listening
+from caroblug.gateway._connection_state import has_peer_received_all
 from caroblug.gateway._exchange_results import (
     EndOfBody,
     ExchangeFailure,
@@ -79,6 +80,7 @@
     def begin_next(self) -> None:
         """Prepares for the next request, on the same connection if any."""
         self._sent = False
+        self._sent_in_full = True
         self._keep_alive = False
         self._messages = 0
         self._receives = 0
@@ -185,6 +187,7 @@
         except OSError:
             # The peer may have responded and closed the connection before it
             # read the whole body. That response can still be read.
+            self._sent_in_full = False
             return None if self._has_bytes() else self._fail(FailureKind.RESET)
         return None
 
@@ -367,9 +370,16 @@
     def _on_closed(self) -> ExchangeFailure | None:
         """Handles an orderly close by the peer.
 
-        It ends a body that has neither a length nor chunked encoding.
+        It ends a body that has neither a length nor chunked encoding, if the
+        peer has received the whole request. A reset looks like a close once a
+        write has failed with it, and bytes before it may be lost.
         """
-        if self._head is not None and not self._has_framing:
+        if (
+            self._head is not None
+            and not self._has_framing
+            and self._sent_in_full
+            and has_peer_received_all(self._socket)
+        ):
             self._done = True
             self._ended_by_close = True
             return None
