Check answers against the whole grammar of HTTP/1.1

Callers saw, or could see: an answer with status 600 or a control byte in its reason phrase as an answer; a body whose transfer encoding isn't "chunked" read as if it had none; a status below 100 as an interim response, so that a call waited for another one. The gateway itself took such answers of the store, peers and engines.

Cause: the parser of the library accepts more than the grammar, and each version something else. What followed the answer was checked by another module, from the headers that the parser had read.

Fix: core/responses checks the bytes before the parser sees them: status line, names and values of fields, lengths, chunks, trailers, the end. It passes on only the final response, without extensions and trailers, so that the parser can't read another one than was checked. It replaces the check of what follows a response, whose cases its tests contain.

--- /dev/null
+++ b/caroblug/core/responses/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the check of responses."""
--- a/caroblug/gateway/_http_client.py
+++ b/caroblug/gateway/_http_client.py
@@ -17,6 +17,7 @@
 from gevent import socket
 
 from caroblug import listening
+from caroblug.core.responses import MalformedResponse, ResponseFilter
 from caroblug.gateway._connection_state import has_peer_received_all
 from caroblug.gateway._exchange_results import (
     EndOfBody,
@@ -26,7 +27,6 @@
     ReadTimeout,
     ResponseHead,
 )
-from caroblug.gateway._response_extent import ResponseExtent
 from caroblug.utils import MonotonicClock
 
 Address = tuple[str, int]
@@ -82,16 +82,13 @@
         self._sent = False
         self._sent_in_full = True
         self._keep_alive = False
-        self._messages = 0
         self._receives = 0
-        self._extent = ResponseExtent()
+        self._filter = ResponseFilter()
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[str, str]] = []
         self._head: ResponseHead | None = None
-        self._body_bytes = 0
         self._chunks: collections.deque[bytes] = collections.deque()
         self._done = False
-        self._has_framing = False
         self._ended_by_close = False
         self._without_body = False
 
@@ -103,16 +100,12 @@
     @property
     def received(self) -> bool:
         """Whether any byte of a response has arrived."""
-        return self._extent.received > 0
+        return self._filter.received > 0
 
     @property
     def is_exact(self) -> bool:
         """Whether exactly one complete response has arrived, and no more."""
-        return (
-            self._done
-            and self._messages == 1
-            and self._extent.is_one_response(self._head.headers)
-        )
+        return self._done and self._filter.is_exact
 
     @property
     def reusable(self) -> bool:
@@ -172,6 +165,7 @@
             The failure, or None if the response can be read.
         """
         self._without_body = bodiless
+        self._filter = ResponseFilter(bodiless)
         until_ms = _deadline_ms(timeout_s)
         self._socket.settimeout(max(_MIN_TIMEOUT_S, timeout_s))
         try:
@@ -291,44 +285,25 @@
 
     # Callbacks of httptools.
 
-    def on_message_begin(self) -> None:
-        """Counts the responses on the connection."""
-        self._messages += 1
-
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds one header; those behind the head belong to no response."""
-        if self._head is None:
-            self._headers.append(
-                (name.decode("latin-1"), value.decode("latin-1"))
-            )
+        """Adds one header."""
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
-        """Completes the head, and records how the body is delimited."""
+        """Completes the head."""
         status = self._parser.get_status_code()
-        if self._head is not None or status < 200:
-            return
-        for name, _ in self._headers:
-            if name.lower() in ("content-length", "transfer-encoding"):
-                self._has_framing = True
         self._head = ResponseHead(status, tuple(self._headers))
         if self._without_body:
             self._done = True
 
     def on_body(self, data: bytes) -> None:
         """Adds a chunk of the body."""
-        if not self._done:
-            self._body_bytes += len(data)
-            self._chunks.append(bytes(data))
+        self._chunks.append(bytes(data))
 
     def on_message_complete(self) -> None:
-        """Records the end of the response; later bytes are ignored."""
-        if self._head is None:
-            # An interim response.
-            self._headers.clear()
-            return
-        if not self._done:
-            self._done = True
-            self._keep_alive = self._parser.should_keep_alive()
+        """Records the end of the response."""
+        self._done = True
+        self._keep_alive = self._parser.should_keep_alive()
 
     def _receive(self, until_ms: float) -> ReadTimeout | ExchangeFailure | None:
         left_ms = until_ms - _CLOCK.now_ms()
@@ -343,28 +318,28 @@
             return self._fail(FailureKind.RESET)
         if not data:
             return self._on_closed()
-        self._extent.add(data)
         self._receives += 1
         if self._receives % _RECEIVES_PER_TURN == 0:
             gevent.sleep(0)
         return self._parse(data)
 
     def _parse(self, data: bytes) -> ExchangeFailure | None:
+        passed = self._filter.feed(data)
+        if isinstance(passed, MalformedResponse):
+            return self._fail(FailureKind.NOT_HTTP)
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(passed)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if not self._done:
-                return self._fail(FailureKind.NOT_HTTP)
+            return self._fail(FailureKind.NOT_HTTP)
         return self._fail(FailureKind.TOO_LONG) if self._is_too_long() else None
 
     def _is_too_long(self) -> bool:
         """Returns whether head or framing exceed their limits."""
         if self._done:
             return False
-        framing_bytes = self._extent.received - self._body_bytes
         return (
-            framing_bytes
-            > MAX_HEAD_BYTES + self._body_bytes * _MAX_FRAMING_RATIO
+            self._filter.framing_bytes
+            > MAX_HEAD_BYTES + self._filter.body_bytes * _MAX_FRAMING_RATIO
         )
 
     def _on_closed(self) -> ExchangeFailure | None:
@@ -375,9 +350,8 @@
         write has failed with it, and bytes before it may be lost.
         """
         if (
-            self._head is not None
-            and not self._has_framing
-            and self._sent_in_full
+            self._sent_in_full
+            and self._filter.close() is None
             and has_peer_received_all(self._socket)
         ):
             self._done = True
