Check and bound the answers that side processes read

Callers saw: an answer of a service with two Content-Length lines became its first 3 bytes; with a blank or a control byte in the name of a field, the rest of the head went missing and the body was another one. A service that sends without end was kept in memory until the machine ran out of it.

Cause: two libraries read these answers, each by its own rules: the one for calls that may not be repeated takes the first of several lengths, ends the head at a line that it can't read, and takes signs, blanks and underscores in numbers. A length of 30 digits raised an error that ends the process; one of 11 digits asks for that much memory at once. Neither has a limit on bodies. A reset during an upload looked like the end of a body without a length, as in the gateway.

Fix: the sockets of both clients run the same check before the library sees a byte, and count what is received and announced against a limit for each body and one for all. A connection with surplus bytes isn't used again. The check counts the bytes, which is why the bounds are part of it.

--- a/caroblug/core/responses/_response_filter.py
+++ b/caroblug/core/responses/_response_filter.py
@@ -57,6 +57,11 @@
         """Number of bytes of the body so far."""
         return self._body_bytes
 
+    @property
+    def announced_bytes(self) -> int:
+        """Number of bytes of the body so far, and of those known to follow."""
+        return self._body_bytes + self._left_bytes
+
     @property
     def framing_bytes(self) -> int:
         """Number of bytes that are no part of the body."""
--- a/caroblug/gateway/_http_client.py
+++ b/caroblug/gateway/_http_client.py
@@ -17,8 +17,8 @@
 from gevent import socket
 
 from caroblug import listening
+from caroblug.connection_state import has_peer_received_all
 from caroblug.core.responses import MalformedResponse, ResponseFilter
-from caroblug.gateway._connection_state import has_peer_received_all
 from caroblug.gateway._exchange_results import (
     EndOfBody,
     ExchangeFailure,
--- a/caroblug/side/_at_most_once.py
+++ b/caroblug/side/_at_most_once.py
@@ -23,6 +23,7 @@
 from caroblug.gen.wire import ttypes as wire
 from caroblug.side._journal import CallJournal, JournalSettings, make_journal
 from caroblug.side._plain import (
+    MAX_ANSWER_BYTES,
     DirectCaller,
     PlainCaller,
     PlainCallHandler,
@@ -30,6 +31,7 @@
 )
 from caroblug.side._settings import SideSettings
 from caroblug.transport import PeerNetwork, make_log_service
+from caroblug.transport._checked_socket import ResponseMemory
 from caroblug.utils import (
     Clock,
     ExecutionStatus,
@@ -49,6 +51,9 @@
 _KEYS_MEMORY_SHARE = 0.25
 """Share of the memory for remembered keys. Half of it is for connections."""
 
+_ANSWERS_MEMORY_SHARE = 0.125
+"""Share of the memory for answers that are being received."""
+
 
 class AtMostOnceCaller(PlainCaller):
     """Makes a call with a key only if its intent is first on the log.
@@ -339,8 +344,15 @@
         JournalSettings(settings.intent_interval_ms),
         ServiceRule().remember_ms,
     )
-    direct = DirectCaller(plain.host, plain.port, _SERVICE_TIMEOUT_MS)
-    key_memory_bytes = settings.memory_mb * _BYTES_PER_MB * _KEYS_MEMORY_SHARE
+    memory_bytes = settings.memory_mb * _BYTES_PER_MB
+    answer_memory = ResponseMemory(
+        max(MAX_ANSWER_BYTES, int(memory_bytes * _ANSWERS_MEMORY_SHARE)),
+        MAX_ANSWER_BYTES,
+    )
+    direct = DirectCaller(
+        plain.host, plain.port, _SERVICE_TIMEOUT_MS, answer_memory
+    )
+    key_memory_bytes = memory_bytes * _KEYS_MEMORY_SHARE
     caller = AtMostOnceCaller(
         direct,
         journal,
--- a/caroblug/side/_plain.py
+++ b/caroblug/side/_plain.py
@@ -9,6 +9,7 @@
 from caroblug.core.state import Head, ServiceRule
 from caroblug.gen.wire import ttypes as wire
 from caroblug.transport import PeerAddress, PeerNetwork
+from caroblug.transport._checked_socket import ResponseMemory
 from caroblug.transport._http import (
     HttpFailure,
     HttpResponse,
@@ -18,6 +19,10 @@
 from caroblug.utils import ExecutionStatus, Metrics, RefusalType
 
 _RETRY_AFTER_MS = 500
+_MAX_CONNECTIONS = 64
+MAX_ANSWER_BYTES = 4 << 20
+"""Limit on the body of an answer, as in the gateway."""
+
 _PATH_SAFE_CHARACTERS = "%/?:@!$&'()*+,;=~-._[]"
 _HOP_BY_HOP_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "content-length", "host"}
@@ -52,13 +57,26 @@
         host: IP address of the service.
         port: Port of the service.
         timeout_ms: Timeout of a call.
+        memory: Accounts for the bodies of answers; by default, with four times
+            the limit on one body.
     """
 
-    def __init__(self, host: str, port: int, timeout_ms: int) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        timeout_ms: int,
+        memory: ResponseMemory | None = None,
+    ) -> None:
         self._host = host
         self._port = port
         self._timeout_ms = timeout_ms
-        self._client = JsonHttpClient(host, port, timeout_ms, connections=64)
+        self._memory = memory or ResponseMemory(
+            4 * MAX_ANSWER_BYTES, MAX_ANSWER_BYTES
+        )
+        self._client = JsonHttpClient(
+            host, port, timeout_ms, _MAX_CONNECTIONS, self._memory
+        )
 
     def call(self, call: wire.PlainCall) -> wire.PlainReply:
         """Runs a call and returns its reply or a refusal."""
@@ -88,6 +106,7 @@
             call.body or b"",
             _make_headers(call),
             may_send,
+            self._memory,
         )
         return _make_reply(call, response)
 
--- a/caroblug/transport/_http.py
+++ b/caroblug/transport/_http.py
@@ -2,13 +2,21 @@
 
 import dataclasses
 import http.client
+import socket
 from collections.abc import Callable
 from typing import Any
 
 import orjson
 from geventhttpclient import HTTPClient
+from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPParseError
 
+from caroblug.transport._checked_socket import (
+    MAX_BODY_BYTES,
+    CheckedSocket,
+    ResponseMemory,
+)
+
 _JSON_HEADERS = {"Content-Type": "application/json"}
 _HTTP_ERRORS = (OSError, http.client.HTTPException, ValueError)
 
@@ -52,6 +60,64 @@
         return orjson.loads(self.body)
 
 
+class _CheckedPool(ConnectionPool):
+    """Connections whose responses are checked.
+
+    Args:
+        memory: Accounts for the bodies of all of them.
+        host: IP address.
+        port: Port.
+        size: Maximum number of concurrent connections.
+        timeout_s: Timeout for connecting and for each read.
+    """
+
+    def __init__(
+        self,
+        memory: ResponseMemory,
+        host: str,
+        port: int,
+        size: int,
+        timeout_s: float,
+    ) -> None:
+        super().__init__(
+            host,
+            port,
+            host,
+            port,
+            size=size,
+            connection_timeout=timeout_s,
+            network_timeout=timeout_s,
+        )
+        self._memory = memory
+
+    def return_socket(self, sock: CheckedSocket) -> None:
+        """Keeps a connection, unless more than a response has arrived."""
+        sock.give_back()
+        if sock.reusable:
+            super().return_socket(sock)
+        else:
+            self.release_socket(sock)
+
+    def _create_tcp_socket(
+        self, family: int, socktype: int, protocol: int
+    ) -> CheckedSocket:
+        return CheckedSocket(self._memory, family, socktype, protocol)
+
+
+class _CheckedClient(HTTPClient):
+    """Client whose connections check responses.
+
+    Args:
+        pool: Its connections.
+        host: IP address.
+        port: Port.
+    """
+
+    def __init__(self, pool: _CheckedPool, host: str, port: int) -> None:
+        super().__init__(host, port)
+        self._connection_pool = pool
+
+
 class JsonHttpClient:
     """A keep-alive HTTP client for one address.
 
@@ -60,18 +126,26 @@
         port: Port.
         timeout_ms: Timeout for connecting and for each read.
         connections: Maximum number of concurrent connections.
+        memory: Accounts for the bodies of responses; by default, with twice
+            the limit on one body.
     """
 
     def __init__(
-        self, host: str, port: int, timeout_ms: int, connections: int = 4
+        self,
+        host: str,
+        port: int,
+        timeout_ms: int,
+        connections: int = 4,
+        memory: ResponseMemory | None = None,
     ) -> None:
-        self._client = HTTPClient(
+        pool = _CheckedPool(
+            memory or ResponseMemory(2 * MAX_BODY_BYTES),
             host,
             port,
-            concurrency=connections,
-            connection_timeout=timeout_ms / 1000,
-            network_timeout=timeout_ms / 1000,
+            connections,
+            timeout_ms / 1000,
         )
+        self._client = _CheckedClient(pool, host, port)
 
     def request(
         self,
@@ -123,6 +197,7 @@
     body: bytes,
     headers: dict[str, str],
     may_send: Callable[[], bool],
+    memory: ResponseMemory | None = None,
 ) -> HttpResponse | HttpFailure:
     """Sends a request at most once, over a connection of its own.
 
@@ -141,10 +216,16 @@
         headers: Header names and values.
         may_send: Called when the connection is open, right before the first
             byte is sent. The request is sent only if it returns True.
+        memory: Accounts for the body of the response; by default, with the
+            limit on one body.
     """
     connection = http.client.HTTPConnection(host, port, timeout_ms / 1000)
     try:
-        connection.connect()
+        connection.sock = _connect(
+            memory or ResponseMemory(MAX_BODY_BYTES),
+            (host, port),
+            timeout_ms / 1000,
+        )
     except _HTTP_ERRORS as error:
         connection.close()
         return HttpFailure(_format_error(error), sent=False)
@@ -163,5 +244,20 @@
         connection.close()
 
 
+def _connect(
+    memory: ResponseMemory, address: tuple[str, int], timeout_s: float
+) -> CheckedSocket:
+    """Returns a connected socket, which sends without delay."""
+    sock = CheckedSocket(memory)
+    try:
+        sock.settimeout(timeout_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.connect(address)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 def _format_error(error: Exception) -> str:
     return str(error) or type(error).__name__
