Answer the last requests before a planned stop

Callers saw: in a planned stop, requests on the connections that were opened in the last 50 ms were closed unanswered. Calls that still ran at the end of the grace were cut without an answer, among them some that may not be repeated.

Cause: the drain ended as soon as no request ran. Connections that waited to be accepted, were accepted without a byte read yet, or had a request in part were reset as the process ended. Entries close their listening socket in the same way. At the end of the grace nobody told those that waited.

Fix: once no request runs, the gateway accepts what waits, closes the listening socket, and ends when the connections that it has are answered or idle. One that has sent nothing for 300 ms counts as idle. At the end of the grace, requests that run get 502 if they were sent, since they may have run, and 503 else.

--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -49,6 +49,7 @@
     CallerDisconnectedError,
     Reply,
     RequestScreen,
+    ShutdownError,
 )
 from caroblug.gateway._room_readers import RoomReaders
 from caroblug.gateway._running_streams import RunningStreams
@@ -88,6 +89,9 @@
 _EXIT_RESERVE_MS = 250
 """Time reserved between the end of the drain and the platform's SIGKILL."""
 
+_LAST_RESPONSES_S = 0.15
+"""Time for the responses to requests that are not answered by the exit."""
+
 _SETTINGS_POLL_S = 5.0
 """Interval at which the settings are read without a signal. A read takes a
 millisecond."""
@@ -329,18 +333,39 @@
         context.log.write("program.leaving", busy=self._callers.busy)
         self._callers.close_after_responses()
         gevent.spawn(self._placement.stop)
+        listening = True
         while context.clock.now_ms() < self._exit_ms():
-            if (
-                context.clock.now_ms() - self._terminated_ms
-                > _BALANCER_NOTICE_MS
-            ):
-                self._callers.close_idle()
-                if not self._callers.busy:
-                    break
             gevent.sleep(_DRAIN_POLL_S)
+            draining_ms = context.clock.now_ms() - self._terminated_ms
+            if draining_ms <= _BALANCER_NOTICE_MS:
+                continue
+            self._callers.close_idle()
+            if self._callers.busy:
+                continue
+            if listening:
+                # What has been connected until now is still answered.
+                self._callers.stop_listening()
+                listening = False
+            elif not self._callers.open_connections:
+                break
+        self._answer_last(listening)
         context.log.write("program.stopped", cut_short=self._callers.busy)
         context.log.flush()
 
+    def _answer_last(self, listening: bool) -> None:
+        """Answers requests that would outlast the process.
+
+        Args:
+            listening: Whether new connections are still accepted.
+        """
+        if listening:
+            self._callers.stop_listening()
+            gevent.sleep(0)
+        self._callers.interrupt()
+        with gevent.Timeout(_LAST_RESPONSES_S, False):
+            while self._callers.open_connections:
+                gevent.sleep(_START_POLL_S)
+
     # Request handling.
 
     def _handle_request(self, request: RawRequest, reply: Reply) -> None:
@@ -374,13 +399,33 @@
         if self._crashes.is_quarantined(pending):
             self._responses.refuse_quarantined(pending)
             return
-        if decision.route.kind is RouteKind.STREAMING and (
-            decision.service.model is not None
+        try:
+            self._forward(pending)
+        except ShutdownError:
+            self._end_at_exit(pending)
+
+    def _forward(self, pending: PendingRequest) -> None:
+        admitted = pending.admitted
+        if admitted.route.kind is RouteKind.STREAMING and (
+            admitted.service.model is not None
         ):
             self._streams.serve(pending)
         else:
             self._calls.serve(pending)
 
+    def _end_at_exit(self, pending: PendingRequest) -> None:
+        """Answers a request that the exit interrupts, if none has begun.
+
+        One that was sent may have run, though its answer hasn't come.
+        """
+        pending.reply.end_connection()
+        if pending.reply.begun:
+            self._responses.log(pending, 200, "exit", cut=True)
+        elif pending.sends:
+            self._responses.fail(pending, 502, "exit")
+        else:
+            self._responses.refuse(pending, "leaving", LEAVING_RETRY_AFTER_MS)
+
     def _decide(
         self, request: RawRequest, caller: CallerRequest, reply: Reply
     ) -> Admitted | None:
--- a/caroblug/gateway/_http_server.py
+++ b/caroblug/gateway/_http_server.py
@@ -31,6 +31,7 @@
     OpenScreen,
     Reply,
     RequestScreen,
+    ShutdownError,
 )
 from caroblug.utils import Clock
 
@@ -53,6 +54,10 @@
 """Interval at which a connection whose caller has sent more than the request
 that runs is checked for its end. What it has sent stays unread meanwhile."""
 
+_NEW_CONNECTION_MS = 300
+"""Time for which a connection that has sent nothing yet isn't closed as idle.
+Its first request may be on the way."""
+
 _CHECK_INTERVAL_S = 0.5
 """Interval at which a connection without traffic checks its timeouts."""
 
@@ -115,6 +120,7 @@
         self._queue: collections.deque[RawRequest] = collections.deque()
         self._worker: gevent.Greenlet | None = None
         self._idle_since_ms = clock.now_ms()
+        self._is_unused = True
         self._ended = False
         self._responded = False
         self._reader = RequestReader(limits)
@@ -141,6 +147,12 @@
             return False
         return not self._ended and not self._has_readable_data()
 
+    @property
+    def is_new(self) -> bool:
+        """Whether the first request may still be on the way."""
+        idle_ms = self._clock.now_ms() - self._idle_since_ms
+        return self._is_unused and idle_ms < _NEW_CONNECTION_MS
+
     def serve(self) -> None:
         """Reads and handles requests until the connection ends."""
         try:
@@ -163,6 +175,11 @@
         self._resources.held.close(self._holding)
         self._socket.close()
 
+    def interrupt(self) -> None:
+        """Raises `ShutdownError` in the handler of the request that runs."""
+        if self.busy:
+            self._worker.kill(ShutdownError(), block=False)
+
     def evict(self) -> None:
         """Releases what the connection holds and closes it."""
         if self._ended or self.busy or not self._reader.partial:
@@ -320,6 +337,7 @@
         return struct.unpack("i", size)[0]
 
     def _feed(self, data: bytes) -> None:
+        self._is_unused = False
         if not self._reader.partial:
             self._resources.restart(self._holding)
         found = self._reader.feed(data, self._clock.now_ms())
@@ -535,6 +553,11 @@
         """Number of connections whose request is being handled."""
         return sum(c.busy for c in self._connections)
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
     def listen(self) -> None:
         """Opens the listening socket; connections queue until `start`."""
         self._server.init_socket()
@@ -548,15 +571,22 @@
         self._closing = True
 
     def close_idle(self) -> None:
-        """Closes connections without a request in progress."""
+        """Closes connections without a request in progress or on the way."""
         for connection in list(self._connections):
-            if connection.idle:
+            if connection.idle and not connection.is_new:
                 connection.close()
 
     def stop_listening(self) -> None:
         """Closes the listening socket; open connections stay open."""
+        if self._server.started:
+            listening.accept_waiting(self._server)
         self._server.close()
 
+    def interrupt(self) -> None:
+        """Raises `ShutdownError` in the handlers of all requests that run."""
+        for connection in list(self._connections):
+            connection.interrupt()
+
     def _open(self, sock) -> Connection:
         """Returns the connection of an accepted socket."""
         connection = Connection(
--- a/caroblug/gateway/_responses.py
+++ b/caroblug/gateway/_responses.py
@@ -33,6 +33,10 @@
     """The caller closed its connection or stopped reading."""
 
 
+class ShutdownError(Exception):
+    """The process exits before the request is answered."""
+
+
 class Reply:
     """Writer of the response to one request, which is sent once.
 
--- a/caroblug/listening.py
+++ b/caroblug/listening.py
@@ -6,6 +6,7 @@
 listening socket, and the program answers their requests once it runs.
 """
 
+import contextlib
 import socket
 
 BACKLOG = 1024
@@ -57,3 +58,19 @@
 def take_listener(address: tuple[str, int]) -> socket.socket | None:
     """Removes and returns the stored listening socket of an address, if any."""
     return _listeners.pop(address, None)
+
+
+def accept_waiting(server) -> None:
+    """Accepts the connections that wait for a server, before it stops.
+
+    They would be reset with its listening socket, also where they have sent a
+    request. The rest is reset where the process has no descriptors left.
+
+    Args:
+        server: Server of gevent that has been started.
+    """
+    with contextlib.suppress(OSError):
+        accepted = server.do_read()
+        while accepted is not None:
+            server.do_handle(*accepted)
+            accepted = server.do_read()
--- a/caroblug/node/_http.py
+++ b/caroblug/node/_http.py
@@ -198,6 +198,7 @@
         Guards against a response that is cut although its work is done. The
         server waits only for handlers in its own pool, so it is given one.
         """
+        listening.accept_waiting(self._server)
         self._server.stop(timeout=1)
 
 
