Survive hosts and numbers that can't exist in lists and answers

Seen: one entry of the instance list whose host is no text that can be looked up ended each entry and side process that dialled it, again and again. An engine that described itself with a number of more than 31 bits ended its side process as that reported it.

Cause: dialling expected errors of the connection and of the handshake only, and an error that nobody expects ends the program. Numbers of engines were passed on as they came, into messages that have 32 bits for them. The decoders of engines, orders, the log and the weight store had lists of errors of their own, none with OverflowError.

Fix: an instance whose address can't exist is lost like one that doesn't answer, and numbers are checked where they are decoded. All decoders use the one list of errors.

--- a/caroblug/bundle/_fleet.py
+++ b/caroblug/bundle/_fleet.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 
 import attrs
-import orjson
 from gevent import pool
 
 from caroblug.transport import (
@@ -14,7 +13,7 @@
     InstancesUnavailable,
 )
 from caroblug.transport._http import HttpResponse, JsonHttpClient
-from caroblug.utils import Clock
+from caroblug.utils import DECODE_ERRORS, Clock
 
 _STATUS_TIMEOUT_MS = 1000
 _MAX_CONCURRENT_REQUESTS = 32
@@ -64,7 +63,7 @@
             bool(body["ready"]),
             int(body["running"]),
         )
-    except (KeyError, TypeError, ValueError, orjson.JSONDecodeError):
+    except DECODE_ERRORS:
         return InstanceStatus(record, answered=False)
     finally:
         client.close()
--- a/caroblug/transport/_engine.py
+++ b/caroblug/transport/_engine.py
@@ -3,13 +3,16 @@
 import abc
 import binascii
 import dataclasses
+import math
 from collections.abc import Sequence
 
 import attrs
 
 from caroblug.transport._http import HttpFailure, JsonHttpClient
+from caroblug.utils import DECODE_ERRORS, shorten
 
 _OK = 200
+_MAX_INT32 = (1 << 31) - 1
 _MAX_CONNECTIONS = 32
 
 
@@ -133,14 +136,8 @@
         if isinstance(response, HttpFailure):
             return EngineFailure(response.message, not response.timed_out)
         try:
-            body = response.json()
-            return EngineDescription(
-                **{
-                    f.name: body[f.name]
-                    for f in attrs.fields(EngineDescription)
-                }
-            )
-        except (KeyError, TypeError, ValueError):
+            return _decode_description(response.json())
+        except DECODE_ERRORS:
             return EngineFailure("answer does not parse")
 
     def run(
@@ -159,10 +156,32 @@
             return EngineFailure(f"status {response.status}")
         try:
             return tuple(_decode_result(r) for r in response.json()["results"])
-        except (KeyError, TypeError, ValueError):
+        except DECODE_ERRORS:
             return EngineFailure("answer does not parse")
 
 
+def _decode_description(body: dict) -> EngineDescription:
+    tokens_per_s = float(body["tokens_per_s"])
+    if not math.isfinite(tokens_per_s):
+        raise ValueError(f"tokens_per_s {tokens_per_s}")
+    return EngineDescription(
+        str(body["model"]),
+        _decode_int32(body["first_layer"]),
+        _decode_int32(body["end_layer"]),
+        _decode_int32(body["layers"]),
+        tokens_per_s,
+        _decode_int32(body["batch"]),
+    )
+
+
+def _decode_int32(value: object) -> int:
+    """Returns a number that fits into a message to other instances."""
+    number = int(value)
+    if abs(number) > _MAX_INT32:
+        raise ValueError(f"number {shorten(value)}")
+    return number
+
+
 def _encode_item(item: EngineItem) -> dict:
     inputs: list[int | str] = [
         value
@@ -184,10 +203,10 @@
 def _decode_result(body: dict) -> EngineResult:
     return EngineResult(
         str(body["session"]),
-        int(body["position"]),
-        int(body["length"]),
+        _decode_int32(body["position"]),
+        _decode_int32(body["length"]),
         tuple(binascii.a2b_base64(s) for s in body.get("states", ())),
-        int(body.get("token", -1)),
+        _decode_int32(body.get("token", -1)),
         str(body.get("error", "")),
     )
 
--- a/caroblug/transport/_engine_orders.py
+++ b/caroblug/transport/_engine_orders.py
@@ -10,6 +10,7 @@
 
 from caroblug.core.state import Placement
 from caroblug.transport._http import HttpFailure, JsonHttpClient
+from caroblug.utils import DECODE_ERRORS
 
 _OK = 200
 _CONFLICT = 409
@@ -73,7 +74,7 @@
             body = response.json()
             names = [f.name for f in attrs.fields(Placement)]
             return Placement(**{n: body[n] for n in names if n in body})
-        except (AttributeError, KeyError, TypeError, ValueError):
+        except DECODE_ERRORS:
             return OrderFailed("response is not valid")
 
     def order(
--- a/caroblug/transport/_log.py
+++ b/caroblug/transport/_log.py
@@ -5,7 +5,6 @@
 import dataclasses
 
 import attrs
-import orjson
 
 from caroblug.transport._http import HttpFailure, JsonHttpClient
 from caroblug.utils import DECODE_ERRORS
@@ -123,7 +122,7 @@
             return LogUnavailable(f"status {response.status}")
         try:
             return _parse_records(response.json())
-        except (KeyError, TypeError, ValueError, orjson.JSONDecodeError):
+        except DECODE_ERRORS:
             return LogUnavailable("response is not valid")
 
 
--- a/caroblug/transport/_peers.py
+++ b/caroblug/transport/_peers.py
@@ -24,6 +24,9 @@
 from caroblug.utils import Clock, Metrics, log_state
 
 _DIAL_TIMEOUT_MS = 1000
+_ADDRESS_ERRORS = (OverflowError, ValueError)
+"""Raised for a host or a port of the list that can't exist."""
+
 _HANDSHAKE_TIMEOUT_S = 5.0
 _MAX_OUTBOX_MESSAGES = 100_000
 _MAX_ACCEPT = 16
@@ -235,7 +238,13 @@
                 session.verify_link(link)
                 _links.send_proof(link)
                 return link
-        except (OSError, framing.FrameError) as error:
+        except (
+            OSError,
+            OverflowError,
+            ValueError,
+            framing.FrameError,
+        ) as error:
+            # The address comes from the list; its host or port may not exist.
             if sock is not None:
                 sock.close()
             return str(error)
--- a/caroblug/transport/_weight_store.py
+++ b/caroblug/transport/_weight_store.py
@@ -5,6 +5,7 @@
 import math
 
 from caroblug.transport._http import HttpFailure, HttpResponse, JsonHttpClient
+from caroblug.utils import DECODE_ERRORS
 
 _CREATED = 201
 _TOO_MANY_REQUESTS = 429
@@ -75,7 +76,7 @@
             return WeightsUnavailable(f"status {response.status}")
         try:
             return Reserved(str(response.json()["ticket"]))
-        except (KeyError, TypeError, ValueError):
+        except DECODE_ERRORS:
             return WeightsUnavailable("response is not valid")
 
 
