Read failures of engines like other whole answers

Callers could see: a part of an engine's 500 as all of it, if its process ended and the body had no length. A gateway whose engines answer many streams with failures without end holds up to 4 MiB for each, and ends when the machine's memory is spent; the requests of others end with it.

Cause: streams read such a body by themselves, without the reservation of memory and the check of the process that plain calls have.

Fix: both use one function, and a failure that ends with its connection is complete only if the engine's process is alive, as a stream is.

--- a/caroblug/gateway/_pending_request.py
+++ b/caroblug/gateway/_pending_request.py
@@ -5,6 +5,8 @@
 from caroblug.core.access import Admitted
 from caroblug.gateway._caller_requests import RawRequest
 from caroblug.gateway._context import Context
+from caroblug.gateway._exchange_results import ExchangeFailure, ReadTimeout
+from caroblug.gateway._http_client import MAX_BODY_BYTES, Exchange
 from caroblug.gateway._interfaces import CallerRequest
 from caroblug.gateway._responses import Reply
 from caroblug.gateway._stream_latency import StreamLatency
@@ -94,6 +96,29 @@
         return account.name if account else None
 
 
+def read_whole_body(
+    context: Context, pending: PendingRequest, exchange: Exchange
+) -> bytes | ReadTimeout | ExchangeFailure:
+    """Reads the body of a response that is forwarded as a whole.
+
+    A large one waits until there is memory for it. It is accounted for with
+    the caller's connection while it is written.
+    """
+    resources = context.resources
+    reserved = []
+
+    def take_room() -> bool:
+        if resources.take_room(MAX_BODY_BYTES, pending.end_ms):
+            reserved.append(MAX_BODY_BYTES)
+        return bool(reserved)
+
+    left_s = pending.left_ms(context.clock.now_ms()) / 1000
+    try:
+        return exchange.read_body(left_s, take_room=take_room)
+    finally:
+        resources.give_room(sum(reserved))
+
+
 class GatewayResponses:
     """Responses that the gateway generates itself.
 
--- a/caroblug/gateway/_plain_calls.py
+++ b/caroblug/gateway/_plain_calls.py
@@ -17,7 +17,7 @@
     ResponseHead,
 )
 from caroblug.gateway._fleet import warrants_ejection
-from caroblug.gateway._http_client import MAX_BODY_BYTES, Exchange
+from caroblug.gateway._http_client import Exchange
 from caroblug.gateway._interfaces import (
     AnswerMetadata,
     BackendServer,
@@ -25,7 +25,11 @@
     RunState,
 )
 from caroblug.gateway._limit_permits import LimitPermits
-from caroblug.gateway._pending_request import GatewayResponses, PendingRequest
+from caroblug.gateway._pending_request import (
+    GatewayResponses,
+    PendingRequest,
+    read_whole_body,
+)
 from caroblug.gateway._process_ends import ServerProcess
 from caroblug.gateway._server_advice import (
     AT_REST_REASON,
@@ -250,7 +254,7 @@
                 AttemptOutcome.REJECTED, f"turned away with {head.status}"
             )
         pending.ran += 1
-        body = self._read_body(pending, exchange)
+        body = read_whole_body(context, pending, exchange)
         if isinstance(body, ReadTimeout):
             gevent.spawn(self._crashes.on_run_lost, pending, process)
             return AttemptResult(
@@ -279,28 +283,6 @@
             )
         return AttemptResult(AttemptOutcome.ANSWERED, "", head, metadata, body)
 
-    def _read_body(
-        self, pending: PendingRequest, exchange: Exchange
-    ) -> bytes | ReadTimeout | ExchangeFailure:
-        """Reads the body of a response.
-
-        A large one waits until there is memory for it. It is accounted for
-        with the caller's connection while it is written.
-        """
-        resources = self._context.resources
-        reserved = []
-
-        def take_room() -> bool:
-            if resources.take_room(MAX_BODY_BYTES, pending.end_ms):
-                reserved.append(MAX_BODY_BYTES)
-            return bool(reserved)
-
-        left_s = pending.left_ms(self._context.clock.now_ms()) / 1000
-        try:
-            return exchange.read_body(left_s, take_room=take_room)
-        finally:
-            resources.give_room(sum(reserved))
-
     def _on_exchange_failure(
         self,
         pending: PendingRequest,
--- a/caroblug/gateway/_stream_runner.py
+++ b/caroblug/gateway/_stream_runner.py
@@ -34,6 +34,7 @@
     RunState,
     Unavailable,
 )
+from caroblug.gateway._pending_request import read_whole_body
 from caroblug.gateway._process_ends import ProcessState
 from caroblug.gateway._run_results import (
     RunEnd,
@@ -304,9 +305,16 @@
     def _read_error_response(
         self, head: ResponseHead, metadata: AnswerMetadata
     ) -> RunResult:
-        body = self._state.exchange.read_body(self._state.left_ms / 1000)
+        state = self._state
+        body = read_whole_body(self._context, state.pending, state.exchange)
         if not isinstance(body, bytes):
             return RunResult(RunEnd.LOST, f"failure {head.status} not whole")
+        if state.exchange.ended_by_close:
+            found = self._check_processes()
+            if found is not ProcessState.ALIVE:
+                return RunResult(
+                    RunEnd.LOST, f"ended by close, process: {found.value}"
+                )
         return RunResult(
             RunEnd.ERROR_RESPONSE,
             f"answered {head.status}",
--- a/caroblug/gateway/tests/raw_server.py
+++ b/caroblug/gateway/tests/raw_server.py
@@ -37,13 +37,17 @@
     Args:
         answer: Bytes that it sends for each request.
         end: How it ends the connection.
+        stops: Whether it listens no more once it has answered.
 
     Attributes:
         requests: Number of requests that it has answered.
     """
 
-    def __init__(self, answer: bytes, end: End = End.OPEN) -> None:
+    def __init__(
+        self, answer: bytes, end: End = End.OPEN, stops: bool = False
+    ) -> None:
         self._answer = answer
+        self._stops = stops
         self._end = end
         self.requests = 0
         self._server = server.StreamServer(("127.0.0.1", 0), self._serve)
@@ -68,6 +72,8 @@
                 return
             self.requests += 1
             self._read(sock)
+            if self._stops:
+                self._server.close()
             sock.sendall(self._answer)
             self._finish(sock)
         except OSError:
