--- a/caroblug/core/responses/_response_filter.py
+++ b/caroblug/core/responses/_response_filter.py
@@ -163,7 +163,7 @@
         return at
 
     def _read_until_close(self, data: bytes, at: int) -> int:
-        self._left_bytes = len(data)
+        self._left_bytes = len(data) - at
         return self._pass_body(data, at)
 
     def _read_chunk_line(self, data: bytes, at: int) -> int:
