--- a/caroblug/gateway/_gateway.py
+++ b/caroblug/gateway/_gateway.py
@@ -414,7 +414,7 @@
             self._calls.serve(pending)
 
     def _end_at_exit(self, pending: PendingRequest) -> None:
-        """Answers a request that the exit interrupts, if none has begun.
+        """Sends a response to a request that the exit interrupts, if none was.
 
         One that was sent may have run, though its answer hasn't come.
         """
--- a/caroblug/gateway/tests/test_early_ends.py
+++ b/caroblug/gateway/tests/test_early_ends.py
@@ -46,8 +46,7 @@
 def test_answer_that_ends_before_the_request_is_read_is_incomplete(
     status, end, upload
 ):
-    # Guards against a part of an answer that is taken for all of it: a reset
-    # that ended a write of the request isn't reported again to the reader.
+    # Guards against a part of an answer that is taken for all of it.
     answer = UNFRAMED.replace(b"200 OK", status)
 
     results = [exchange(answer, end, upload) for _ in range(TRIES)]
--- a/caroblug/node/tests/test_stop.py
+++ b/caroblug/node/tests/test_stop.py
@@ -50,8 +50,7 @@
 
 @pytest.mark.parametrize("make", [make_node_server, make_gateway_server])
 def test_connections_that_wait_to_be_accepted_are_served(make):
-    # Guards against requests that are reset unanswered with the listening
-    # socket of a server that stops.
+    # Guards against requests that are reset as the listening socket closes.
     port, stop = make()
     callers = [
         socket.create_connection(("127.0.0.1", port))
--- a/caroblug/transport/_checked_socket.py
+++ b/caroblug/transport/_checked_socket.py
@@ -141,7 +141,7 @@
         super().close()
 
     def _begin(self, data) -> None:
-        """Begins a request, unless it has begun."""
+        """Resets the state of the response before the first byte is sent."""
         if self._requests and not self._filter.received:
             return
         self.give_back()
--- a/caroblug/transport/tests/test_odd_answers.py
+++ b/caroblug/transport/tests/test_odd_answers.py
@@ -133,8 +133,7 @@
     + [{"layers": 1 << 40}, {"layers": "x"}, {"tokens_per_s": "nan"}],
 )
 def test_number_that_fits_into_no_message_is_a_failure(odd):
-    # Guards against a number of an engine that ends its side process as that
-    # reports it.
+    # Guards against a number of an engine that ends its side process.
     client = HttpEngineClient(*ADDRESS)
     client._client = Answer(200, {**DESCRIPTION, **odd})
 
@@ -151,8 +150,7 @@
 
 @pytest.mark.parametrize("host", ["a\0b", "a" * 300, "\ud800", "", "x y"])
 def test_instance_whose_host_can_not_exist_is_lost(host):
-    # Guards against one entry of the list that ends every program which dials
-    # it.
+    # Guards against one entry of the list that ends all who dial it.
     lost = event.AsyncResult()
 
     class Handler(PeerHandler):
